--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+# Every target works on a fresh machine: the virtual environment is built first.
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+CODE := egretlanding standins lab tests
+WORKERS ?= 6
+
+.PHONY: test check format lint types unit demo generate clean
+
+$(VENV)/.installed: requirements/lock.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --no-deps --requirement requirements/lock.txt
+	touch $@
+
+test: check unit
+
+check: $(VENV)/.installed
+	$(BIN)/ruff format --check $(CODE)
+	$(BIN)/ruff check $(CODE)
+	$(BIN)/flake8 $(CODE)
+	$(BIN)/mypy egretlanding standins lab
+
+format: $(VENV)/.installed
+	$(BIN)/ruff format $(CODE)
+	$(BIN)/ruff check --fix $(CODE)
+
+unit: $(VENV)/.installed
+	$(BIN)/python -m pytest -n $(WORKERS)
+
+demo: $(VENV)/.installed
+	$(BIN)/python -m standins.demo
+
+generate: $(VENV)/.installed
+	$(BIN)/pip install --quiet --requirement requirements/generate.txt
+	PATH=$(abspath $(BIN)):$$PATH python -m grpc_tools.protoc -I . \
+	    --python_out=. --grpclib_python_out=. egretlanding/exchange.proto
+
+clean:
+	rm -rf $(VENV) build .mypy_cache .ruff_cache .pytest_cache .hypothesis
--- /dev/null
+++ b/egretlanding/__init__.py
@@ -0,0 +1,3 @@
+"""Configuration distribution for a service mesh."""
+
+__version__ = '0.1.0'
--- /dev/null
+++ b/egretlanding/events.py
@@ -0,0 +1,65 @@
+"""The numbered log events and the function that writes them."""
+
+import enum
+
+from absl import logging
+
+
+class Event(enum.IntEnum):
+    """The number of each log event; docs/EVENTS.md is the catalogue."""
+
+    DAEMON_STARTED = 100
+    DAEMON_READY = 101
+    DAEMON_DRAINING = 102
+    DAEMON_STOPPED = 103
+    DAEMON_WOKE = 104
+    SETTINGS_REFUSED = 110
+    RELEASE_APPLIED = 200
+    RELEASE_REFUSED = 201
+    RELEASE_CONFLICT = 202
+    STORE_UNREACHABLE = 210
+    STORE_REACHABLE = 211
+    STORE_STALE = 212
+    WATCH_STARTED = 213
+    WATCH_STOPPED = 214
+    HOSTS_UPDATED = 220
+    PEER_UNREACHABLE = 230
+    PEER_REACHABLE = 231
+    TARGET_UNREACHABLE = 300
+    TARGET_REACHABLE = 301
+    TARGET_SHUNNED = 302
+    TARGET_RESTORED = 303
+    CALL_QUARANTINED = 310
+    CALL_ABANDONED = 311
+
+
+class Severity(enum.Enum):
+    """How urgent an event is."""
+
+    INFO = logging.INFO
+    WARNING = logging.WARNING
+    ERROR = logging.ERROR
+
+
+def log_event(
+    event: Event,
+    message: str,
+    severity: Severity = Severity.INFO,
+    **fields: object,
+) -> None:
+    """Writes one event as `E<number> <message> key=value ...`.
+
+    Args:
+        event: The event's number.
+        message: What happened, in one clause.
+        severity: How urgent it is.
+        fields: Details, written as key=value in the order given.
+    """
+    details = ''.join(f' {key}={value}' for key, value in fields.items())
+    logging.log(
+        severity.value,
+        'E%d %s%s',
+        event.value,
+        message,
+        details,
+    )
--- /dev/null
+++ b/egretlanding/exceptions.py
@@ -0,0 +1,65 @@
+"""The typed errors of egretlanding; each message names the remedy."""
+
+from typing import final
+
+import attrs
+
+
+class EgretlandingError(Exception):
+    """The base of every error that egretlanding raises on purpose."""
+
+
+@attrs.frozen
+class _Remedied(EgretlandingError):
+    """An error with what went wrong and what to do about it.
+
+    Attributes:
+        problem: What was found, in one clause.
+        remedy: What the reader can do about it.
+    """
+
+    problem: str
+    remedy: str
+
+    def __str__(self) -> str:
+        return f'{self.problem}; {self.remedy}'
+
+
+@final
+class SettingsError(_Remedied):
+    """A daemon's settings file can't be used."""
+
+
+@final
+class SourceError(_Remedied):
+    """A file of configuration objects can't be read."""
+
+
+@final
+class ReleaseError(_Remedied):
+    """A compiled release is corrupt, incomplete or fails the whole-set check."""
+
+
+@final
+class DeltaError(_Remedied):
+    """A delta doesn't lead from the held release to the announced one."""
+
+
+@final
+class PlatformError(_Remedied):
+    """The platform's store gave no usable answer."""
+
+
+@final
+class FrameError(_Remedied):
+    """A message between daemons can't be decoded."""
+
+
+@final
+class KeyFormatError(_Remedied):
+    """An idempotency key doesn't have a form that can be honoured."""
+
+
+@final
+class AdminError(_Remedied):
+    """A daemon's admin port gave no usable answer."""
--- /dev/null
+++ b/egretlanding/objects.py
@@ -0,0 +1,177 @@
+"""The configuration objects that operators write, as typed values."""
+
+import enum
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import attrs
+
+KINDS: dict[str, type] = {}
+
+Spec = TypeVar('Spec')
+
+
+def kind(name: str) -> Callable[[type[Spec]], type[Spec]]:
+    """Registers the class that holds the spec of one kind of object.
+
+    Args:
+        name: The kind as operators write it.
+
+    Returns:
+        A decorator that records the class and returns it unchanged.
+    """
+
+    def register(cls: type[Spec]) -> type[Spec]:
+        KINDS[name] = cls
+        return cls
+
+    return register
+
+
+class WorkClass(enum.StrEnum):
+    """How long the calls of a route occupy a slot of a target."""
+
+    SHORT = 'short'
+    LONG = 'long'
+    LEARNED = 'learned'
+
+
+def link(target_kind: str, **options: Any) -> Any:
+    """Declares a field that names another object.
+
+    Args:
+        target_kind: The kind of the object that the field names.
+        options: Further options of `attrs.field`.
+
+    Returns:
+        The attrs field, with the link recorded in its metadata.
+    """
+    return attrs.field(metadata={'link': target_kind}, **options)
+
+
+def bounded(low: float, high: float, unit: str, **options: Any) -> Any:
+    """Declares a numeric field with its bounds and unit.
+
+    Args:
+        low: The least value allowed.
+        high: The greatest value allowed.
+        unit: The unit, as written in error messages.
+        options: Further options of `attrs.field`.
+
+    Returns:
+        The attrs field, with the bounds recorded in its metadata.
+    """
+    return attrs.field(
+        metadata={'low': low, 'high': high, 'unit': unit},
+        **options,
+    )
+
+
+@kind('Region')
+@attrs.frozen
+class Region:
+    """A group of failure domains joined by cheap links.
+
+    Attributes:
+        failure_domains: Names of the failure domains in the region.
+        link_kbytes_per_s: Budget of calls sent to other regions, kB/s.
+    """
+
+    failure_domains: tuple[str, ...]
+    link_kbytes_per_s: int = bounded(0, 1_000_000, 'kB/s', default=1_000)
+
+
+@kind('Service')
+@attrs.frozen
+class Service:
+    """A set of interchangeable targets.
+
+    Attributes:
+        regions: Names of the regions in which the service runs.
+        slots: Calls that one target runs at a time.
+        connections: Connections that one target accepts.
+        queue_limit: Calls that may wait in front of one target.
+        cold_start_ms: Time over which a new target's share ramps up, ms.
+    """
+
+    regions: tuple[str, ...] = link('Region')
+    slots: int = bounded(1, 1_024, 'slots', default=6)
+    connections: int = bounded(1, 65_535, 'connections', default=120)
+    queue_limit: int = bounded(0, 10_000, 'calls', default=64)
+    cold_start_ms: int = bounded(0, 600_000, 'ms', default=5_000)
+
+
+@kind('Policy')
+@attrs.frozen
+class Policy:
+    """How calls of a route are timed, retried and hedged.
+
+    Attributes:
+        extends: Name of the policy whose fields this one starts from.
+        timeout_ms: Longest time a call may take when it names none, ms.
+        max_attempts: Attempts in all for an idempotent call.
+        retry_percent: Retries allowed per hundred first attempts, percent.
+        hedge_ms: Wait before a second attempt of an idempotent call, ms;
+            zero turns hedging off.
+        short_wait_ms: Longest wait of a short call behind long ones, ms.
+    """
+
+    extends: str = link('Policy', default='')
+    timeout_ms: int = bounded(1, 3_600_000, 'ms', default=1_000)
+    max_attempts: int = bounded(1, 5, 'attempts', default=2)
+    retry_percent: int = bounded(0, 100, 'percent', default=10)
+    hedge_ms: int = bounded(0, 60_000, 'ms', default=0)
+    short_wait_ms: int = bounded(1, 60_000, 'ms', default=50)
+
+
+@kind('Route')
+@attrs.frozen
+class Route:
+    """Sends calls whose path starts with a prefix to a service.
+
+    Attributes:
+        path_prefix: The prefix, starting with a slash.
+        service: Name of the service that runs the calls.
+        policy: Name of the policy that applies.
+        methods: HTTP methods that the route takes; empty means all.
+        work: The class of work that the calls are.
+    """
+
+    path_prefix: str
+    service: str = link('Service')
+    policy: str = link('Policy')
+    methods: tuple[str, ...] = ()
+    work: WorkClass = WorkClass.LEARNED
+
+
+@kind('IdempotencyRule')
+@attrs.frozen
+class IdempotencyRule:
+    """Says which calls of a route may run more than once.
+
+    Calls without a rule count as non-idempotent.
+
+    Attributes:
+        route: Name of the route.
+        idempotent: Whether a repeated run does no harm.
+        methods: HTTP methods that the rule covers; empty means all.
+    """
+
+    route: str = link('Route')
+    idempotent: bool
+    methods: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class ConfigObject:
+    """One named object of a release.
+
+    Attributes:
+        kind: The kind, a key of `KINDS`.
+        name: The name, unique within its kind.
+        spec: The typed spec, an instance of the kind's class.
+    """
+
+    kind: str
+    name: str
+    spec: Any
