--- a/egretlanding/exceptions.py
+++ b/egretlanding/exceptions.py
@@ -10,7 +10,7 @@
 
 
 @attrs.frozen
-class _Remedied(EgretlandingError):
+class RemediedError(EgretlandingError):
     """An error with what went wrong and what to do about it.
 
     Attributes:
@@ -26,40 +26,40 @@
 
 
 @final
-class SettingsError(_Remedied):
+class SettingsError(RemediedError):
     """A daemon's settings file can't be used."""
 
 
 @final
-class SourceError(_Remedied):
+class SourceError(RemediedError):
     """A file of configuration objects can't be read."""
 
 
 @final
-class ReleaseError(_Remedied):
-    """A compiled release is corrupt, incomplete or fails the whole-set check."""
+class ReleaseError(RemediedError):
+    """A compiled release is corrupt, incomplete or fails the check."""
 
 
 @final
-class DeltaError(_Remedied):
+class DeltaError(RemediedError):
     """A delta doesn't lead from the held release to the announced one."""
 
 
 @final
-class PlatformError(_Remedied):
+class PlatformError(RemediedError):
     """The platform's store gave no usable answer."""
 
 
 @final
-class FrameError(_Remedied):
+class FrameError(RemediedError):
     """A message between daemons can't be decoded."""
 
 
 @final
-class KeyFormatError(_Remedied):
+class KeyFormatError(RemediedError):
     """An idempotency key doesn't have a form that can be honoured."""
 
 
 @final
-class AdminError(_Remedied):
+class AdminError(RemediedError):
     """A daemon's admin port gave no usable answer."""
--- a/egretlanding/objects.py
+++ b/egretlanding/objects.py
@@ -68,7 +68,7 @@
 
 
 @kind('Region')
-@attrs.frozen
+@attrs.frozen(kw_only=True)
 class Region:
     """A group of failure domains joined by cheap links.
 
@@ -82,7 +82,7 @@
 
 
 @kind('Service')
-@attrs.frozen
+@attrs.frozen(kw_only=True)
 class Service:
     """A set of interchangeable targets.
 
@@ -102,7 +102,7 @@
 
 
 @kind('Policy')
-@attrs.frozen
+@attrs.frozen(kw_only=True)
 class Policy:
     """How calls of a route are timed, retried and hedged.
 
@@ -125,7 +125,7 @@
 
 
 @kind('Route')
-@attrs.frozen
+@attrs.frozen(kw_only=True)
 class Route:
     """Sends calls whose path starts with a prefix to a service.
 
@@ -145,7 +145,7 @@
 
 
 @kind('IdempotencyRule')
-@attrs.frozen
+@attrs.frozen(kw_only=True)
 class IdempotencyRule:
     """Says which calls of a route may run more than once.
 
--- /dev/null
+++ b/egretlanding/release.py
@@ -0,0 +1,307 @@
+"""Releases: immutable, digested snapshots of all configuration objects."""
+
+import hashlib
+import zlib
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+import attrs
+import msgspec
+
+from egretlanding.exceptions import ReleaseError
+from egretlanding.objects import KINDS, ConfigObject
+
+HEAD_KEY = 'release/head'
+PART_PREFIX = 'release/parts/'
+HOSTS_KEY = 'hosts'
+
+PART_TARGET_BYTES = 262_144
+MAX_PART_BYTES = 4_194_304
+MAX_VALUE_BYTES = 1_000_000
+MAX_PARTS = 1_024
+SHORT_DIGEST_LENGTH = 12
+BUCKET_DIGITS = 8
+HEX_BASE = 16
+
+ObjectKey = tuple[str, str]
+
+
+@attrs.frozen(order=True)
+class Position:
+    """The place of a release in the total order that daemons follow.
+
+    Releases are ordered by their number. Of two releases that carry the
+    same number, the one that the store took later wins on every daemon.
+
+    Attributes:
+        number: The number that operators gave the release.
+        revision: The store's revision of the head that announced it.
+        digest: The release's digest, which settles what is left.
+    """
+
+    number: int = 0
+    revision: int = 0
+    digest: str = ''
+
+
+@attrs.frozen
+class PartReference:
+    """Names one part of a release.
+
+    Attributes:
+        digest: Hex SHA-256 of the part as stored.
+        size: Size of the part as stored, bytes.
+    """
+
+    digest: str
+    size: int
+
+
+@attrs.frozen
+class Head:
+    """The small value that announces a release in the store.
+
+    Attributes:
+        number: The release's number.
+        parent: Digest of the release that it was made from, or empty.
+        digest: The release's digest.
+        parts: The parts that hold its objects.
+    """
+
+    number: int
+    parent: str
+    digest: str
+    parts: tuple[PartReference, ...] = ()
+
+    @classmethod
+    def from_bytes(cls, encoded: bytes) -> 'Head':
+        """Decodes a head.
+
+        Raises:
+            ReleaseError: The bytes aren't a well-formed head.
+        """
+        try:
+            head = msgspec.json.decode(encoded, type=cls)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            raise ReleaseError(
+                f'the release head is malformed ({error})',
+                'publish the files that "egretlanding compile" wrote',
+            ) from error
+        if head.number < 1 or len(head.parts) > MAX_PARTS:
+            raise ReleaseError(
+                'the release head is out of bounds',
+                f'use numbers from 1 and at most {MAX_PARTS} parts',
+            )
+        return head
+
+    def to_bytes(self) -> bytes:
+        """Encodes the head as canonical JSON."""
+        return msgspec.json.encode(self, order='sorted')
+
+
+@attrs.frozen
+class Release:
+    """All configuration objects of one publication.
+
+    Attributes:
+        number: The number that operators gave the release, from 1.
+        parent: Digest of the release that it was made from, or empty.
+        objects: The objects by kind and name.
+        index: The digest of each object by kind and name.
+        digest: Hex SHA-256 over number, parent and index.
+    """
+
+    number: int
+    parent: str
+    objects: Mapping[ObjectKey, ConfigObject] = attrs.field(repr=False)
+    index: Mapping[ObjectKey, str] = attrs.field(repr=False)
+    digest: str
+
+    @classmethod
+    def from_objects(
+        cls,
+        number: int,
+        parent: str,
+        objects: Iterable[ConfigObject],
+    ) -> 'Release':
+        """Builds a release; the objects' order doesn't matter."""
+        by_key = {(entry.kind, entry.name): entry for entry in objects}
+        index = {
+            key: digest_of(encode_object(entry))
+            for key, entry in sorted(by_key.items())
+        }
+        return cls(
+            number=number,
+            parent=parent,
+            objects=by_key,
+            index=index,
+            digest=digest_of(_encode_index(number, parent, index)),
+        )
+
+    @classmethod
+    def from_parts(
+        cls,
+        head: Head,
+        parts: Mapping[str, bytes],
+    ) -> 'Release':
+        """Rebuilds a release from its head and its parts.
+
+        Args:
+            head: The head that announced the release.
+            parts: The stored parts by digest.
+
+        Raises:
+            ReleaseError: A part is missing or corrupt, or the whole
+                doesn't have the announced digest.
+        """
+        encoded = [
+            line
+            for reference in head.parts
+            for line in _unpack(reference, parts).splitlines()
+        ]
+        release = cls.from_objects(
+            head.number,
+            head.parent,
+            [decode_object(line) for line in encoded],
+        )
+        return release.verified(head.digest)
+
+    def verified(self, digest: str) -> 'Release':
+        """Returns the release itself if it has the announced digest.
+
+        Raises:
+            ReleaseError: The digests differ.
+        """
+        if self.digest != digest:
+            raise ReleaseError(
+                f'release {self.number} has digest {shorten(self.digest)}, '
+                f'announced as {shorten(digest)}',
+                'publish head and parts of one "egretlanding compile" run',
+            )
+        return self
+
+    def position(self, revision: int) -> Position:
+        """Returns the release's place in the order of releases."""
+        return Position(self.number, revision, self.digest)
+
+    def to_parts(self) -> tuple[Head, dict[str, bytes]]:
+        """Splits the release into a head and content-addressed parts.
+
+        Objects go to parts by a hash of their key, so that a change of one
+        object changes one part.
+
+        Returns:
+            The head and the compressed parts by digest.
+        """
+        encoded = {
+            key: encode_object(entry)
+            for key, entry in sorted(self.objects.items())
+        }
+        count = _part_count(sum(map(len, encoded.values())))
+        buckets: list[list[bytes]] = [[] for _ in range(count)]
+        for key, line in encoded.items():
+            buckets[_bucket(key, count)].append(line)
+        stored = [zlib.compress(b'\n'.join(bucket), 9) for bucket in buckets]
+        references = tuple(
+            PartReference(digest_of(part), len(part)) for part in stored
+        )
+        head = Head(self.number, self.parent, self.digest, references)
+        return head, {digest_of(part): part for part in stored}
+
+
+def digest_of(content: bytes) -> str:
+    """Returns the hex SHA-256 of some bytes."""
+    return hashlib.sha256(content).hexdigest()
+
+
+def shorten(digest: str) -> str:
+    """Returns the first digits of a digest, as logs and errors show it."""
+    return digest[:SHORT_DIGEST_LENGTH]
+
+
+def encode_object(entry: ConfigObject) -> bytes:
+    """Encodes an object as one line of canonical JSON."""
+    return msgspec.json.encode(entry, order='sorted')
+
+
+def decode_object(encoded: bytes) -> ConfigObject:
+    """Decodes an object and requires its canonical form.
+
+    Raises:
+        ReleaseError: The object is malformed, of an unknown kind, or has
+            fields that this version doesn't know.
+    """
+    try:
+        entry = _decode(encoded)
+    except (msgspec.MsgspecError, LookupError, TypeError, ValueError) as error:
+        raise ReleaseError(
+            f'an object of the release is malformed ({error})',
+            'compile the release with the version that the daemons run',
+        ) from error
+    if encode_object(entry) != encoded:
+        raise ReleaseError(
+            f'{entry.kind} {entry.name} is not in canonical form',
+            'compile the release with the version that the daemons run',
+        )
+    return entry
+
+
+def inflate(packed: bytes, limit: int = MAX_PART_BYTES) -> bytes:
+    """Decompresses bytes up to a limit.
+
+    Args:
+        packed: The bytes as `zlib.compress` wrote them.
+        limit: The most bytes to produce.
+
+    Raises:
+        ReleaseError: The bytes are corrupt, truncated, or inflate to more.
+    """
+    inflater = zlib.decompressobj()
+    try:
+        plain = inflater.decompress(packed, limit)
+    except zlib.error as error:
+        raise ReleaseError(
+            f'compressed data is corrupt ({error})',
+            'fetch it again; if that fails, publish the release again',
+        ) from error
+    if not inflater.eof:
+        raise ReleaseError(
+            f'compressed data is truncated or exceeds {limit} bytes',
+            'fetch it again; if that fails, split the release',
+        )
+    return plain
+
+
+def _decode(encoded: bytes) -> ConfigObject:
+    plain: dict[str, Any] = msgspec.json.decode(encoded, type=dict[str, Any])
+    spec: Any = msgspec.convert(plain['spec'], KINDS[plain['kind']])
+    return ConfigObject(plain['kind'], plain['name'], spec)
+
+
+def _encode_index(
+    number: int,
+    parent: str,
+    index: Mapping[ObjectKey, str],
+) -> bytes:
+    rows = [[*key, digest] for key, digest in sorted(index.items())]
+    return msgspec.json.encode([number, parent, rows])
+
+
+def _part_count(size: int) -> int:
+    return 1 << max(0, (size // PART_TARGET_BYTES).bit_length())
+
+
+def _bucket(key: ObjectKey, count: int) -> int:
+    return (
+        int(digest_of('/'.join(key).encode())[:BUCKET_DIGITS], HEX_BASE) % count
+    )
+
+
+def _unpack(reference: PartReference, parts: Mapping[str, bytes]) -> bytes:
+    packed = parts.get(reference.digest)
+    if packed is None or digest_of(packed) != reference.digest:
+        raise ReleaseError(
+            f'part {shorten(reference.digest)} is missing or corrupt',
+            'publish all parts before the head',
+        )
+    return inflate(packed)
