--- a/egretlanding/release.py
+++ b/egretlanding/release.py
@@ -25,6 +25,8 @@
 
 ObjectKey = tuple[str, str]
 
+MALFORMED = (msgspec.MsgspecError, LookupError, TypeError, ValueError)
+
 
 @attrs.frozen(order=True)
 class Position:
@@ -233,7 +235,7 @@
     """
     try:
         entry = _decode(encoded)
-    except (msgspec.MsgspecError, LookupError, TypeError, ValueError) as error:
+    except MALFORMED as error:
         raise ReleaseError(
             f'an object of the release is malformed ({error})',
             'compile the release with the version that the daemons run',
--- /dev/null
+++ b/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments that measure egretlanding."""
