Serve the whole path with separate processes

A caller's HTTP request enters at any daemon, goes to the daemon beside a target as a length-prefixed msgpack frame, and on to the target over a kept HTTP connection.

--- /dev/null
+++ b/egretlanding/httpserver.py
@@ -0,0 +1,254 @@
+"""An HTTP/1.1 server protocol for calls, parsed by httptools."""
+
+from collections import deque
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Any
+
+import attrs
+import httptools
+import msgspec
+from twisted.internet.protocol import Factory, Protocol, connectionDone
+from twisted.python.failure import Failure
+
+from egretlanding.messages import Headers
+
+MAX_HEADER_BYTES = 65_536
+MAX_BODY_BYTES = 1_048_576
+MAX_PIPELINED = 16
+
+REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
+CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+
+
+class HttpRequest(msgspec.Struct):
+    """A whole HTTP request.
+
+    Attributes:
+        method: The method in capitals.
+        path: The request target, with the query string.
+        headers: Names in lower case and values, in order.
+        body: The whole body.
+        keep_alive: Whether the connection stays open afterwards.
+    """
+
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    keep_alive: bool = True
+
+    def header(self, name: str, default: str = '') -> str:
+        """Returns the first value of a header, named in lower case."""
+        return next(
+            (value for key, value in self.headers if key == name),
+            default,
+        )
+
+
+class HttpResponse(msgspec.Struct):
+    """A whole HTTP response.
+
+    Attributes:
+        status: The status code.
+        headers: Names and values, without the framing headers.
+        body: The whole body.
+    """
+
+    status: int
+    headers: Headers
+    body: bytes
+
+    def to_bytes(self, *, keep_alive: bool = True) -> bytes:
+        """Encodes the response with its framing headers."""
+        reason = REASONS.get(self.status, b'Status')
+        lines = [b'HTTP/1.1 %d %s' % (self.status, reason)]
+        lines.extend(
+            f'{name}: {value}'.encode('latin-1') for name, value in self.headers
+        )
+        lines.append(b'content-length: %d' % len(self.body))
+        if not keep_alive:
+            lines.append(b'connection: close')
+        return b'%s\r\n\r\n%s' % (b'\r\n'.join(lines), self.body)
+
+
+@attrs.define(eq=False)
+class Exchange:
+    """One request with the means to answer it.
+
+    Attributes:
+        request: The request.
+        protocol: The connection that it came by.
+        response: The answer once it is known.
+        on_abandon: Called when the caller goes away before the answer.
+    """
+
+    request: HttpRequest
+    protocol: 'HttpServer'
+    response: HttpResponse | None = None
+    on_abandon: Callable[[], None] | None = None
+
+    def respond(self, response: HttpResponse) -> None:
+        """Answers the request; answers leave in the order of requests."""
+        self.response = response
+        self.protocol.flush()
+
+
+Handler = Callable[[Exchange], None]
+
+
+class HttpServer(Protocol):
+    """Serves one connection of a caller.
+
+    Attributes:
+        handler: Called with each whole request.
+        pending: Requests that aren't answered yet, oldest first.
+    """
+
+    def __init__(self, handler: Handler) -> None:
+        """Prepares the parser.
+
+        Args:
+            handler: Called with each whole request.
+        """
+        self.handler = handler
+        self.pending: deque[Exchange] = deque()
+        self.parser = httptools.HttpRequestParser(self)
+        self.closing = False
+        self.reset()
+
+    def reset(self) -> None:
+        """Forgets the request that was being parsed."""
+        self.url = b''
+        self.headers: Headers = []
+        self.chunks: list[bytes] = []
+        self.header_bytes = 0
+        self.body_bytes = 0
+
+    def connectionMade(self) -> None:
+        """Turns off Nagle's algorithm, since answers are written whole."""
+        transport: Any = self.transport
+        transport.setTcpNoDelay(True)
+
+    def dataReceived(self, data: bytes) -> None:
+        """Feeds the parser; a malformed request closes the connection."""
+        if self.closing:
+            return
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserCallbackError:
+            self.reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+        except httptools.HttpParserError:
+            self.reject(HTTPStatus.BAD_REQUEST)
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        """Tells the requests in flight that their caller is gone."""
+        self.closing = True
+        abandoned = [entry for entry in self.pending if not entry.response]
+        self.pending.clear()
+        for entry in abandoned:
+            if entry.on_abandon:
+                entry.on_abandon()
+
+    def reject(self, status: int) -> None:
+        """Answers a request that can't be parsed and closes."""
+        self.closing = True
+        response = HttpResponse(status, [], b'')
+        self.write(response.to_bytes(keep_alive=False))
+        self.close()
+
+    def flush(self) -> None:
+        """Writes the answers that are due, oldest first."""
+        while self.pending:
+            response = self.pending[0].response
+            if response is None:
+                break
+            entry = self.pending.popleft()
+            keep_alive = entry.request.keep_alive and not self.closing
+            self.write(response.to_bytes(keep_alive=keep_alive))
+            if not keep_alive:
+                self.close()
+                return
+        self.regulate()
+
+    def regulate(self) -> None:
+        """Stops reading while too many pipelined requests wait."""
+        transport: Any = self.transport
+        if len(self.pending) >= MAX_PIPELINED:
+            transport.pauseProducing()
+        elif transport.connected:
+            transport.resumeProducing()
+
+    def write(self, encoded: bytes) -> None:
+        """Writes to the caller."""
+        transport: Any = self.transport
+        transport.write(encoded)
+
+    def close(self) -> None:
+        """Closes the connection once everything is written."""
+        transport: Any = self.transport
+        transport.loseConnection()
+
+    def on_url(self, url: bytes) -> None:
+        """Collects the request target."""
+        self.url += url
+        self.limit_headers(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collects one header."""
+        self.limit_headers(len(name) + len(value))
+        self.headers.append(
+            (name.decode('latin-1').lower(), value.decode('latin-1')),
+        )
+
+    def on_headers_complete(self) -> None:
+        """Answers an expectation before the body is sent."""
+        if ('expect', '100-continue') in self.headers:
+            self.write(CONTINUE)
+
+    def on_body(self, body: bytes) -> None:
+        """Collects the body up to its limit."""
+        self.body_bytes += len(body)
+        if self.body_bytes > MAX_BODY_BYTES:
+            raise ValueError('the body exceeds its limit')
+        self.chunks.append(body)
+
+    def on_message_complete(self) -> None:
+        """Hands the whole request to the handler."""
+        request = HttpRequest(
+            self.parser.get_method().decode('ascii'),
+            self.url.decode('latin-1'),
+            self.headers,
+            b''.join(self.chunks),
+            self.parser.should_keep_alive(),
+        )
+        self.reset()
+        entry = Exchange(request, self)
+        self.pending.append(entry)
+        self.regulate()
+        self.handler(entry)
+
+    def limit_headers(self, size: int) -> None:
+        """Counts header bytes against their limit."""
+        self.header_bytes += size
+        if self.header_bytes > MAX_HEADER_BYTES:
+            raise ValueError('the headers exceed their limit')
+
+
+class HttpServerFactory(Factory):
+    """Builds a server protocol for each connection of a caller."""
+
+    noisy = False
+
+    def __init__(self, handler: Handler) -> None:
+        """Stores the handler.
+
+        Args:
+            handler: Called with each whole request.
+        """
+        self.handler = handler
+        self.connections: set[HttpServer] = set()
+
+    def buildProtocol(self, addr: Any) -> HttpServer:
+        """Builds the protocol of one connection."""
+        return HttpServer(self.handler)
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,379 @@
+"""Starts a platform, targets and daemons as processes for demos and tests."""
+
+import contextlib
+import functools
+import json
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from http import client
+from typing import Any
+
+import attrs
+import msgspec
+import yaml
+
+from egretlanding.hosts import Host, HostList, HostState
+from egretlanding.release import HEAD_KEY, HOSTS_KEY, PART_PREFIX, Release
+
+LOOPBACK = '127.0.0.1'
+START_TIMEOUT_S = 20
+STOP_TIMEOUT_S = 20
+POLL_S = 0.05
+SEED_COUNT = 3
+
+
+@attrs.frozen
+class Answer:
+    """An HTTP answer.
+
+    Attributes:
+        status: The status code.
+        headers: The headers, with names in lower case.
+        body: The body.
+    """
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+    @property
+    def ran(self) -> str:
+        """Returns what the daemon says on whether the call ran."""
+        return self.headers.get('x-egretlanding-ran', '')
+
+    def json(self) -> Any:
+        """Decodes the body."""
+        return json.loads(self.body)
+
+
+def ask(
+    port: int,
+    method: str,
+    path: str,
+    body: bytes = b'',
+    headers: Mapping[str, str] | None = None,
+    timeout_s: float = 10,
+) -> Answer:
+    """Sends one HTTP request to a port of this machine.
+
+    Raises:
+        OSError: The port can't be reached or the answer was cut.
+        HTTPException: The answer isn't whole.
+    """
+    connection = client.HTTPConnection(LOOPBACK, port, timeout=timeout_s)
+    with contextlib.closing(connection):
+        connection.request(method, path, body, dict(headers or {}))
+        response = connection.getresponse()
+        names = {name.lower(): value for name, value in response.getheaders()}
+        return Answer(response.status, names, response.read())
+
+
+def free_port() -> int:
+    """Returns a TCP port that is free now."""
+    with socket.socket() as probe:
+        probe.bind((LOOPBACK, 0))
+        return int(probe.getsockname()[1])
+
+
+def wait_until(
+    condition: Callable[[], Any],
+    timeout_s: float = START_TIMEOUT_S,
+    what: str = 'condition',
+) -> Any:
+    """Waits until a condition holds and returns its value.
+
+    Raises:
+        TimeoutError: It didn't hold in time.
+    """
+    deadline = time.monotonic() + timeout_s
+    while time.monotonic() < deadline:
+        with contextlib.suppress(OSError, client.HTTPException):
+            found = condition()
+            if found:
+                return found
+        time.sleep(POLL_S)
+    raise TimeoutError(f'{what} did not hold within {timeout_s} s')
+
+
+@attrs.frozen
+class Placement:
+    """Where a host is and what its target runs."""
+
+    host_id: str
+    region: str
+    failure_domain: str
+    service: str
+
+
+@attrs.define(eq=False)
+class Member:
+    """One host: the settings of its daemon and its two processes.
+
+    Attributes:
+        settings: The daemon's settings, as written to its file.
+        folder: Folder for the settings file.
+        daemon: The daemon's process, None before it starts.
+        target: The target's process, None before it starts.
+        advertised: Ports to publish instead of the daemon's own, by name.
+    """
+
+    settings: dict[str, Any]
+    folder: pathlib.Path
+    daemon: subprocess.Popen[bytes] | None = None
+    target: subprocess.Popen[bytes] | None = None
+    advertised: dict[str, int] = attrs.field(factory=dict)
+
+    @property
+    def host_id(self) -> str:
+        """Returns the name of the host."""
+        return str(self.settings['host_id'])
+
+    def host(self, state: HostState = HostState.LIVE) -> Host:
+        """Returns the host as the platform lists it."""
+        ports = {**self.settings, **self.advertised}
+        return Host(
+            host_id=self.host_id,
+            address=LOOPBACK,
+            call_port=ports['call_port'],
+            peer_port=ports['peer_port'],
+            exchange_port=ports['exchange_port'],
+            region=ports['region'],
+            failure_domain=ports['failure_domain'],
+            service=ports['service'],
+            state=state,
+        )
+
+    def start_daemon(self) -> None:
+        """Starts the daemon."""
+        path = self.folder / f'{self.host_id}.yaml'
+        path.write_text(yaml.safe_dump(self.settings))
+        self.daemon = launch('egretlanding.reactors', str(path))
+
+    def start_target(self, *options: str) -> None:
+        """Starts the target."""
+        port = str(self.settings['target_port'])
+        self.target = launch(
+            'standins',
+            'target',
+            '--name',
+            self.host_id,
+            '--port',
+            port,
+            *options,
+        )
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b'',
+        **headers: str,
+    ) -> Answer:
+        """Sends a call to this daemon; header names use underscores."""
+        names = {
+            name.replace('_', '-'): value for name, value in headers.items()
+        }
+        return ask(self.settings['call_port'], method, path, body, names)
+
+    def status(self) -> Any:
+        """Returns the daemon's status."""
+        return ask(self.settings['admin_port'], 'GET', '/status').json()
+
+    def executions(self) -> list[Any]:
+        """Returns what the target ran."""
+        port = self.settings['target_port']
+        return ask(port, 'GET', '/executions').json()
+
+    def control_target(self, **changes: Any) -> None:
+        """Changes the target's slowdown or drains it."""
+        body = json.dumps(changes).encode()
+        ask(self.settings['target_port'], 'POST', '/control', body)
+
+    def processes(self) -> Iterator[subprocess.Popen[bytes]]:
+        """Yields the processes that were started."""
+        yield from (
+            process for process in (self.daemon, self.target) if process
+        )
+
+
+def launch(module: str, *options: str) -> subprocess.Popen[bytes]:
+    """Starts a module of this project as a process."""
+    return subprocess.Popen([sys.executable, '-m', module, *options])
+
+
+@attrs.define(eq=False)
+class Fleet:
+    """A platform and hosts, all on this machine.
+
+    Attributes:
+        folder: Folder for settings files.
+        read_port: Port that daemons read the store from.
+        operator_port: Port that operators publish through.
+        platform: The platform's process.
+        members: The hosts by name.
+    """
+
+    folder: pathlib.Path
+    read_port: int
+    operator_port: int
+    platform: subprocess.Popen[bytes]
+    members: dict[str, Member] = attrs.field(factory=dict)
+
+    @classmethod
+    def from_placements(
+        cls,
+        placements: Iterable[Placement],
+        store_region: str,
+        **settings: Any,
+    ) -> 'Fleet':
+        """Starts the platform and prepares the hosts without starting them.
+
+        Args:
+            placements: The hosts.
+            store_region: The region of the store.
+            settings: Further settings of every daemon.
+        """
+        folder = pathlib.Path(tempfile.mkdtemp(prefix='fleet-'))
+        read_port, operator_port = free_port(), free_port()
+        platform = launch(
+            'standins',
+            'platform',
+            '--read-port',
+            str(read_port),
+            '--operator-port',
+            str(operator_port),
+        )
+        fleet = cls(folder, read_port, operator_port, platform)
+        common = {
+            'store_url': f'http://{LOOPBACK}:{read_port}',
+            'store_region': store_region,
+            **settings,
+        }
+        for placement in placements:
+            fleet.add(placement, common)
+        fleet.set_seeds()
+        wait_until(lambda: ask(operator_port, 'GET', '/counters'))
+        return fleet
+
+    def add(self, placement: Placement, common: Mapping[str, Any]) -> Member:
+        """Adds a host without starting its processes."""
+        ports = (
+            'call_port',
+            'peer_port',
+            'exchange_port',
+            'admin_port',
+            'target_port',
+        )
+        settings = {
+            **common,
+            **attrs.asdict(placement),
+            'address': LOOPBACK,
+            'target_address': LOOPBACK,
+            **{name: free_port() for name in ports},
+        }
+        member = Member(settings, self.folder)
+        self.members[placement.host_id] = member
+        return member
+
+    def set_seeds(self) -> None:
+        """Tells each daemon the exchange addresses of a few others."""
+        for member in self.members.values():
+            others = [
+                f'{LOOPBACK}:{other.host().exchange_port}'
+                for other in self.members.values()
+                if other is not member
+            ]
+            member.settings['seeds'] = others[:SEED_COUNT]
+
+    def start(self) -> None:
+        """Starts every target and daemon and publishes the host list."""
+        for member in self.members.values():
+            member.start_target()
+            member.start_daemon()
+        self.publish_hosts()
+
+    def put(self, key: str, body: bytes, lag_ms: int = 0) -> int:
+        """Publishes a value as an operator and returns its revision."""
+        path = f'/v1/keys/{key}?lag_ms={lag_ms}'
+        answer = ask(self.operator_port, 'PUT', path, body)
+        return 0 if lag_ms else int(answer.body)
+
+    def publish(self, release: Release) -> int:
+        """Publishes a release, its head last, and returns the revision."""
+        head, parts = release.to_parts()
+        for digest, part in parts.items():
+            self.put(f'{PART_PREFIX}{digest}', part)
+        return self.put(HEAD_KEY, head.to_bytes())
+
+    def publish_hosts(
+        self,
+        without: Iterable[str] = (),
+        leaving: Iterable[str] = (),
+        lag_ms: int = 0,
+    ) -> int:
+        """Publishes the host list."""
+        left = set(without)
+        states = dict.fromkeys(leaving, HostState.LEAVING)
+        hosts = {
+            name: member.host(states.get(name, HostState.LIVE))
+            for name, member in self.members.items()
+            if name not in left
+        }
+        listed = HostList(0, hosts)
+        return self.put(HOSTS_KEY, msgspec.json.encode(listed), lag_ms)
+
+    def set_faults(self, **faults: bool) -> None:
+        """Changes what is wrong with the store."""
+        body = json.dumps(faults).encode()
+        ask(self.operator_port, 'POST', '/faults', body)
+
+    def counters(self) -> Any:
+        """Returns the store's read counters."""
+        return ask(self.operator_port, 'GET', '/counters').json()
+
+    def wait_in_force(
+        self,
+        number: int,
+        names: Iterable[str] | None = None,
+        timeout_s: float = 20,
+    ) -> float:
+        """Waits until hosts have a release in force; returns seconds taken."""
+        began = time.monotonic()
+        for name in names or tuple(self.members):
+            check = functools.partial(is_in_force, self.members[name], number)
+            wait_until(check, timeout_s, f'release {number} on {name}')
+        return time.monotonic() - began
+
+    def close(self) -> None:
+        """Stops every process, gracefully where it still answers."""
+        members = self.members.values()
+        processes = [
+            process for member in members for process in member.processes()
+        ]
+        processes.append(self.platform)
+        for process in processes:
+            process.send_signal(signal.SIGCONT)
+            process.terminate()
+        for process in processes:
+            stop_process(process)
+
+
+def is_in_force(member: Member, number: int) -> bool:
+    """Tells whether a ready daemon has a release in force."""
+    status = member.status()
+    return bool(status['ready'] and status['number'] == number)
+
+
+def stop_process(process: subprocess.Popen[bytes]) -> int:
+    """Waits for a process to end, kills it if it doesn't."""
+    try:
+        return process.wait(STOP_TIMEOUT_S)
+    except subprocess.TimeoutExpired:
+        process.kill()
+        return process.wait()
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,215 @@
+"""A stand-in for the platform: a store that daemons read and watch.
+
+Daemons use the read port only. The operator port is what operators and tests
+use to publish values and to bring faults about.
+"""
+
+import json
+import time
+from typing import Any
+
+import attrs
+import defopt
+from klein import Klein
+from twisted.internet import reactor as default_reactor
+from twisted.internet.defer import Deferred
+from twisted.internet.endpoints import serverFromString
+from twisted.web import http
+from twisted.web.server import Site
+
+READS_PER_S = 2_000
+MAX_VALUE_BYTES = 1_000_000
+
+
+@attrs.frozen
+class Stored:
+    """A value with the revision at which it was written."""
+
+    revision: int
+    body: bytes
+
+
+@attrs.define
+class Faults:
+    """What is wrong with the store at present.
+
+    Attributes:
+        outage: Whether every read fails.
+        stale: Whether reads see the values from when staleness began.
+        truncate: Whether replies carry only half of a value.
+        corrupt: Whether replies carry a value with bytes changed.
+    """
+
+    outage: bool = False
+    stale: bool = False
+    truncate: bool = False
+    corrupt: bool = False
+
+
+Waiters = set[Deferred[None]]
+
+
+@attrs.define
+class Platform:
+    """The store's state.
+
+    Attributes:
+        current: The values by key.
+        frozen: The values that a stale store shows.
+        faults: The faults in force.
+        revision: The last revision given out.
+        reads: Reads since the start, a waiting watch counted as one.
+        refused: Reads refused for the rate limit.
+        waiters: Waiting watches by key.
+    """
+
+    current: dict[str, Stored] = attrs.field(factory=dict)
+    frozen: dict[str, Stored] = attrs.field(factory=dict)
+    faults: Faults = attrs.field(factory=Faults)
+    revision: int = 0
+    reads: int = 0
+    refused: int = 0
+    second: int = 0
+    reads_in_second: int = 0
+    waiters: dict[str, Waiters] = attrs.field(factory=dict)
+
+    def visible(self, key: str) -> Stored | None:
+        """Returns what a reader sees of a key."""
+        values = self.frozen if self.faults.stale else self.current
+        return values.get(key)
+
+    def put(self, key: str, body: bytes) -> int:
+        """Stores a value, wakes its watches and returns the revision."""
+        self.revision += 1
+        self.current[key] = Stored(self.revision, body)
+        for waiter in tuple(self.waiters.get(key, ())):
+            waiter.callback(None)
+        return self.revision
+
+    def change_faults(self, changes: dict[str, bool]) -> None:
+        """Changes the faults in force."""
+        if changes.get('stale') and not self.faults.stale:
+            self.frozen = dict(self.current)
+        self.faults = attrs.evolve(self.faults, **changes)
+
+    def count_read(self) -> bool:
+        """Counts a read and tells whether the rate limit allows it."""
+        second = int(time.monotonic())
+        if second != self.second:
+            self.second = second
+            self.reads_in_second = 0
+        self.reads += 1
+        self.reads_in_second += 1
+        return self.reads_in_second <= READS_PER_S
+
+    async def wait(self, reactor: Any, key: str, wait_ms: int) -> None:
+        """Waits for a write of a key or for the time to pass."""
+        waiter: Deferred[None] = Deferred()
+        self.waiters.setdefault(key, set()).add(waiter)
+        waiter.addTimeout(wait_ms / 1_000, reactor, lambda *_args: None)
+        try:
+            await waiter
+        finally:
+            self.waiters[key].discard(waiter)
+
+
+def read_app(platform: Platform, reactor: Any) -> Klein:
+    """Returns the application that daemons read from."""
+    app = Klein()
+
+    @app.route('/v1/keys/<path:key>', methods=['GET'])
+    async def read(request: Any, key: str) -> bytes:
+        if platform.faults.outage:
+            request.setResponseCode(http.SERVICE_UNAVAILABLE)
+            return b'outage'
+        if not platform.count_read():
+            platform.refused += 1
+            request.setResponseCode(429)
+            return b'too many reads'
+        after = int(request.args.get(b'after', [b'0'])[0])
+        wait_ms = int(request.args.get(b'wait_ms', [b'0'])[0])
+        stored = platform.visible(key)
+        if wait_ms and (stored is None or stored.revision <= after):
+            await platform.wait(reactor, key, wait_ms)
+            stored = platform.visible(key)
+        if platform.faults.outage:
+            request.setResponseCode(http.SERVICE_UNAVAILABLE)
+            return b'outage'
+        return answer(request, platform.faults, stored, after)
+
+    return app
+
+
+def answer(
+    request: Any,
+    faults: Faults,
+    stored: Stored | None,
+    after: int,
+) -> bytes:
+    """Writes the reply to a read, damaged as the faults say."""
+    if stored is None:
+        request.setResponseCode(http.NOT_FOUND)
+        return b''
+    request.setHeader(b'x-revision', str(stored.revision).encode())
+    if stored.revision <= after:
+        request.setResponseCode(http.NOT_MODIFIED)
+        return b''
+    body = stored.body
+    if faults.truncate:
+        body = body[: len(body) // 2]
+    if faults.corrupt:
+        body = bytes(octet ^ 0x55 for octet in body)
+    return body
+
+
+def operator_app(platform: Platform, reactor: Any) -> Klein:
+    """Returns the application that operators and tests use."""
+    app = Klein()
+
+    @app.route('/v1/keys/<path:key>', methods=['PUT'])
+    def put(request: Any, key: str) -> bytes:
+        body = request.content.read()
+        if len(body) > MAX_VALUE_BYTES:
+            request.setResponseCode(http.REQUEST_ENTITY_TOO_LARGE)
+            return b'value too large'
+        lag_ms = int(request.args.get(b'lag_ms', [b'0'])[0])
+        if lag_ms:
+            reactor.callLater(lag_ms / 1_000, platform.put, key, body)
+            return b'later'
+        return str(platform.put(key, body)).encode()
+
+    @app.route('/faults', methods=['POST'])
+    def faults(request: Any) -> bytes:
+        platform.change_faults(json.load(request.content))
+        return b'ok'
+
+    @app.route('/counters', methods=['GET'])
+    def counters(_request: Any) -> bytes:
+        return json.dumps(
+            {'reads': platform.reads, 'refused': platform.refused},
+        ).encode()
+
+    return app
+
+
+def serve(*, read_port: int, operator_port: int) -> None:
+    """Runs the platform stand-in until it is told to stop.
+
+    Args:
+        read_port: TCP port that daemons read from.
+        operator_port: TCP port that operators publish through.
+    """
+    reactor: Any = default_reactor
+    platform = Platform()
+    for port, app in (
+        (read_port, read_app(platform, reactor)),
+        (operator_port, operator_app(platform, reactor)),
+    ):
+        endpoint = f'tcp:{port}:interface=127.0.0.1'
+        serverFromString(reactor, endpoint).listen(Site(app.resource()))
+    reactor.run()
+
+
+def main() -> None:
+    """Runs the command line."""
+    defopt.run(serve)
