Check and compile directories of YAML objects

Every fault of the whole set is reported with file, line, object, problem and remedy.

The checks run on typed objects (find_faults), so that a daemon applies the same ones to a release that it receives.

Policies: a field that is written with its default value must override the parent's, which the typed object alone can't tell. The compiler knows what was written, so it writes the inherited values out and drops the link; a compiled policy is its own effective policy. Ruled out: optional fields, which would make every reader of a policy handle None.

Routes match whole segments; of the routes that take a call's method, the longest prefix wins.

--- /dev/null
+++ b/egretlanding/check.py
@@ -0,0 +1,32 @@
+"""Checks a whole set of objects before it is published or used."""
+
+import itertools
+from collections.abc import Iterable
+
+from egretlanding import fieldchecks, setchecks
+from egretlanding.faults import CHECKS, Fault, ObjectKey, ObjectSet
+from egretlanding.objects import ConfigObject
+
+# Importing these modules registers their checks.
+CHECK_MODULES = (fieldchecks, setchecks)
+
+
+def find_faults(
+    objects: Iterable[ConfigObject],
+    also_known: Iterable[ObjectKey] = (),
+) -> tuple[Fault, ...]:
+    """Runs every check on a whole set of objects.
+
+    Args:
+        objects: The objects; a daemon passes those of a release.
+        also_known: Keys of further objects that links may name.
+
+    Returns:
+        Every fault, ordered by check and object; empty if there is none.
+    """
+    whole = ObjectSet.from_objects(objects, also_known)
+    return tuple(
+        itertools.chain.from_iterable(
+            function(whole) for function in CHECKS.values()
+        ),
+    )
--- /dev/null
+++ b/egretlanding/faults.py
@@ -0,0 +1,122 @@
+"""The faults of a set of objects and the registry of checks that find them."""
+
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any
+
+import attrs
+
+from egretlanding.objects import ConfigObject
+
+ObjectKey = tuple[str, str]
+
+
+@attrs.frozen
+class Fault:
+    """Something wrong with one object of a set.
+
+    Attributes:
+        subject: The object.
+        field: The field of its spec, or empty for the whole object.
+        problem: What was found, in one clause.
+        remedy: What the operator can do about it.
+    """
+
+    subject: ConfigObject
+    field: str
+    problem: str
+    remedy: str
+
+    def __str__(self) -> str:
+        return f'{self.subject.label()}: {self.problem}; {self.remedy}'
+
+
+@attrs.frozen
+class FieldValue:
+    """One field of one object.
+
+    Attributes:
+        subject: The object.
+        field: The attrs field, whose metadata says what is allowed.
+        value: What the field holds.
+    """
+
+    subject: ConfigObject
+    field: Any
+    value: Any
+
+    def texts(self) -> tuple[str, ...]:
+        """Returns the texts of a field that holds one or several."""
+        return (self.value,) if isinstance(self.value, str) else self.value
+
+    def fault(self, problem: str, remedy: str) -> Fault:
+        """Returns a fault of this field."""
+        named = f'{self.field.name} {problem}'
+        return Fault(self.subject, self.field.name, named, remedy)
+
+
+@attrs.frozen
+class ObjectSet:
+    """All objects of a set, ordered by kind and name.
+
+    Attributes:
+        entries: The objects.
+        known: Keys that links may name; more than `entries` holds if some
+            objects couldn't be read in full.
+    """
+
+    entries: tuple[ConfigObject, ...]
+    known: frozenset[ObjectKey]
+
+    @classmethod
+    def from_objects(
+        cls,
+        objects: Iterable[ConfigObject],
+        also_known: Iterable[ObjectKey] = (),
+    ) -> 'ObjectSet':
+        """Builds the set; the objects' order doesn't matter."""
+        entries = tuple(sorted(objects, key=_key))
+        return cls(entries, frozenset(map(_key, entries)).union(also_known))
+
+    def of_kind(self, kind: str) -> Iterator[ConfigObject]:
+        """Yields the objects of one kind, ordered by name."""
+        return (entry for entry in self.entries if entry.kind == kind)
+
+    def fields(self, option: str) -> Iterator[FieldValue]:
+        """Yields the fields whose metadata has a key, object by object."""
+        return (
+            value for value in self.values() if option in value.field.metadata
+        )
+
+    def values(self) -> Iterator[FieldValue]:
+        """Yields every field, object by object."""
+        return (
+            FieldValue(entry, field, getattr(entry.spec, field.name))
+            for entry in self.entries
+            for field in attrs.fields(type(entry.spec))
+        )
+
+
+Check = Callable[[ObjectSet], Iterator[Fault]]
+
+CHECKS: dict[str, Check] = {}
+
+
+def check(name: str) -> Callable[[Check], Check]:
+    """Registers a check under a name.
+
+    Args:
+        name: What the check is about, as `egretlanding debug` lists it.
+
+    Returns:
+        A decorator that records the check and returns it unchanged.
+    """
+
+    def register(function: Check) -> Check:
+        CHECKS[name] = function
+        return function
+
+    return register
+
+
+def _key(entry: ConfigObject) -> ObjectKey:
+    return entry.kind, entry.name
--- /dev/null
+++ b/egretlanding/findings.py
@@ -0,0 +1,33 @@
+"""Faults with their place in the files that operators wrote."""
+
+import attrs
+import yaml
+
+
+@attrs.frozen(order=True)
+class Finding:
+    """A fault with its place in the files that operators wrote.
+
+    Attributes:
+        file: Path of the file, relative to the directory that was read.
+        line: The line, from 1; zero if the whole file is meant.
+        subject: The object, as "Kind name"; empty if none is known.
+        problem: What was found, in one clause.
+        remedy: What the reader can do about it.
+    """
+
+    file: str
+    line: int
+    subject: str
+    problem: str
+    remedy: str
+
+    def __str__(self) -> str:
+        place = f'{self.file}:{self.line}' if self.line else self.file
+        lead = ': '.join(filter(None, (place, self.subject)))
+        return f'{lead}: {self.problem}; {self.remedy}'
+
+
+def flaw(node: yaml.Node, problem: str, remedy: str) -> Finding:
+    """Returns a finding at a node; file and subject are filled in later."""
+    return Finding('', node.start_mark.line + 1, '', problem, remedy)
--- a/egretlanding/objects.py
+++ b/egretlanding/objects.py
@@ -6,8 +6,18 @@
 
 import attrs
 
+from egretlanding.texts import show
+
 KINDS: dict[str, type] = {}
 
+HTTP_METHODS = frozenset(
+    ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS'),
+)
+NAME_PATTERN = '[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?'
+NAME_FORM = 'lower-case letters, digits and inner hyphens, at most 63 in all'
+PATH_PATTERN = r'/|(/[A-Za-z0-9._~%@:+-]{1,63}){1,8}'
+PATH_FORM = 'segments that each start with a slash, without a slash at the end'
+
 Spec = TypeVar('Spec')
 
 
@@ -67,6 +77,28 @@
     )
 
 
+def form(pattern: str, described: str, **options: Any) -> Any:
+    """Declares a text field, or a list of texts, with the form of each text.
+
+    Args:
+        pattern: Regular expression that the whole text must match.
+        described: The form in words, as written in error messages.
+        options: Further options of `attrs.field`.
+
+    Returns:
+        The attrs field, with the form recorded in its metadata.
+    """
+    return attrs.field(
+        metadata={'pattern': pattern, 'described': described},
+        **options,
+    )
+
+
+def method_list() -> Any:
+    """Declares a list of HTTP methods that is empty unless written."""
+    return attrs.field(metadata={'choices': HTTP_METHODS}, default=())
+
+
 @kind('Region')
 @attrs.frozen(kw_only=True)
 class Region:
@@ -77,7 +109,7 @@
         link_kbytes_per_s: Budget of calls sent to other regions, kB/s.
     """
 
-    failure_domains: tuple[str, ...]
+    failure_domains: tuple[str, ...] = form(NAME_PATTERN, NAME_FORM)
     link_kbytes_per_s: int = bounded(0, 1_000_000, 'kB/s', default=1_000)
 
 
@@ -107,7 +139,9 @@
     """How calls of a route are timed, retried and hedged.
 
     Attributes:
-        extends: Name of the policy whose fields this one starts from.
+        extends: Name of the policy whose fields this one starts from. A
+            compiled release has the inherited values written out, and
+            empty names here.
         timeout_ms: Longest time a call may take when it names none, ms.
         max_attempts: Attempts in all for an idempotent call.
         retry_percent: Retries allowed per hundred first attempts, percent.
@@ -129,6 +163,10 @@
 class Route:
     """Sends calls whose path starts with a prefix to a service.
 
+    A prefix covers whole segments: `/stock` covers `/stock/7`, but not
+    `/stocks`. Of the routes that take a call's method, the one with the
+    longest prefix gets the call.
+
     Attributes:
         path_prefix: The prefix, starting with a slash.
         service: Name of the service that runs the calls.
@@ -137,10 +175,10 @@
         work: The class of work that the calls are.
     """
 
-    path_prefix: str
+    path_prefix: str = form(PATH_PATTERN, PATH_FORM)
     service: str = link('Service')
     policy: str = link('Policy')
-    methods: tuple[str, ...] = ()
+    methods: tuple[str, ...] = method_list()
     work: WorkClass = WorkClass.LEARNED
 
 
@@ -159,7 +197,7 @@
 
     route: str = link('Route')
     idempotent: bool
-    methods: tuple[str, ...] = ()
+    methods: tuple[str, ...] = method_list()
 
 
 @attrs.frozen
@@ -175,3 +213,7 @@
     kind: str
     name: str
     spec: Any
+
+    def label(self) -> str:
+        """Returns kind and name as error messages show them."""
+        return f'{self.kind} {show(self.name)}'
--- /dev/null
+++ b/egretlanding/sources.py
@@ -0,0 +1,115 @@
+"""Turns YAML documents into typed objects that remember their lines."""
+
+from collections.abc import Iterable, Mapping
+from itertools import chain
+
+import attrs
+import yaml
+
+from egretlanding.documents import Document
+from egretlanding.fields import Fields, read_fields, suggest
+from egretlanding.findings import Finding, flaw
+from egretlanding.objects import KINDS, ConfigObject
+from egretlanding.texts import quote, show
+
+ObjectKey = tuple[str, str]
+
+
+@attrs.frozen
+class Envelope:
+    """The outer fields of every object.
+
+    Attributes:
+        kind: The kind, a key of `KINDS`.
+        name: The name, unique within its kind.
+        spec: The node of the spec, whose fields depend on the kind.
+    """
+
+    kind: str
+    name: str
+    spec: yaml.Node
+
+
+@attrs.frozen
+class Source:
+    """An object and where it was written.
+
+    Attributes:
+        file: Path of the file, relative to the directory that was read.
+        line: The line where the object starts, from 1.
+        lines: The line of each field of the spec that was written.
+        entry: The object.
+    """
+
+    file: str
+    line: int
+    lines: Mapping[str, int]
+    entry: ConfigObject
+
+
+@attrs.frozen
+class Reading:
+    """What was read of one object.
+
+    Attributes:
+        file: Path of the file, relative to the directory that was read.
+        line: The line where the object starts, from 1.
+        key: Kind and name; empty texts stand for what couldn't be read.
+        findings: The faults met.
+        sources: The object, if it could be read in full.
+    """
+
+    file: str
+    line: int
+    key: ObjectKey
+    findings: tuple[Finding, ...]
+    sources: tuple[Source, ...]
+
+
+def read_objects(documents: Iterable[Document]) -> tuple[Reading, ...]:
+    """Reads the object, or the list of objects, of each document."""
+    return tuple(
+        _read_object(node, document.file)
+        for document in documents
+        for node in _nodes(document.root)
+    )
+
+
+def _nodes(root: yaml.Node) -> list[yaml.Node]:
+    return root.value if isinstance(root, yaml.SequenceNode) else [root]
+
+
+def _read_object(node: yaml.Node, file: str) -> Reading:
+    envelope = read_fields(node, Envelope)
+    kind = envelope.values.get('kind', '')
+    name = envelope.values.get('name', '')
+    body = _read_spec(envelope, kind)
+    subject = f'{show(kind)} {show(name)}'.strip()
+    findings = tuple(
+        attrs.evolve(finding, file=file, subject=subject)
+        for finding in chain(
+            envelope.findings,
+            _unknown_kinds(node, envelope),
+            body.findings,
+        )
+    )
+    line = node.start_mark.line + 1
+    if findings:
+        return Reading(file, line, (kind, name), findings, ())
+    entry = ConfigObject(kind, name, KINDS[kind](**body.values))
+    source = Source(file, line, body.lines, entry)
+    return Reading(file, line, (kind, name), (), (source,))
+
+
+def _read_spec(envelope: Fields, kind: str) -> Fields:
+    if kind in KINDS and 'spec' in envelope.values:
+        return read_fields(envelope.values['spec'], KINDS[kind])
+    return Fields()
+
+
+def _unknown_kinds(node: yaml.Node, envelope: Fields) -> tuple[Finding, ...]:
+    kind = envelope.values.get('kind')
+    if kind is None or kind in KINDS:
+        return ()
+    problem = f'unknown kind {quote(kind)}'
+    return (flaw(node, problem, suggest(kind, KINDS)),)
