Add the policy of distribution: order, deltas, watchers, partners, readiness

Cause: daemons need one pure policy that decides what is in force, what to pull from whom, and who reads the store, so that hypothesis can drive it.

Ages of the store's news are taken from answers only, with the whole duration of the request added, so they are upper bounds without a common clock. Taking them from requests too was ruled out: nobody can tell how long a request was under way.

--- /dev/null
+++ b/egretlanding/ledger.py
@@ -0,0 +1,266 @@
+"""Which release is in force, and what becomes of each that is offered."""
+
+import enum
+import itertools
+from collections.abc import Callable, Iterable, Sequence
+from typing import Any
+
+import attrs
+
+from egretlanding.delta import release_update
+from egretlanding.messages import ReleaseUpdate
+from egretlanding.objects import ConfigObject
+from egretlanding.release import Position, Release, shorten
+
+MAX_BASES = 8
+MAX_SEEN = 32
+MAX_REFUSED = 64
+MAX_CONFLICTS = 16
+MAX_FAULTS_KEPT = 8
+
+FindFaults = Callable[[Iterable[ConfigObject]], Sequence[Any]]
+
+
+@attrs.frozen
+class Adopted:
+    """The offered release is in force now.
+
+    Attributes:
+        previous: Position that was in force before.
+        position: Position in force now.
+    """
+
+    previous: Position
+    position: Position
+
+
+@attrs.frozen
+class Ignored:
+    """The offered release isn't later than the one in force.
+
+    Attributes:
+        position: Position of the offered release.
+    """
+
+    position: Position
+
+
+@attrs.frozen
+class Refused:
+    """The offered release fails the check of the whole set.
+
+    Attributes:
+        position: Position of the offered release.
+        faults: The first faults, as text.
+    """
+
+    position: Position
+    faults: tuple[str, ...]
+
+
+Outcome = Adopted | Ignored | Refused
+
+
+class ConflictReason(enum.StrEnum):
+    """Why two releases are in conflict."""
+
+    SAME_NUMBER = 'same number'
+    SAME_PARENT = 'same parent'
+
+
+@attrs.frozen
+class Lineage:
+    """What is kept of an acceptable release to recognize conflicts.
+
+    Attributes:
+        number: The release's number.
+        parent: Digest of the release that it was made from, or empty.
+        digest: The release's digest.
+    """
+
+    number: int
+    parent: str
+    digest: str
+
+
+@attrs.frozen(order=True)
+class Conflict:
+    """Two releases of which only one can stay in force.
+
+    Attributes:
+        number: The greater number of the two.
+        digests: The first digits of both digests, in ascending order.
+        reason: What the two have in common.
+    """
+
+    number: int
+    digests: tuple[str, str]
+    reason: ConflictReason = attrs.field(order=False)
+
+    @classmethod
+    def between(cls, first: Lineage, second: Lineage) -> 'Conflict | None':
+        """Returns the conflict of two releases, or none."""
+        if first.digest == second.digest:
+            return None
+        reason = _common(first, second)
+        if reason is None:
+            return None
+        low, high = sorted((first.digest, second.digest))
+        return cls(
+            number=max(first.number, second.number),
+            digests=(shorten(low), shorten(high)),
+            reason=reason,
+        )
+
+    @classmethod
+    def from_text(
+        cls,
+        subject: str,
+        evidence: tuple[str, ...],
+    ) -> 'Conflict | None':
+        """Rebuilds a conflict from a notice; none if it is malformed.
+
+        Args:
+            subject: Number and digests, separated by slashes.
+            evidence: The reason.
+        """
+        try:
+            number, low, high = subject.split('/')
+            reason = ConflictReason(*evidence)
+            return cls(int(number), (low, high), reason)
+        except (ValueError, TypeError):
+            return None
+
+
+@attrs.define
+class Ledger:
+    """The release in force and what is remembered of others.
+
+    The position in force never goes down. A release that fails the check is
+    remembered by its digest only, so it can't stand in the way of another
+    release, whatever that one's number.
+
+    Attributes:
+        find_faults: The check of the whole set.
+        position: Position of the release in force.
+        release: The release in force, if any.
+        bases: Recent releases by digest, for deltas.
+        seen: Recent acceptable releases by digest, for conflicts.
+        refused: Releases that failed the check, by digest.
+        conflicts: The conflicts known, from the least number.
+        updates: Encoded updates to the release in force by base digest.
+    """
+
+    find_faults: FindFaults
+    position: Position = attrs.field(factory=Position)
+    release: Release | None = None
+    bases: dict[str, Release] = attrs.field(factory=dict)
+    seen: dict[str, Lineage] = attrs.field(factory=dict)
+    refused: dict[str, Refused] = attrs.field(factory=dict)
+    conflicts: tuple[Conflict, ...] = ()
+    updates: dict[str, ReleaseUpdate] = attrs.field(factory=dict)
+
+    @property
+    def digest(self) -> str:
+        """Digest of the release in force, or empty."""
+        return self.position.digest
+
+    def wants(self, position: Position) -> bool:
+        """Returns whether a release at a position is worth pulling."""
+        return position > self.position and position.digest not in self.refused
+
+    def update_for(self, base_digest: str) -> ReleaseUpdate | None:
+        """Returns the release in force as changes against a base.
+
+        Args:
+            base_digest: What the receiver holds; an unknown base gives the
+                whole release.
+        """
+        if self.release is None:
+            return None
+        base = self.bases.get(base_digest)
+        key = base.digest if base else ''
+        if key not in self.updates:
+            self.updates[key] = release_update(
+                base,
+                self.release,
+                self.position.revision,
+            )
+        return self.updates[key]
+
+    def offer(self, release: Release, revision: int) -> Outcome:
+        """Decides on a release and puts it in force if it is later.
+
+        Args:
+            release: A release whose digest was verified.
+            revision: The store's revision of the head that announced it.
+        """
+        position = release.position(revision)
+        known = self.refused.get(release.digest)
+        if known is not None:
+            return known
+        faults = self._faults_of(release)
+        if faults:
+            return self._refuse(position, faults)
+        self._record_conflicts(release)
+        if position <= self.position:
+            return Ignored(position)
+        return self._adopt(release, position)
+
+    def add_conflicts(self, conflicts: Iterable[Conflict]) -> bool:
+        """Records conflicts, keeping those with the greatest numbers.
+
+        Returns:
+            Whether any of them was new.
+        """
+        ordered = sorted({*self.conflicts, *conflicts})
+        kept = tuple(ordered[-MAX_CONFLICTS:])
+        if kept == self.conflicts:
+            return False
+        self.conflicts = kept
+        return True
+
+    def _faults_of(self, release: Release) -> tuple[str, ...]:
+        if release.digest in self.seen:
+            return ()
+        faults = self.find_faults(tuple(release.objects.values()))
+        return tuple(
+            str(fault) for fault in itertools.islice(faults, MAX_FAULTS_KEPT)
+        )
+
+    def _refuse(self, position: Position, faults: tuple[str, ...]) -> Refused:
+        refused = Refused(position, faults)
+        self.refused[position.digest] = refused
+        _trim(self.refused, MAX_REFUSED)
+        return refused
+
+    def _record_conflicts(self, release: Release) -> None:
+        lineage = Lineage(release.number, release.parent, release.digest)
+        found = (
+            Conflict.between(lineage, other) for other in self.seen.values()
+        )
+        self.add_conflicts(filter(None, found))
+        self.seen[release.digest] = lineage
+        _trim(self.seen, MAX_SEEN)
+
+    def _adopt(self, release: Release, position: Position) -> Adopted:
+        adopted = Adopted(self.position, position)
+        self.release = release
+        self.position = position
+        self.bases[release.digest] = release
+        _trim(self.bases, MAX_BASES)
+        self.updates.clear()
+        return adopted
+
+
+def _common(first: Lineage, second: Lineage) -> ConflictReason | None:
+    if first.number == second.number:
+        return ConflictReason.SAME_NUMBER
+    if first.parent and first.parent == second.parent:
+        return ConflictReason.SAME_PARENT
+    return None
+
+
+def _trim(table: dict[str, Any], size: int) -> None:
+    for key in tuple(itertools.islice(table, max(0, len(table) - size))):
+        del table[key]
--- /dev/null
+++ b/egretlanding/replica.py
@@ -0,0 +1,366 @@
+"""One daemon's share in the distribution of releases and host lists."""
+
+from random import Random
+
+import attrs
+from result import Err, Ok, Result
+
+from egretlanding.budget import ReadBudget
+from egretlanding.claims import Claims
+from egretlanding.delta import (
+    apply_hosts_update,
+    apply_release_update,
+)
+from egretlanding.exceptions import DeltaError, ReleaseError
+from egretlanding.freshness import Freshness
+from egretlanding.hosts import Host, HostList
+from egretlanding.ledger import (
+    Adopted,
+    FindFaults,
+    Ledger,
+    Outcome,
+    Refused,
+)
+from egretlanding.membership import Membership
+from egretlanding.messages import (
+    Comparison,
+    HostsUpdate,
+    Notice,
+    NoticeKind,
+    ReleaseUpdate,
+    Summary,
+)
+from egretlanding.partners import Partners
+from egretlanding.readiness import FRESH_NEWS_S, Readiness
+from egretlanding.release import Release
+from egretlanding.reports import (
+    conflict_notice,
+    conflict_of,
+    refusal_notice,
+)
+from egretlanding.watchers import WatchDuty
+
+FETCH_GRACE_S = 1
+
+
+@attrs.frozen
+class ReplicaConfig:
+    """What a replica must know before it has heard from anybody.
+
+    Attributes:
+        host: This daemon's own host.
+        incarnation: Start time of the process, ns since the epoch.
+        seeds: Hosts to ask before there is a host list.
+        store_region: Region that the store is in, or empty if unknown.
+    """
+
+    host: Host
+    incarnation: int
+    seeds: tuple[Host, ...] = ()
+    store_region: str = ''
+
+    @property
+    def fetch_delay(self) -> float:
+        """How long to wait for a delta before reading parts, seconds.
+
+        Outside the store's region a delta from the watchers there costs
+        less of the link between regions than the parts do.
+        """
+        near = self.store_region in {'', self.host.region}
+        return 0 if near else FETCH_GRACE_S
+
+
+@attrs.define
+class Replica:
+    """The policy of one daemon; its tasks feed it and do what it says.
+
+    Attributes:
+        config: What the daemon knows from its settings.
+        ledger: The release in force and what is remembered of others.
+        membership: The host list and evidence over it.
+        duty: Whether this daemon reads the store.
+        reads: How often it may do so.
+        partners: With whom it exchanges summaries.
+        readiness: What it has asked since it started.
+        freshness: The age of what it knows of the store.
+        stale: Whether the store last answered with an older head.
+        claims: Which pulls are under way.
+        paused_for: Length of the last pause that was noticed, seconds.
+    """
+
+    config: ReplicaConfig
+    ledger: Ledger
+    membership: Membership
+    duty: WatchDuty
+    reads: ReadBudget
+    partners: Partners
+    readiness: Readiness
+    freshness: Freshness = attrs.field(factory=Freshness)
+    stale: bool = False
+    claims: Claims = attrs.field(factory=Claims)
+    paused_for: float = 0
+
+    @classmethod
+    def from_config(
+        cls,
+        config: ReplicaConfig,
+        find_faults: FindFaults,
+        random: Random,
+        now: float,
+    ) -> 'Replica':
+        """Builds the replica of a process that has just started.
+
+        Args:
+            config: What the daemon knows from its settings.
+            find_faults: The check of the whole set.
+            random: Source of choice and jitter.
+            now: The time, seconds of a monotonic clock.
+        """
+        host = config.host
+        seeds = HostList(0, {seed.host_id: seed for seed in config.seeds})
+        partners = Partners(host, random)
+        partners.choose_from(seeds)
+        replica = cls(
+            config=config,
+            ledger=Ledger(find_faults),
+            membership=Membership(host, config.incarnation, random, seeds),
+            duty=WatchDuty(host, random, now),
+            reads=ReadBudget(random, now),
+            partners=partners,
+            readiness=Readiness(now),
+        )
+        replica.woke(now, 0)
+        return replica
+
+    def summary(self, now: float) -> Summary:
+        """Returns what this daemon tells others."""
+        return Summary(
+            host_id=self.config.host.host_id,
+            incarnation=self.config.incarnation,
+            position=self.ledger.position,
+            hosts_revision=self.membership.hosts.revision,
+            confirmed_age=self.freshness.confirmed_age(now),
+            attempted_age=self.freshness.attempted_age(now),
+            notices=self.membership.notices.to_send(now),
+            ready=self.is_ready(now),
+            watching=self.duty.is_watching(now),
+        )
+
+    def is_ready(self, now: float) -> bool:
+        """Returns whether the daemon may serve calls."""
+        return self.readiness.is_ready(now, self.ledger.position)
+
+    def should_watch(self, now: float) -> bool:
+        """Returns whether this daemon should read the store now.
+
+        It should while it is on duty, and its budget allows an attempt.
+        """
+        on_duty = self.duty.should_watch(now, self.freshness)
+        return on_duty and self.reads.may_attempt(now)
+
+    def observe(
+        self,
+        summary: Summary,
+        now: float,
+        elapsed: float | None = None,
+    ) -> Comparison:
+        """Takes in another daemon's summary.
+
+        Args:
+            summary: The summary.
+            now: The time, seconds.
+            elapsed: Time since this daemon sent the request that the
+                summary answers, seconds; none for a summary that came in a
+                request. Ages are taken from answers only, since nobody can
+                tell how long a request was under way.
+
+        Returns:
+            What to pull from the sender.
+        """
+        self.membership.heard_from(summary.host_id, summary.incarnation, now)
+        if summary.watching:
+            self.duty.hear(summary.host_id, now)
+        self._learn(summary.notices, now)
+        if elapsed is not None:
+            self._learn_ages(summary, now - elapsed)
+            self._note_peer(summary)
+        position = summary.position
+        revision = summary.hosts_revision
+        return Comparison(
+            pull_release=self.ledger.wants(position)
+            and self.claims.take(position.digest, now),
+            pull_hosts=revision > self.membership.hosts.revision
+            and self.claims.take(revision, now),
+        )
+
+    def offer_release(
+        self,
+        release: Release,
+        revision: int,
+        now: float,
+    ) -> Outcome:
+        """Decides on a release and puts it in force if it is later.
+
+        Args:
+            release: A release whose digest was verified.
+            revision: The store's revision of the head that announced it.
+            now: The time, seconds.
+        """
+        conflicts = self.ledger.conflicts
+        outcome = self.ledger.offer(release, revision)
+        self.claims.release(release.digest)
+        if isinstance(outcome, Refused):
+            self._report(refusal_notice(outcome), now)
+        for conflict in self.ledger.conflicts:
+            if conflict not in conflicts:
+                self._report(conflict_notice(conflict), now)
+        if isinstance(outcome, Adopted):
+            self.partners.notify(now, self.membership, self.duty, True)
+            self._settle()
+        return outcome
+
+    def offer_hosts(self, hosts: HostList, now: float) -> bool:
+        """Takes a host list if it is later than the one held.
+
+        Returns:
+            Whether it was taken.
+        """
+        if not self.membership.replace(hosts):
+            return False
+        self.claims.release(hosts.revision)
+        self.duty.rank_among(hosts.live())
+        self.partners.choose_from(hosts)
+        self.partners.notify(now, self.membership, self.duty, False)
+        self._settle()
+        return True
+
+    def apply_update(
+        self,
+        update: ReleaseUpdate,
+        now: float,
+    ) -> Result[Outcome, DeltaError | ReleaseError]:
+        """Decides on a release that came from another daemon.
+
+        Nothing changes unless the whole result is verified.
+
+        Returns:
+            The outcome, or why the update can't be used; then the whole
+            release should be asked for.
+        """
+        base = self.ledger.bases.get(update.base_digest)
+        try:
+            release = apply_release_update(base, update)
+        except (DeltaError, ReleaseError) as error:
+            return Err(error)
+        return Ok(self.offer_release(release, update.revision, now))
+
+    def apply_hosts(
+        self,
+        update: HostsUpdate,
+        now: float,
+    ) -> Result[bool, DeltaError | ReleaseError]:
+        """Takes a host list that came from another daemon.
+
+        Returns:
+            Whether the list was later than the one held, or why the update
+            can't be used.
+        """
+        try:
+            hosts = apply_hosts_update(self.membership.hosts, update)
+        except (DeltaError, ReleaseError) as error:
+            return Err(error)
+        return Ok(self.offer_hosts(hosts, now))
+
+    def store_attempted(self, now: float) -> None:
+        """Records that this daemon asks the store now."""
+        self.reads.attempt(now, self.duty.is_near_front)
+        self.duty.note_attempt(now)
+        self.freshness.note_attempted(now)
+
+    def store_confirmed(self, now: float, revision: int) -> None:
+        """Records an answer of the store, after its head was offered.
+
+        Args:
+            now: When the store was asked, seconds.
+            revision: The store's revision of the head.
+        """
+        self.reads.succeed(now)
+        self.stale = revision < self.ledger.position.revision
+        if self.stale:
+            return
+        self.duty.confirmed_at = now
+        self.freshness.note_confirmed(now)
+        self.readiness.note_store(self.ledger.position)
+        self._settle()
+
+    def next_exchanges(self, now: float) -> tuple[Host, ...]:
+        """Takes the exchanges that are due off the schedule."""
+        due = self.partners.take_due(now, self.membership, self.duty)
+        known = self.membership.hosts.hosts
+        return tuple(known[host_id] for host_id in due if host_id in known)
+
+    def reached(self, host_id: str, now: float) -> None:
+        """Records that an exchange with a host succeeded."""
+        self.membership.reached(host_id, now)
+
+    def failed(self, host_id: str, now: float) -> None:
+        """Records that an exchange with a host failed."""
+        self.membership.failed(host_id, now)
+        self.claims.clear()
+
+    def leave(self, now: float) -> None:
+        """Announces that this daemon's host is leaving."""
+        self.membership.leave(now)
+        self.partners.notify(now, self.membership, self.duty, True)
+
+    def woke(self, now: float, gap: float) -> None:
+        """Starts over after a pause: not ready until it has compared again.
+
+        Args:
+            now: The time, seconds.
+            gap: How long the process was paused, seconds.
+        """
+        self.paused_for = gap
+        self.readiness.restart(now)
+        self.duty.restart(now)
+        self.membership.forget_failures()
+        self.claims.clear()
+        self.partners.restart(now)
+        self.partners.notify(now, self.membership, self.duty, True)
+
+    def _learn_ages(self, summary: Summary, asked_at: float) -> None:
+        self.freshness.note_attempted(asked_at, summary.attempted_age)
+        if summary.position == self.ledger.position:
+            self.freshness.note_confirmed(asked_at, summary.confirmed_age)
+
+    def _note_peer(self, summary: Summary) -> None:
+        host = self.membership.hosts.hosts.get(summary.host_id)
+        if host is None:
+            return
+        self.readiness.note_peer(host.failure_domain, summary.position)
+        if summary.ready and summary.confirmed_age < FRESH_NEWS_S:
+            self.readiness.note_store(summary.position)
+        self._settle()
+
+    def _settle(self) -> None:
+        if self.membership.hosts.revision:
+            self.readiness.settle(
+                self.ledger.position,
+                len(self.partners.domains),
+            )
+
+    def _learn(self, notices: tuple[Notice, ...], now: float) -> None:
+        # A list, because each of them must be learned.
+        learned = [self.membership.learn(notice, now) for notice in notices]
+        if any(learned):
+            self._record_conflicts(now)
+            self.partners.notify(now, self.membership, self.duty, False)
+
+    def _record_conflicts(self, now: float) -> None:
+        notices = self.membership.notices.of_kind(NoticeKind.CONFLICT, now)
+        found = map(conflict_of, notices)
+        self.ledger.add_conflicts(filter(None, found))
+
+    def _report(self, notice: Notice, now: float) -> None:
+        if self.membership.learn(notice, now):
+            self.partners.notify(now, self.membership, self.duty, False)
--- /dev/null
+++ b/egretlanding/watchers.py
@@ -0,0 +1,199 @@
+"""Which daemons read the store, chosen without coordination."""
+
+import hashlib
+import itertools
+import math
+from collections.abc import Iterable
+from random import Random
+
+import attrs
+
+from egretlanding.freshness import Freshness
+from egretlanding.hosts import Host
+
+WATCHERS_PER_REGION = 3
+STANDBYS_PER_REGION = 6
+WATCH_POLL_S = 4
+STARTUP_JITTER_S = 0.5
+
+# Standbys exchange with the watchers, so their ages are seconds old.
+TAKEOVER_AGE_S = 6
+TAKEOVER_STEP_S = 0.5
+UNCONFIRMED_AGE_S = 12
+UNCONFIRMED_STEP_S = 4
+
+# Other daemons get ages through several exchanges.
+FAR_TAKEOVER_AGE_S = 45
+FAR_TAKEOVER_STEP_S = 1
+
+# A daemon without a host list doesn't know its rank.
+UNRANKED_SPREAD_S = 20
+
+HEARD_S = 15
+ANSWERED_S = 10
+DUTY_S = 60
+WEIGHT_BYTES = 8
+
+
+def rank_hosts(hosts: Iterable[Host], region: str) -> tuple[str, ...]:
+    """Orders the hosts of a region by their claim to read the store.
+
+    The claim is the rendezvous weight, with the failure domains taking
+    turns, so that the first ranks are spread over all of them.
+
+    Args:
+        hosts: Hosts of any region.
+        region: The region to rank.
+
+    Returns:
+        Host ids, the first watcher first.
+    """
+    inside = sorted(
+        (host for host in hosts if host.region == region),
+        key=_weigh,
+    )
+    turns: dict[str, itertools.count[int]] = {}
+    placed = [
+        (next(turns.setdefault(host.failure_domain, itertools.count())), host)
+        for host in inside
+    ]
+    placed.sort(key=_turn)
+    return tuple(host.host_id for _, host in placed)
+
+
+@attrs.define
+class WatchDuty:
+    """Whether this daemon reads the store now.
+
+    The first ranks of each region always do. The next ranks step in when
+    nobody is known to have tried for a while, or when trying brings no
+    confirmation; the others only when nothing at all is heard. Whoever
+    stepped in goes on until enough daemons of better rank are heard to
+    reach the store.
+
+    Attributes:
+        host: This daemon's own host.
+        random: Source of jitter.
+        started_at: When the process started or woke, seconds.
+        ranking: The region's hosts in order, empty without a host list.
+        rank: This host's place in it, or none if it isn't listed.
+        jitter: Share of the random delays that this process takes, 0 to 1.
+        attempted_at: When this daemon last asked the store on duty, seconds.
+        confirmed_at: When the store last answered this daemon, seconds.
+        heard: When hosts of better rank were heard to reach the store.
+    """
+
+    host: Host
+    random: Random
+    started_at: float
+    ranking: tuple[str, ...] = ()
+    rank: int | None = None
+    jitter: float = 0
+    attempted_at: float = -math.inf
+    confirmed_at: float = -math.inf
+    heard: dict[str, float] = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        self.jitter = self.random.random()
+
+    @property
+    def is_standby(self) -> bool:
+        """Whether this daemon is among the first to step in."""
+        return (
+            self.rank is not None
+            and WATCHERS_PER_REGION <= self.rank < ranked_limit()
+        )
+
+    @property
+    def is_near_front(self) -> bool:
+        """Whether this daemon is a watcher or a standby."""
+        return self.rank is not None and self.rank < ranked_limit()
+
+    def should_watch(self, now: float, freshness: Freshness) -> bool:
+        """Returns whether this daemon should read the store."""
+        waited = now - self.started_at
+        if not self.ranking:
+            return waited >= self.jitter * UNRANKED_SPREAD_S
+        if self._is_watcher():
+            return waited >= self.jitter * STARTUP_JITTER_S
+        attempted = min(waited, freshness.attempted_age(now))
+        if attempted > self._takeover_age():
+            return True
+        confirmed = min(waited, freshness.confirmed_age(now))
+        if self.is_standby and confirmed > self._unconfirmed_age():
+            return True
+        return now - self.attempted_at < DUTY_S and not self._is_relieved(now)
+
+    def is_carrier(self, now: float) -> bool:
+        """Returns whether this daemon exchanges with other regions."""
+        return self._is_watcher() or now - self.attempted_at < ANSWERED_S
+
+    def is_watching(self, now: float) -> bool:
+        """Returns whether the store lately answered this daemon."""
+        return now - self.confirmed_at < ANSWERED_S
+
+    def rank_among(self, hosts: Iterable[Host]) -> None:
+        """Takes a new host list into account."""
+        self.ranking = rank_hosts(hosts, self.host.region)
+        ranks = {host_id: rank for rank, host_id in enumerate(self.ranking)}
+        self.rank = ranks.get(self.host.host_id)
+        better = self.ranking[: self.rank]
+        self.heard = {
+            host_id: at
+            for host_id, at in self.heard.items()
+            if host_id in better
+        }
+
+    def hear(self, host_id: str, now: float) -> None:
+        """Records that another host said that it reaches the store."""
+        limit = len(self.ranking) if self.rank is None else self.rank
+        if host_id in self.ranking[: min(limit, ranked_limit())]:
+            self.heard[host_id] = now
+
+    def note_attempt(self, now: float) -> None:
+        """Records that this daemon asks the store."""
+        if self.ranking:
+            self.attempted_at = now
+
+    def restart(self, now: float) -> None:
+        """Starts over after a pause."""
+        self.started_at = now
+        self.jitter = self.random.random()
+        self.heard.clear()
+        self.attempted_at = -math.inf
+
+    def _is_watcher(self) -> bool:
+        return self.rank is not None and self.rank < WATCHERS_PER_REGION
+
+    def _is_relieved(self, now: float) -> bool:
+        heard = sum(now - at < HEARD_S for at in self.heard.values())
+        return heard >= WATCHERS_PER_REGION
+
+    def _takeover_age(self) -> float:
+        if self.is_standby:
+            return TAKEOVER_AGE_S + TAKEOVER_STEP_S * self._delay_rank()
+        return FAR_TAKEOVER_AGE_S + FAR_TAKEOVER_STEP_S * self._delay_rank()
+
+    def _unconfirmed_age(self) -> float:
+        return UNCONFIRMED_AGE_S + UNCONFIRMED_STEP_S * self._delay_rank()
+
+    def _delay_rank(self) -> float:
+        rank = len(self.ranking) if self.rank is None else self.rank
+        return rank - WATCHERS_PER_REGION + self.jitter
+
+
+def ranked_limit() -> int:
+    """Returns how many ranks of a region may watch side by side."""
+    return WATCHERS_PER_REGION + STANDBYS_PER_REGION
+
+
+def _weigh(host: Host) -> bytes:
+    return hashlib.blake2b(
+        host.host_id.encode(),
+        digest_size=WEIGHT_BYTES,
+        person=b'egretlanding',
+    ).digest()
+
+
+def _turn(placed: tuple[int, Host]) -> int:
+    return placed[0]
