--- a/egretlanding/messages.py
+++ b/egretlanding/messages.py
@@ -1,127 +1,111 @@
-"""The messages that carry calls between daemons.
-
-The classes are msgspec structs, not attrs classes: they are encoded and
-decoded for each call, and structs take a fraction of the processor time.
-"""
+"""The typed messages of the control exchange between daemons."""
 
 import enum
 
-import msgspec
+import attrs
+
+from egretlanding.release import Position
 
-from egretlanding.exceptions import FrameError
+MAX_EVIDENCE = 8
 
-MAX_FRAME_BYTES = 4_194_304
 
-Headers = list[tuple[str, str]]
+class NoticeKind(enum.StrEnum):
+    """The kinds of short-lived facts that daemons pass on."""
 
+    LEAVING = 'leaving'
+    RETURNED = 'returned'
+    SUSPECT = 'suspect'
+    QUARANTINED = 'quarantined'
+    REFUSED = 'refused'
+    CONFLICT = 'conflict'
 
-class Ran(enum.StrEnum):
-    """Whether a call ran at a target."""
 
-    YES = 'yes'
-    NOT_RUN = 'no'
-    UNKNOWN = 'unknown'
+@attrs.frozen
+class Notice:
+    """A short-lived fact about a host, a kind of call or a release.
 
+    Attributes:
+        kind: The kind of fact.
+        subject: The host's id, the call's signature or the release.
+        incarnation: Incarnation of the host that the fact is about, or 0.
+        ttl: Remaining lifetime, seconds.
+        evidence: Hosts or texts that support the fact.
+    """
 
-class Message(msgspec.Struct, frozen=True, array_like=True):
-    """The base of all messages between daemons."""
+    kind: NoticeKind
+    subject: str
+    incarnation: int = 0
+    ttl: float = 0
+    evidence: tuple[str, ...] = ()
 
 
-class Hello(Message, frozen=True, tag='hello'):
-    """Opens a connection between daemons.
+@attrs.frozen
+class Summary:
+    """What a daemon holds, as it tells other daemons.
 
     Attributes:
         host_id: The sender's host.
-        incarnation: Start time of the sender, ns since the epoch.
+        incarnation: Start time of the sending process, ns since the epoch.
+        position: Place of the release in force in the order of releases.
+        hosts_revision: The store's revision of the host list held.
+        confirmed_age: Time since the store confirmed what is held, seconds.
+        attempted_age: Time since any watcher asked the store, seconds.
+        notices: Facts to pass on.
+        ready: Whether the sender is ready to serve calls.
+        watching: Whether the sender itself lately reached the store.
     """
 
     host_id: str
     incarnation: int
+    position: Position
+    hosts_revision: int
+    confirmed_age: float
+    attempted_age: float
+    notices: tuple[Notice, ...] = ()
+    ready: bool = False
+    watching: bool = False
 
 
-class CallRequest(Message, frozen=True, tag='call'):
-    """Asks the daemon beside a target to run a call.
+@attrs.frozen
+class Comparison:
+    """What a daemon should pull from the sender of a summary.
 
     Attributes:
-        call_id: Number of the call, unique on the connection.
-        method: HTTP method.
-        path: HTTP request target.
-        headers: Headers to pass on.
-        body: The request's body.
-        route: Name of the route that matched, empty if none.
-        remaining_ms: Time left until the deadline, ms.
-        depth: Number of calls above this one.
-        key: Idempotency key, or empty.
-        idempotent: Whether the release says that the call may run twice.
+        pull_release: Whether the sender holds a later release.
+        pull_hosts: Whether the sender holds a later host list.
     """
 
-    call_id: int
-    method: str
-    path: str
-    headers: Headers
-    body: bytes
-    route: str
-    remaining_ms: int
-    depth: int = 0
-    key: str = ''
-    idempotent: bool = False
+    pull_release: bool
+    pull_hosts: bool
 
 
-class CallReply(Message, frozen=True, tag='reply'):
-    """Answers a call request.
+@attrs.frozen
+class ReleaseUpdate:
+    """A release as changes against a base, or whole.
 
     Attributes:
-        call_id: Number of the call.
-        status: HTTP status.
-        headers: Headers to pass back.
-        body: The answer's whole body.
-        ran: Whether the call ran at a target.
-        reason: Why the call was refused, empty for an answer.
+        header: Canonical JSON of number, parent and digest.
+        revision: The store's revision of the head that announced it.
+        base_digest: Digest of the base, or empty for a whole release.
+        payload: Compressed changed objects and removed keys.
     """
 
-    call_id: int
-    status: int
-    headers: Headers
-    body: bytes
-    ran: Ran = Ran.YES
-    reason: str = ''
+    header: bytes
+    revision: int
+    base_digest: str
+    payload: bytes
 
 
-class Cancel(Message, frozen=True, tag='cancel'):
-    """Tells that the answer to a call is no longer wanted.
+@attrs.frozen
+class HostsUpdate:
+    """A host list as changes against a base, or whole.
 
     Attributes:
-        call_id: Number of the call.
+        revision: The store's revision of the list.
+        base_revision: Revision of the base, or 0 for a whole list.
+        payload: Compressed changed hosts, removed ids and the digest.
     """
 
-    call_id: int
-
-
-class Leaving(Message, frozen=True, tag='leaving'):
-    """Tells that the sender takes no new calls."""
-
-
-AnyMessage = Hello | CallRequest | CallReply | Cancel | Leaving
-
-ENCODER = msgspec.msgpack.Encoder()
-DECODER = msgspec.msgpack.Decoder(AnyMessage)
-
-
-def encode_message(message: AnyMessage) -> bytes:
-    """Encodes a message as msgpack."""
-    return ENCODER.encode(message)
-
-
-def decode_message(frame: bytes) -> AnyMessage:
-    """Decodes a message.
-
-    Raises:
-        FrameError: The frame isn't a message that this version knows.
-    """
-    try:
-        return DECODER.decode(frame)
-    except msgspec.MsgspecError as error:
-        raise FrameError(
-            f'a frame between daemons is malformed ({error})',
-            'run the same version of egretlandingd on every host',
-        ) from error
+    revision: int
+    base_revision: int
+    payload: bytes
--- a/egretlanding/peers.py
+++ b/egretlanding/peers.py
@@ -12,8 +12,7 @@
 from twisted.python.failure import Failure
 
 from egretlanding.exceptions import FrameError
-from egretlanding.hosts import Host
-from egretlanding.messages import (
+from egretlanding.frames import (
     MAX_FRAME_BYTES,
     AnyMessage,
     CallReply,
@@ -25,6 +24,7 @@
     decode_message,
     encode_message,
 )
+from egretlanding.hosts import Host
 
 CONNECT_TIMEOUT_S = 1
 
