--- a/egretlanding/config.py
+++ b/egretlanding/config.py
@@ -42,6 +42,7 @@
     Option('store_url', str, 'URL'),
     Option('store_region', str, 'name'),
     Option('seeds', tuple, 'list of address:port', ()),
+    Option('distribution', str, 'name', 'exchange'),
 )
 
 
@@ -64,6 +65,7 @@
         store_url: Base URL of the platform's store.
         store_region: The region that the store is in.
         seeds: Exchange addresses of daemons to ask at start.
+        distribution: How releases reach the daemon, a key of `MODES`.
     """
 
     host_id: str
@@ -80,6 +82,7 @@
     store_url: str
     store_region: str
     seeds: tuple[str, ...] = ()
+    distribution: str = 'exchange'
 
     @classmethod
     def from_mapping(cls, settings: Mapping[str, Any]) -> 'DaemonConfig':
--- a/egretlanding/exceptions.py
+++ b/egretlanding/exceptions.py
@@ -63,3 +63,8 @@
 @final
 class AdminError(RemediedError):
     """A daemon's admin port gave no usable answer."""
+
+
+@final
+class ExchangeError(RemediedError):
+    """Another daemon gave no usable answer to a control exchange."""
--- /dev/null
+++ b/egretlanding/exchange.py
@@ -0,0 +1,258 @@
+"""The control exchange between daemons over gRPC."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any, Protocol, TypeVar
+
+import attrs
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from result import Err, Ok, Result
+
+from egretlanding import wire
+from egretlanding.channels import CountedChannel, CountedServer, PeerName
+from egretlanding.exceptions import ExchangeError, FrameError
+from egretlanding.exchange_grpc import ExchangeBase, ExchangeStub
+from egretlanding.exchange_pb2 import HostsRequest, ReleaseRequest
+from egretlanding.hosts import Host
+from egretlanding.messages import HostsUpdate, ReleaseUpdate, Summary
+from egretlanding.traffic import LinkClass, Traffic
+
+COMPARE_TIMEOUT_S = 2
+PULL_TIMEOUT_S = 10
+REQUEST_TIMEOUT_S = 2
+MAX_SUMMARY_BYTES = 65_536
+MAX_UPDATE_BYTES = 8_388_608
+MAX_CHANNELS = 16
+
+UNUSABLE = (
+    FrameError,
+    GRPCError,
+    OSError,
+    ProtocolError,
+    StreamTerminatedError,
+    TimeoutError,
+    ValueError,
+)
+
+Answer = TypeVar('Answer')
+Call = Callable[[ExchangeStub], Awaitable[Any]]
+
+
+class Responder(Protocol):
+    """Who answers the requests of other daemons."""
+
+    def link_of(self, host_id: str) -> LinkClass:
+        """Returns how far a host is."""
+
+    def compare(self, summary: Summary) -> Summary:
+        """Takes in a summary and returns this daemon's."""
+
+    def release_for(self, base_digest: str) -> ReleaseUpdate | None:
+        """Returns the release in force as changes against a base."""
+
+    def hosts_for(self, base_revision: int) -> HostsUpdate:
+        """Returns the host list as changes against a base."""
+
+
+class ExchangeService(ExchangeBase):
+    """Answers the requests of other daemons.
+
+    Attributes:
+        responder: Who knows the answers.
+        traffic: Where the bytes are counted.
+        server: The server that owns the sockets.
+    """
+
+    def __init__(self, responder: Responder, traffic: Traffic) -> None:
+        """Prepares the server without opening a socket.
+
+        Args:
+            responder: Who knows the answers.
+            traffic: Where the bytes are counted.
+        """
+        self.responder = responder
+        self.traffic = traffic
+        self.server = CountedServer([self])
+
+    async def start(self, address: str, port: int) -> None:
+        """Opens the listening socket."""
+        await self.server.start(address, port)
+
+    async def stop(self) -> None:
+        """Closes the sockets."""
+        self.server.close()
+        self.server.abort_connections()
+        await self.server.wait_closed()
+
+    async def Compare(self, stream: Any) -> None:
+        """Exchanges summaries."""
+        message = await self.receive(stream)
+        try:
+            summary = wire.summary_from_wire(message)
+        except FrameError as error:
+            raise GRPCError(Status.INVALID_ARGUMENT, str(error)) from error
+        self.classify(stream, summary.host_id)
+        answer = self.responder.compare(summary)
+        await stream.send_message(wire.summary_to_wire(answer))
+
+    async def PullRelease(self, stream: Any) -> None:
+        """Sends the release in force."""
+        message = await self.receive(stream)
+        update = self.responder.release_for(message.base_digest.hex())
+        if update is None:
+            raise GRPCError(Status.NOT_FOUND, 'no release is in force here')
+        await stream.send_message(wire.release_update_to_wire(update))
+
+    async def PullHosts(self, stream: Any) -> None:
+        """Sends the host list."""
+        message = await self.receive(stream)
+        update = self.responder.hosts_for(message.base_revision)
+        await stream.send_message(wire.hosts_update_to_wire(update))
+
+    async def receive(self, stream: Any) -> Any:
+        """Receives a request within its bounds of time and size."""
+        connection = self.server.connections.get(stream.peer.addr())
+        if connection:
+            connection.allow(MAX_SUMMARY_BYTES)
+        async with asyncio.timeout(REQUEST_TIMEOUT_S):
+            message = await stream.recv_message()
+        if message is None:
+            raise GRPCError(Status.INVALID_ARGUMENT, 'the request is empty')
+        return message
+
+    def classify(self, stream: Any, host_id: str) -> None:
+        """Counts a connection's bytes in the class of its host."""
+        connection = self.server.connections.get(stream.peer.addr())
+        if connection:
+            link = self.responder.link_of(host_id)
+            connection.classify(self.traffic, link)
+
+
+@attrs.define(eq=False)
+class ExchangeClient:
+    """Asks other daemons, over at most `MAX_CHANNELS` kept connections.
+
+    Attributes:
+        host: This daemon's host.
+        traffic: Where the bytes are counted.
+        channels: Connections by address, the least recently used first.
+    """
+
+    host: Host
+    traffic: Traffic
+    channels: dict[PeerName, CountedChannel] = attrs.field(factory=dict)
+
+    async def compare(
+        self,
+        host: Host,
+        summary: Summary,
+    ) -> Result[Summary, ExchangeError]:
+        """Exchanges summaries with another daemon."""
+        message = wire.summary_to_wire(summary)
+        return await self.call(
+            host,
+            lambda stub: stub.Compare(message),
+            wire.summary_from_wire,
+            COMPARE_TIMEOUT_S,
+        )
+
+    async def pull_release(
+        self,
+        host: Host,
+        base_digest: str,
+    ) -> Result[ReleaseUpdate, ExchangeError]:
+        """Asks for the release in force, as changes against a base."""
+        request = ReleaseRequest(base_digest=bytes.fromhex(base_digest))
+        return await self.call(
+            host,
+            lambda stub: stub.PullRelease(request),
+            wire.release_update_from_wire,
+            PULL_TIMEOUT_S,
+        )
+
+    async def pull_hosts(
+        self,
+        host: Host,
+        base_revision: int,
+    ) -> Result[HostsUpdate, ExchangeError]:
+        """Asks for the host list, as changes against a base."""
+        request = HostsRequest(base_revision=base_revision)
+        return await self.call(
+            host,
+            lambda stub: stub.PullHosts(request),
+            wire.hosts_update_from_wire,
+            PULL_TIMEOUT_S,
+        )
+
+    async def call(
+        self,
+        host: Host,
+        send: Call,
+        decode: Callable[[Any], Answer],
+        timeout_s: float,
+    ) -> Result[Answer, ExchangeError]:
+        """Makes one call within bounds of time and size.
+
+        Args:
+            host: Whom to ask.
+            send: Makes the call on a stub.
+            decode: Decodes the reply.
+            timeout_s: Longest time for connection and call, s.
+        """
+        channel = self.channel_to(host)
+        try:
+            async with asyncio.timeout(timeout_s), channel.lock:
+                await channel.connect(MAX_UPDATE_BYTES)
+                return Ok(decode(await send(ExchangeStub(channel))))
+        except UNUSABLE as error:
+            self.forget(channel)
+            return Err(_unusable(host, error))
+
+    def channel_to(self, host: Host) -> CountedChannel:
+        """Returns the connection to a host, a new one if there is none."""
+        peer = (host.address, host.exchange_port)
+        channel = self.channels.pop(peer, None)
+        if channel is None:
+            link = LinkClass.between(self.host, host)
+            channel = CountedChannel(
+                peer,
+                self.host.address,
+                self.traffic,
+                link,
+            )
+        self.channels[peer] = channel
+        self.evict()
+        return channel
+
+    def evict(self) -> None:
+        """Closes the connections unused for longest above the bound."""
+        excess = len(self.channels) - MAX_CHANNELS
+        idle = [
+            channel
+            for channel in self.channels.values()
+            if not channel.lock.locked()
+        ]
+        # The last one is about to be used.
+        idle.pop()
+        for channel in idle[: max(0, excess)]:
+            self.forget(channel)
+
+    def forget(self, channel: CountedChannel) -> None:
+        """Closes a connection."""
+        if self.channels.get(channel.peer) is channel:
+            del self.channels[channel.peer]
+        channel.close()
+
+    def close(self) -> None:
+        """Closes all connections."""
+        for channel in tuple(self.channels.values()):
+            self.forget(channel)
+
+
+def _unusable(host: Host, error: Exception) -> ExchangeError:
+    return ExchangeError(
+        f'{host.host_id} at {host.address}:{host.exchange_port} gave no '
+        f'usable answer ({error!r})',
+        'check that its daemon runs and that the network lets it through',
+    )
--- /dev/null
+++ b/egretlanding/journal.py
@@ -0,0 +1,97 @@
+"""Counts and logs what became of releases, host lists and exchanges."""
+
+from collections.abc import Callable
+
+import attrs
+
+from egretlanding.events import Event, Severity, log_event
+from egretlanding.ledger import Adopted, Outcome, Refused
+from egretlanding.release import shorten
+
+
+@attrs.define
+class Counters:
+    """What the control tasks did, for metrics.
+
+    Attributes:
+        releases_applied: Releases put in force.
+        releases_refused: Releases kept out.
+        hosts_applied: Host lists put in force.
+        exchanges: Comparisons that succeeded, as their client.
+        exchange_failures: Comparisons that failed, as their client.
+        exchanges_answered: Comparisons that other daemons asked for.
+        pulls: Releases and host lists pulled from other daemons.
+        pauses: Pauses of the process that were noticed.
+    """
+
+    releases_applied: int = 0
+    releases_refused: int = 0
+    hosts_applied: int = 0
+    exchanges: int = 0
+    exchange_failures: int = 0
+    exchanges_answered: int = 0
+    pulls: int = 0
+    pauses: int = 0
+
+
+@attrs.define(eq=False)
+class Journal:
+    """Hears of every outcome, whichever way it came about.
+
+    Attributes:
+        on_news: Called when news should be applied and passed on.
+        counters: What happened so far.
+    """
+
+    on_news: Callable[[], None]
+    counters: Counters = attrs.field(factory=Counters)
+
+    def note_release(self, outcome: Outcome, source: str) -> None:
+        """Reports what became of a release.
+
+        Args:
+            outcome: What became of it.
+            source: Where it came from: a host's id or "store".
+        """
+        match outcome:
+            case Adopted(position=position):
+                self.counters.releases_applied += 1
+                log_event(
+                    Event.RELEASE_APPLIED,
+                    'release applied',
+                    number=position.number,
+                    digest=shorten(position.digest),
+                    source=source,
+                )
+            case Refused(position=position, faults=faults):
+                self.counters.releases_refused += 1
+                log_event(
+                    Event.RELEASE_REFUSED,
+                    'release refused; the one in force stays',
+                    Severity.ERROR,
+                    number=position.number,
+                    digest=shorten(position.digest),
+                    faults='; '.join(faults),
+                )
+        self.on_news()
+
+    def note_hosts(self, taken: bool, revision: int) -> None:
+        """Reports a host list, if it was taken."""
+        if taken:
+            self.counters.hosts_applied += 1
+            log_event(
+                Event.HOSTS_UPDATED,
+                'host list updated',
+                revision=revision,
+            )
+            self.on_news()
+
+    def note_pause(self, gap: float) -> None:
+        """Reports that the process did not run for some seconds."""
+        self.counters.pauses += 1
+        log_event(
+            Event.DAEMON_WOKE,
+            'the process was paused; comparing again before serving',
+            Severity.WARNING,
+            seconds=round(gap, 1),
+        )
--- a/egretlanding/reactors.py
+++ b/egretlanding/reactors.py
@@ -1,9 +1,14 @@
 """The choice of the Twisted reactor."""
 
+import asyncio
 import importlib
+import sys
 
 import uvloop
-from twisted.internet import asyncioreactor
+
+# Twisted goes without TLS where pyOpenSSL can't be imported. The system uses
+# none, and this keeps 12 MB out of every process.
+sys.modules['OpenSSL'] = None  # type: ignore[assignment]
 
 
 def launch(module: str) -> None:
@@ -16,7 +21,10 @@
     Args:
         module: Full name of the module to import and run.
     """
-    asyncioreactor.install(uvloop.new_event_loop())
+    asyncioreactor = importlib.import_module('twisted.internet.asyncioreactor')
+    loop = uvloop.new_event_loop()
+    asyncio.set_event_loop(loop)
+    asyncioreactor.install(loop)
     importlib.import_module(module).main()
 
 
--- /dev/null
+++ b/egretlanding/statedump.py
@@ -0,0 +1,163 @@
+"""Describes what a daemon has in force and what it knows."""
+
+import itertools
+import math
+from typing import Any
+
+import attrs
+
+from egretlanding.config import DaemonConfig
+from egretlanding.hosts import HostState
+from egretlanding.journal import Counters
+from egretlanding.ledger import Conflict
+from egretlanding.life import Phase
+from egretlanding.messages import NoticeKind
+from egretlanding.release import shorten
+from egretlanding.replica import Replica
+from egretlanding.status import (
+    RefusedRelease,
+    ReleaseConflict,
+    StatusReport,
+)
+
+MAX_ROWS = 64
+REFUSED_REMEDY = 'fix the objects, run "egretlanding check", publish again'
+CONFLICT_REMEDY = 'agree on one release and publish it with a greater number'
+
+
+def status_report(
+    config: DaemonConfig,
+    replica: Replica,
+    phase: Phase,
+    now: float,
+) -> StatusReport:
+    """Returns what is in force.
+
+    Args:
+        config: The daemon's settings.
+        replica: The policy.
+        phase: Where the daemon is in its life.
+        now: The time, seconds.
+    """
+    position = replica.ledger.position
+    release = replica.ledger.release
+    age = replica.freshness.confirmed_age(now)
+    return StatusReport(
+        host_id=config.host_id,
+        region=config.region,
+        failure_domain=config.failure_domain,
+        service=config.service,
+        incarnation=replica.config.incarnation,
+        ready=phase is Phase.READY,
+        draining=phase is Phase.DRAINING,
+        number=position.number,
+        digest=position.digest,
+        revision=position.revision,
+        parent=release.parent if release else '',
+        confirmed_age_s=None if math.isinf(age) else age,
+        hosts_revision=replica.membership.hosts.revision,
+        refused=refused_releases(replica, now),
+        conflicts=tuple(
+            describe_conflict(conflict, position.digest)
+            for conflict in replica.ledger.conflicts
+        ),
+    )
+
+
+def refused_releases(
+    replica: Replica,
+    now: float,
+) -> tuple[RefusedRelease, ...]:
+    """Returns the releases that this daemon or others keep out."""
+    notices = replica.membership.notices.of_kind(NoticeKind.REFUSED, now)
+    told = {
+        notice.subject: RefusedRelease(
+            number=0,
+            digest=notice.subject,
+            reason=f'{"; ".join(notice.evidence)}; {REFUSED_REMEDY}',
+        )
+        for notice in notices
+        if notice.subject != replica.ledger.digest
+    }
+    own = {
+        digest: RefusedRelease(
+            number=refused.position.number,
+            digest=digest,
+            reason=f'{"; ".join(refused.faults)}; {REFUSED_REMEDY}',
+        )
+        for digest, refused in replica.ledger.refused.items()
+    }
+    return tuple({**told, **own}.values())
+
+
+def describe_conflict(conflict: Conflict, digest: str) -> ReleaseConflict:
+    """Returns a conflict as operators are told of it.
+
+    Args:
+        conflict: The conflict.
+        digest: Digest of the release in force. If it is neither of the two,
+            both have been superseded since, and both count as losers.
+    """
+    in_force = shorten(digest)
+    winner = in_force if in_force in conflict.digests else ''
+    losers = (found for found in conflict.digests if found != winner)
+    return ReleaseConflict(
+        number=conflict.number,
+        winner=winner,
+        loser=', '.join(losers),
+        reason=f'{conflict.reason.value}; {CONFLICT_REMEDY}',
+    )
+
+
+def describe_replica(replica: Replica, now: float) -> dict[str, Any]:
+    """Returns what the policy knows, bounded."""
+    hosts = replica.membership.hosts
+    partners = replica.partners
+    return {
+        'position': attrs.asdict(replica.ledger.position),
+        'bases': [shorten(digest) for digest in replica.ledger.bases],
+        'refused': sorted(replica.ledger.refused),
+        'stale_store': replica.stale,
+        'paused_for_s': replica.paused_for,
+        'attempted_age_s': finite(replica.freshness.attempted_age(now)),
+        'confirmed_age_s': finite(replica.freshness.confirmed_age(now)),
+        'rank': replica.duty.rank,
+        'on_duty': replica.duty.should_watch(now, replica.freshness),
+        'watching': replica.duty.is_watching(now),
+        'reads_available': replica.reads.available(now),
+        'hosts': {
+            'revision': hosts.revision,
+            'listed': len(hosts.hosts),
+            'leaving': [
+                host.host_id
+                for host in hosts.hosts.values()
+                if host.state is HostState.LEAVING
+                or replica.membership.is_leaving(host.host_id, now)
+            ][:MAX_ROWS],
+        },
+        'partners': {
+            place.name.lower(): sorted(chosen)
+            for place, chosen in partners.chosen.items()
+        },
+        'contacts': {
+            host_id: attrs.asdict(contact)
+            for host_id, contact in itertools.islice(
+                replica.membership.contacts.items(),
+                MAX_ROWS,
+            )
+        },
+        'notices': [
+            attrs.asdict(notice)
+            for notice in replica.membership.notices.to_send(now)
+        ],
+    }
+
+
+def describe_counters(counters: Counters) -> dict[str, int]:
+    """Returns what the control tasks counted."""
+    return attrs.asdict(counters)
+
+
+def finite(age: float) -> float | None:
+    """Returns an age, or None where JSON has no number for it."""
+    return None if math.isinf(age) else age
--- a/egretlanding/storeclient.py
+++ b/egretlanding/storeclient.py
@@ -4,7 +4,8 @@
 
 import attrs
 import treq
-from twisted.internet.error import ConnectError
+from twisted.internet.defer import CancelledError
+from twisted.internet.error import ConnectError, ConnectionClosed
 from twisted.web import http
 from twisted.web.client import Agent, HTTPConnectionPool, ResponseFailed
 
@@ -16,18 +17,28 @@
 REVISION_HEADER = 'x-revision'
 MS_PER_S = 1_000
 
+FAILURES = (
+    CancelledError,
+    ConnectError,
+    ConnectionClosed,
+    ResponseFailed,
+    TimeoutError,
+    ValueError,
+)
+
 
 @attrs.frozen
 class StoreValue:
-    """A value of the store.
+    """What the store says of a key.
 
     Attributes:
-        revision: The store's revision at which the key was last written.
-        body: The value.
+        revision: The store's revision at which the key was last written,
+            zero if it never was.
+        body: The value, or None if it isn't newer than was asked for.
     """
 
     revision: int
-    body: bytes
+    body: bytes | None = None
 
 
 @attrs.define
@@ -35,33 +46,45 @@
     """Reads keys of the platform's store over HTTP.
 
     Attributes:
+        reactor: The reactor to connect with.
         base_url: URL of the store, without a trailing slash.
         agent: The HTTP agent, which keeps connections open.
         reads: Reads sent so far, a waiting watch counted as one.
     """
 
+    reactor: Any
     base_url: str
     agent: Any
     reads: int = 0
 
     @classmethod
-    def from_url(cls, reactor: Any, base_url: str) -> 'StoreClient':
+    def from_url(
+        cls,
+        reactor: Any,
+        base_url: str,
+        source: str = '',
+    ) -> 'StoreClient':
         """Builds a client.
 
         Args:
             reactor: The reactor to connect with.
             base_url: URL of the store.
+            source: The address to connect from, or empty for any.
         """
-        pool = HTTPConnectionPool(reactor)
-        agent = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=pool)
-        return cls(base_url=base_url.rstrip('/'), agent=agent)
+        agent = Agent(
+            reactor,
+            connectTimeout=CONNECT_TIMEOUT_S,
+            bindAddress=(source, 0) if source else None,
+            pool=HTTPConnectionPool(reactor),
+        )
+        return cls(reactor, base_url.rstrip('/'), agent)
 
     async def read(
         self,
         key: str,
         after: int = 0,
         wait_ms: int = 0,
-    ) -> StoreValue | None:
+    ) -> StoreValue:
         """Reads a key once it is newer than a revision.
 
         Args:
@@ -69,9 +92,6 @@
             after: Revision that the value must exceed.
             wait_ms: Longest wait for a newer value, ms.
 
-        Returns:
-            The value, or None if there is none newer than `after`.
-
         Raises:
             PlatformError: The store gave no usable answer.
         """
@@ -79,20 +99,23 @@
         url = f'{self.base_url}/v1/keys/{key}?after={after}&wait_ms={wait_ms}'
         try:
             return await self._get(url, READ_TIMEOUT_S + wait_ms / MS_PER_S)
-        except (ConnectError, ResponseFailed, TimeoutError) as error:
+        except FAILURES as error:
             raise _unreachable(key, error) from error
 
-    async def _get(self, url: str, timeout_s: float) -> StoreValue | None:
+    async def _get(self, url: str, timeout_s: float) -> StoreValue:
         response = await treq.get(url, agent=self.agent, timeout=timeout_s)
-        body = await treq.content(response)
-        if response.code in {http.NOT_FOUND, http.NOT_MODIFIED}:
-            return None
+        content = treq.content(response)
+        body = await content.addTimeout(READ_TIMEOUT_S, self.reactor)
+        if response.code == http.NOT_FOUND:
+            return StoreValue(0)
+        revision = response.headers.getRawHeaders(REVISION_HEADER, ['0'])[0]
+        if response.code == http.NOT_MODIFIED:
+            return StoreValue(int(revision))
         if response.code != http.OK or len(body) > MAX_VALUE_BYTES:
             raise PlatformError(
                 f'the store answered {response.code} with {len(body)} bytes',
                 'wait; the last accepted release stays in force',
             )
-        revision = response.headers.getRawHeaders(REVISION_HEADER, ['0'])[0]
         return StoreValue(revision=int(revision), body=body)
 
 
