--- a/egretlanding/ingress.py
+++ b/egretlanding/ingress.py
@@ -8,9 +8,9 @@
 from twisted.internet.defer import ensureDeferred
 from twisted.python.failure import Failure
 
+from egretlanding.frames import CallReply, CallRequest, Ran
 from egretlanding.hosts import Host, HostList
 from egretlanding.httpserver import Exchange, HttpRequest, HttpResponse
-from egretlanding.messages import CallReply, CallRequest, Ran
 from egretlanding.objects import IdempotencyRule, Route
 from egretlanding.peers import PeerConnection, PeerNode, connect_peer
 from egretlanding.release import Release
