--- /dev/null
+++ b/egretlanding/rendezvous.py
@@ -0,0 +1,24 @@
+"""Rendezvous hashing: ranks that all holders of one list agree on."""
+
+import hashlib
+from collections.abc import Iterable
+
+WEIGHT_BYTES = 8
+
+
+def weight(subject: str, candidate: str) -> int:
+    """Returns the weight of a candidate for a subject."""
+    hashed = hashlib.blake2b(
+        f'{subject}\0{candidate}'.encode(),
+        digest_size=WEIGHT_BYTES,
+    )
+    return int.from_bytes(hashed.digest(), 'big')
+
+
+def ranked(subject: str, candidates: Iterable[str]) -> list[str]:
+    """Orders candidates from the greatest weight for the subject down."""
+    return sorted(
+        candidates,
+        key=lambda candidate: (weight(subject, candidate), candidate),
+        reverse=True,
+    )
--- /dev/null
+++ b/egretlanding/slots.py
@@ -0,0 +1,139 @@
+"""The slots of one target, and how many of them long work may hold."""
+
+import attrs
+
+from egretlanding.limits import ConcurrencyLimit
+from egretlanding.objects import WorkClass
+
+RESERVE_DIVISOR = 3
+
+
+@attrs.frozen
+class QueuedCall:
+    """A call that wants a slot.
+
+    Attributes:
+        call_id: The daemon's own number for the call.
+        route: Name of the route.
+        work: The class that the route declares.
+        deadline: When its answer has no more use, seconds.
+        short_wait_s: Longest wait behind long work if it is short, seconds.
+        arrived: When it arrived, seconds.
+    """
+
+    call_id: int
+    route: str
+    work: WorkClass
+    deadline: float
+    short_wait_s: float
+    arrived: float
+
+
+@attrs.frozen
+class Waiting:
+    """A queued call with the class that it was given.
+
+    Attributes:
+        call: The call.
+        is_long: Whether it counts as long work.
+        long_time: `Slots.long_time` when it arrived, seconds.
+    """
+
+    call: QueuedCall
+    is_long: bool
+    long_time: float
+
+
+@attrs.frozen
+class Running:
+    """A call that holds a slot.
+
+    Attributes:
+        call: The call.
+        is_long: Whether it counts as long work.
+        started: When it got the slot, seconds.
+    """
+
+    call: QueuedCall
+    is_long: bool
+    started: float
+
+
+@attrs.define
+class Slots:
+    """The slots of one target.
+
+    Long work never holds the last third of them, nor all of several.
+
+    Attributes:
+        limit: Calls that may run, adapted to the target.
+        running: Calls that hold a slot, by id.
+        long_before: Time for which long work held slots before, seconds.
+        long_since: When long work last began to hold slots, seconds.
+    """
+
+    limit: ConcurrencyLimit
+    running: dict[int, Running] = attrs.field(factory=dict)
+    long_before: float = 0
+    long_since: float = 0
+
+    @property
+    def long_limit(self) -> int:
+        """Slots that long work may hold at a time."""
+        reserve = -(-self.limit.current // RESERVE_DIVISOR)
+        return max(1, self.limit.current - reserve)
+
+    @property
+    def long_running(self) -> int:
+        """Slots that long work holds."""
+        return sum(held.is_long for held in self.running.values())
+
+    @property
+    def is_long_starved(self) -> bool:
+        """Whether long work has no slot though it could have one of several."""
+        return self.long_running == 0 and self.limit.current > 1
+
+    def long_time(self, now: float) -> float:
+        """Returns the time for which long work has held slots, seconds."""
+        if not self.long_running:
+            return self.long_before
+        return self.long_before + now - self.long_since
+
+    def usable(self, is_long: bool) -> int:
+        """Returns the slots that calls of a class can get."""
+        if is_long:
+            return self.long_limit
+        return max(1, self.limit.current - self.long_running)
+
+    def may_start(self, is_long: bool) -> bool:
+        """Returns whether a call of a class can have a slot now."""
+        if len(self.running) >= self.limit.current:
+            return False
+        return not is_long or self.long_running < self.long_limit
+
+    def routes_running(self, is_long: bool) -> list[str]:
+        """Returns the routes of the running calls of a class."""
+        return [
+            held.call.route
+            for held in self.running.values()
+            if held.is_long == is_long
+        ]
+
+    def occupy(self, queued: Waiting, now: float) -> None:
+        """Gives a call a slot."""
+        self._mark(now)
+        call = queued.call
+        self.running[call.call_id] = Running(call, queued.is_long, now)
+
+    def vacate(self, call_id: int, now: float) -> Running:
+        """Frees the slot of a call.
+
+        Returns:
+            The call and when it started.
+        """
+        self._mark(now)
+        return self.running.pop(call_id)
+
+    def _mark(self, now: float) -> None:
+        self.long_before = self.long_time(now)
+        self.long_since = now
