--- /dev/null
+++ b/egretlanding/balancing.py
@@ -0,0 +1,205 @@
+"""The choice of a target for a call, from one ingress's own evidence."""
+
+import heapq
+import random
+
+import attrs
+
+from egretlanding.evidence import TargetEvidence
+from egretlanding.hosts import Host
+from egretlanding.objects import Region, Service
+from egretlanding.outcomes import Reason, Refusal
+from egretlanding.subsets import Distance, Locality
+from egretlanding.targets import TargetTable
+from egretlanding.tokens import TokenBucket
+
+NEAR_PREFERENCE = 1.5
+LINK_BURST_S = 30
+MIN_LINK_BURST_BYTES = 16_384
+BYTES_PER_KBYTE = 1_000
+
+
+@attrs.frozen
+class Wanted:
+    """What a call asks of its target.
+
+    Attributes:
+        attempt: The ingress's own number of the attempt.
+        route: Name of the route.
+        deadline: When the answer has no more use, seconds.
+        size: Bytes of the request.
+        idempotent: Whether the call may run more than once.
+        excluded: Ids of hosts that were tried before.
+    """
+
+    attempt: int
+    route: str
+    deadline: float
+    size: int = 0
+    idempotent: bool = False
+    excluded: frozenset[str] = frozenset()
+
+
+@attrs.frozen
+class Choice:
+    """The chosen target.
+
+    Attributes:
+        host: The target's host.
+        distance: How far it is.
+        is_probe: Whether the call probes a shunned target.
+    """
+
+    host: Host
+    distance: Distance
+    is_probe: bool = False
+
+
+def link_bucket(region: Region, hosts: int, now: float) -> TokenBucket:
+    """Builds a daemon's share of its region's byte budget for the link.
+
+    Args:
+        region: The ingress's region.
+        hosts: Hosts in the region, which share the budget.
+        now: Monotonic time, seconds.
+    """
+    rate = region.link_kbytes_per_s * BYTES_PER_KBYTE / max(1, hosts)
+    burst = max(MIN_LINK_BURST_BYTES, rate * LINK_BURST_S) if rate else 0
+    return TokenBucket.full(rate, burst, now)
+
+
+@attrs.define
+class Balancer:
+    """Chooses targets of one service for one ingress.
+
+    Attributes:
+        targets: The targets and own evidence on them.
+        link: The budget of bytes over the link, shared with other services.
+    """
+
+    targets: TargetTable
+    link: TokenBucket
+
+    @classmethod
+    def for_service(
+        cls,
+        locality: Locality,
+        service: Service,
+        link: TokenBucket,
+    ) -> 'Balancer':
+        """Builds a balancer that knows no targets yet."""
+        return cls(TargetTable(locality, service), link)
+
+    def choose(
+        self,
+        wanted: Wanted,
+        now: float,
+        rng: random.Random,
+    ) -> Choice | Refusal:
+        """Chooses the target of an attempt.
+
+        Args:
+            wanted: The attempt.
+            now: Monotonic time, seconds.
+            rng: Source of the random choices.
+
+        Returns:
+            The target, or why there is none.
+        """
+        group = self.targets.group(now, wanted.excluded)
+        probe = self._due_probe(group, wanted, now)
+        if probe is not None:
+            return self._choice(probe, is_probe=True)
+        healthy = [known for known in group if known.probation is None] or group
+        near = self._choose_near(healthy, now, rng)
+        if near is not None and self._is_in_time(near, wanted, now):
+            return self._choice(near)
+        remote = self._best_at(Distance.REMOTE, healthy, now, rng)
+        if remote is not None and self.link.available(now) >= wanted.size:
+            return self._choice(remote)
+        if near is not None:
+            return self._choice(near)
+        if remote is not None:
+            return Refusal.not_run(Reason.LINK_BUDGET, 'no bytes are left')
+        return Refusal.not_run(Reason.NO_TARGET, 'no target can be reached')
+
+    def begin(self, choice: Choice, wanted: Wanted, now: float) -> None:
+        """Records that an attempt was sent."""
+        host_id = choice.host.host_id
+        self.targets.begin(host_id, wanted.attempt, wanted.route, now)
+        if choice.distance is Distance.REMOTE:
+            self.link.charge(wanted.size, now)
+
+    def _choice(
+        self,
+        known: TargetEvidence,
+        *,
+        is_probe: bool = False,
+    ) -> Choice:
+        return Choice(known.host, self.targets.distance(known), is_probe)
+
+    def _due_probe(
+        self,
+        group: list[TargetEvidence],
+        wanted: Wanted,
+        now: float,
+    ) -> TargetEvidence | None:
+        due = [
+            known
+            for known in group
+            if known.probation is not None
+            and known.probation.next_probe <= now
+            and not known.flights
+            and self._is_in_time(known, wanted, now)
+        ]
+        return next(iter(due), None)
+
+    def _is_in_time(
+        self,
+        known: TargetEvidence,
+        wanted: Wanted,
+        now: float,
+    ) -> bool:
+        expected = self.targets.times.expected(wanted.route)
+        return (
+            now + self.targets.score(known, now) * expected <= wanted.deadline
+        )
+
+    def _choose_near(
+        self,
+        group: list[TargetEvidence],
+        now: float,
+        rng: random.Random,
+    ) -> TargetEvidence | None:
+        own = self._best_at(Distance.FAILURE_DOMAIN, group, now, rng)
+        other = self._best_at(Distance.REGION, group, now, rng)
+        if own is None or other is None:
+            return own or other
+        bound = NEAR_PREFERENCE * self.targets.score(other, now)
+        return own if self.targets.score(own, now) <= bound else other
+
+    def _best_at(
+        self,
+        distance: Distance,
+        group: list[TargetEvidence],
+        now: float,
+        rng: random.Random,
+    ) -> TargetEvidence | None:
+        # Sampling without replacement, by share: the greatest of u^(1/share).
+        cold_start_ms = self.targets.service.cold_start_ms
+        picked = heapq.nlargest(
+            2,
+            (
+                known
+                for known in group
+                if self.targets.distance(known) is distance
+            ),
+            key=lambda known: (
+                rng.random() ** (1 / known.share(cold_start_ms, now))
+            ),
+        )
+        return min(
+            picked,
+            key=lambda known: self.targets.score(known, now),
+            default=None,
+        )
--- a/egretlanding/outcomes.py
+++ b/egretlanding/outcomes.py
@@ -33,6 +33,7 @@
     DRAINING = 'draining'
     LINK_BUDGET = 'link-budget'
     QUARANTINED = 'quarantined'
+    SUSPECT = 'suspect'
     TOO_DEEP = 'too-deep'
     CONNECTION_LOST = 'connection-lost'
     TRUNCATED = 'truncated'
@@ -92,6 +93,7 @@
         HTTPStatus.FORBIDDEN,
         'change the request; it crashed the targets that ran it',
     ),
+    Reason.SUSPECT: ReasonTraits(HTTPStatus.SERVICE_UNAVAILABLE, _LATER),
     Reason.TOO_DEEP: ReasonTraits(
         HTTPStatus.LOOP_DETECTED,
         'remove the loop of services that call one another',
@@ -176,19 +178,26 @@
     Attributes:
         reason: Why it ended.
         progress: How far it got towards the target.
-        denied: Whether the target itself said that it did not run the call.
+        denied: Whether the target itself said that it did not run the call,
+            or the owner of the call's key did.
+        keyed: Whether the call carries a key, so that another attempt, sent
+            by way of another host, may have run it.
+        retried_below: Whether a level below has made retries already.
         detail: What was found, in one clause.
     """
 
     reason: Reason
     progress: Progress
     denied: bool = False
+    keyed: bool = False
+    retried_below: bool = False
     detail: str = ''
 
     @property
     def execution(self) -> Execution:
         """Whether the attempt may have run."""
-        if self.denied or self.progress is Progress.UNSENT:
+        is_unsent = self.progress is Progress.UNSENT and not self.keyed
+        if self.denied or is_unsent:
             return Execution.NOT_RUN
         return Execution.UNKNOWN
 
--- a/egretlanding/servicetimes.py
+++ b/egretlanding/servicetimes.py
@@ -9,6 +9,7 @@
 SHORT_RATIO = 4
 MAX_ROUTES = 1_024
 PRIOR_S = 0.01
+LEAST_S = 0.000_001
 
 
 @attrs.define
@@ -39,7 +40,7 @@
     def expected(self, route: str) -> float:
         """Returns the expected service time of a route, seconds."""
         known = self.routes.get(route)
-        return PRIOR_S if known is None else known.mean
+        return PRIOR_S if known is None else max(LEAST_S, known.mean)
 
     def classify(self, route: str, declared: WorkClass) -> WorkClass:
         """Returns whether a route's calls are short or long work.
--- a/egretlanding/tokens.py
+++ b/egretlanding/tokens.py
@@ -46,3 +46,8 @@
         """Adds tokens, up to the burst."""
         self.level = min(self.burst, self.available(now) + amount)
         self.updated = max(self.updated, now)
+
+    def charge(self, amount: float, now: float) -> None:
+        """Takes tokens that are spent already, if need be into debt."""
+        self.level = self.available(now) - amount
+        self.updated = max(self.updated, now)
