--- a/egretlanding/documents.py
+++ b/egretlanding/documents.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from egretlanding.findings import Finding
-from egretlanding.limits import SPLIT_REMEDY, refusals
+from egretlanding.bounds import SPLIT_REMEDY, refusals
 from egretlanding.texts import show
 
 MAX_FILES = 4_096
