--- a/egretlanding/documents.py
+++ b/egretlanding/documents.py
@@ -8,8 +8,8 @@
 import yaml
 from result import Err, Ok, Result
 
-from egretlanding.findings import Finding
 from egretlanding.bounds import SPLIT_REMEDY, refusals
+from egretlanding.findings import Finding
 from egretlanding.texts import show
 
 MAX_FILES = 4_096
--- a/egretlanding/httpserver.py
+++ b/egretlanding/httpserver.py
@@ -11,7 +11,7 @@
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
-from egretlanding.messages import Headers
+from egretlanding.frames import Headers
 
 MAX_HEADER_BYTES = 65_536
 MAX_BODY_BYTES = 1_048_576
