Prove the order of releases by a state machine over several replicas

The model lets replicas exchange and read a store in model time; the machine judges a replica after each event. Shown failing first, each by the check named in the test: adopting what was heard last (check_forward), keeping the first of a number and letting a refused number block lesser ones (check_healed), no check of the whole set and no verification of deltas (check_whole_and_good), ages from requests (check_ages), ready at once (check_ready). The first check_healed found that a small fleet that starts cold could wait 20 s for a host list; seeds now read within 2 s.

--- a/egretlanding/replica.py
+++ b/egretlanding/replica.py
@@ -50,7 +50,7 @@
     Attributes:
         host: This daemon's own host.
         incarnation: Start time of the process, ns since the epoch.
-        seeds: Hosts to ask before there is a host list.
+        seeds: Hosts to ask before there is a host list, the same for all.
         store_region: Region that the store is in, or empty if unknown.
     """
 
@@ -124,7 +124,7 @@
             config=config,
             ledger=Ledger(find_faults),
             membership=Membership(host, config.incarnation, random, seeds),
-            duty=WatchDuty(host, random, now),
+            duty=WatchDuty(host, random, now, is_seed=host in config.seeds),
             reads=ReadBudget(random, now),
             partners=partners,
             readiness=Readiness(now),
--- a/egretlanding/watchers.py
+++ b/egretlanding/watchers.py
@@ -26,8 +26,9 @@
 FAR_TAKEOVER_AGE_S = 45
 FAR_TAKEOVER_STEP_S = 1
 
-# A daemon without a host list doesn't know its rank.
+# A daemon without a host list doesn't know its rank; seeds go first.
 UNRANKED_SPREAD_S = 20
+SEED_SPREAD_S = 2
 
 HEARD_S = 15
 ANSWERED_S = 10
@@ -75,6 +76,7 @@
         host: This daemon's own host.
         random: Source of jitter.
         started_at: When the process started or woke, seconds.
+        is_seed: Whether the host is among the seeds that all hosts know.
         ranking: The region's hosts in order, empty without a host list.
         rank: This host's place in it, or none if it isn't listed.
         jitter: Share of the random delays that this process takes, 0 to 1.
@@ -86,6 +88,7 @@
     host: Host
     random: Random
     started_at: float
+    is_seed: bool = False
     ranking: tuple[str, ...] = ()
     rank: int | None = None
     jitter: float = 0
@@ -106,14 +109,17 @@
 
     @property
     def is_near_front(self) -> bool:
-        """Whether this daemon is a watcher or a standby."""
+        """Whether this daemon is a watcher or a standby, or may become one."""
+        if not self.ranking:
+            return self.is_seed
         return self.rank is not None and self.rank < ranked_limit()
 
     def should_watch(self, now: float, freshness: Freshness) -> bool:
         """Returns whether this daemon should read the store."""
         waited = now - self.started_at
         if not self.ranking:
-            return waited >= self.jitter * UNRANKED_SPREAD_S
+            spread = SEED_SPREAD_S if self.is_seed else UNRANKED_SPREAD_S
+            return waited >= self.jitter * spread
         if self._is_watcher():
             return waited >= self.jitter * STARTUP_JITTER_S
         attempted = min(waited, freshness.attempted_age(now))
--- /dev/null
+++ b/tests/test_replica_machine.py
@@ -0,0 +1,390 @@
+"""A state machine over several replicas, their network and the store."""
+
+import itertools
+from collections.abc import Callable
+from random import Random
+
+import attrs
+import msgspec
+import pytest
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+from result import Ok
+
+from egretlanding.delta import ReleaseChanges, ReleaseHeader
+from egretlanding.hosts import Host
+from egretlanding.ledger import Ignored, Ledger, Outcome
+from egretlanding.messages import Summary
+from egretlanding.objects import ConfigObject, Region, Service
+from egretlanding.readiness import Readiness
+from egretlanding.release import Position, Release, decode_object, inflate
+from egretlanding.replica import Replica, ReplicaConfig
+from lab.model import Model
+from lab.scheduler import Event
+from lab.store import STORE
+
+CONVERGENCE_S = 13
+HOSTS = {
+    f'h{number}': Host(
+        host_id=f'h{number}',
+        address='127.0.0.1',
+        call_port=1,
+        peer_port=2,
+        exchange_port=3,
+        region='west' if number < 4 else 'east',
+        failure_domain=f'zone-{number // 2}',
+        service='catalogue',
+    )
+    for number in range(8)
+}
+HOST_IDS = st.sampled_from(sorted(HOSTS))
+NAMES = ('a', 'b', 'c')
+
+
+def find_faults(objects: tuple[ConfigObject, ...]) -> list[str]:
+    """Finds services that name a region which isn't in the set."""
+    regions = {entry.name for entry in objects if entry.kind == 'Region'}
+    return [
+        f'Service {entry.name} names an unknown region'
+        for entry in objects
+        if entry.kind == 'Service'
+        and not regions.issuperset(entry.spec.regions)
+    ]
+
+
+def make_release(
+    number: int,
+    parent: str,
+    slots: dict[str, int],
+    *,
+    good: bool,
+) -> Release:
+    """Builds a release of one region and some services."""
+    region = ConfigObject('Region', 'r', Region(failure_domains=('z',)))
+    regions = [region] if good else []
+    services = [
+        ConfigObject('Service', name, Service(regions=('r',), slots=count))
+        for name, count in slots.items()
+    ]
+    return Release.from_objects(number, parent, regions + services)
+
+
+@attrs.define(kw_only=True)
+class JudgedModel(Model):
+    """Judges a replica after each event that it took part in."""
+
+    judge: Callable[[Replica], None]
+
+    def run(self, event: Event) -> None:
+        super().run(event)
+        self.judge(event.replica)
+
+
+class ReplicaMachine(RuleBasedStateMachine):
+    """Publishes, breaks and heals at random; promises hold at each step."""
+
+    replica_class = Replica
+    ledger_class = Ledger
+    readiness_class = Readiness
+    judges_healing = True
+
+    @initialize(seed=st.integers(0, 2**16))
+    def begin(self, seed: int) -> None:
+        self.random = Random(seed)
+        self.incarnations = itertools.count(1)
+        self.model = JudgedModel(self.build, self.delays, judge=self.judge)
+        self.cut: set[frozenset[str]] = set()
+        self.one_way: set[tuple[str, str]] = set()
+        self.trouble: float = 0
+        self.highest: dict[int, Position] = {}
+        self.judged: dict[int, Release] = {}
+        self.model.store.put_hosts(list(HOSTS.values()))
+        for host_id in HOSTS:
+            self.model.start(host_id)
+        self.model.publish(make_release(1, '', {'a': 1}, good=True))
+
+    def build(self, host_id: str, now: float) -> Replica:
+        config = ReplicaConfig(
+            host=HOSTS[host_id],
+            incarnation=next(self.incarnations),
+            seeds=(HOSTS['h0'], HOSTS['h2'], HOSTS['h5'], HOSTS['h7']),
+            store_region='west',
+        )
+        random = Random(self.random.random())
+        replica = self.replica_class.from_config(
+            config,
+            find_faults,
+            random,
+            now,
+        )
+        replica.ledger = self.ledger_class(find_faults)
+        replica.readiness = self.readiness_class(now)
+        return replica
+
+    def delays(self, source: str, target: str, size: int) -> list[float]:
+        if frozenset((source, target)) in self.cut:
+            return []
+        if (source, target) in self.one_way:
+            return []
+        copies = self.random.choices(
+            (0, 1, 2),
+            (self.trouble, 1, self.trouble),
+        )
+        spread = 0.001 + self.trouble * 3
+        return [self.random.uniform(0.001, spread) for _ in range(*copies)]
+
+    @rule(
+        step=st.integers(0, 2),
+        stale_base=st.booleans(),
+        good=st.booleans() | st.just(True),
+        slots=st.dictionaries(st.sampled_from(NAMES), st.integers(1, 9)),
+        races=st.integers(1, 2),
+    )
+    def publish(
+        self,
+        step: int,
+        stale_base: bool,
+        good: bool,
+        slots: dict[str, int],
+        races: int,
+    ) -> None:
+        published = [entry for entry, _ in self.model.store.published]
+        base = published[-2 if stale_base else -1 :][0]
+        for racer in range(races):
+            raced = {**slots, f'racer-{racer}': 1}
+            number = base.number + step
+            self.model.publish(
+                make_release(number, base.digest, raced, good=good),
+            )
+
+    @rule(host_id=HOST_IDS)
+    def pause(self, host_id: str) -> None:
+        self.model.pause(host_id)
+
+    @rule()
+    def wake(self) -> None:
+        for host_id in list(self.model.paused):
+            self.model.wake(host_id)
+
+    @rule(host_ids=st.sets(HOST_IDS, min_size=1, max_size=8))
+    def restart(self, host_ids: set[str]) -> None:
+        for host_id in sorted(host_ids):
+            self.model.start(host_id)
+
+    @rule(inside=st.sets(HOST_IDS | st.just(STORE), min_size=1, max_size=6))
+    def split(self, inside: set[str]) -> None:
+        outside = {*HOSTS, STORE} - inside
+        self.cut = set(map(frozenset, itertools.product(inside, outside)))
+
+    @rule(sender=HOST_IDS, receiver=HOST_IDS)
+    def cut_one_way(self, sender: str, receiver: str) -> None:
+        self.one_way.add((sender, receiver))
+
+    @rule(trouble=st.sampled_from((0, 0.3)))
+    def disturb(self, trouble: float) -> None:
+        self.trouble = trouble
+
+    @rule(down=st.booleans())
+    def turn_store(self, down: bool) -> None:
+        self.model.store.down = down
+
+    @rule(steps_back=st.integers(0, 2))
+    def freeze_store(self, steps_back: int) -> None:
+        self.model.store.freeze(steps_back)
+
+    @rule(seconds=st.sampled_from((0.05, 0.5, 3, 20)))
+    def advance(self, seconds: float) -> None:
+        self.model.advance(seconds)
+
+    @rule()
+    def heal(self) -> None:
+        self.cut.clear()
+        self.one_way.clear()
+        self.trouble = 0
+        self.model.store.down = False
+        self.model.store.frozen = None
+        self.wake()
+        held = self.positions()
+        self.model.advance(CONVERGENCE_S)
+        if self.judges_healing:
+            self.check_healed(max(*held, self.stored_position()))
+
+    @invariant()
+    def holds(self) -> None:
+        for replica in self.replicas():
+            self.judge(replica)
+
+    def judge(self, replica: Replica) -> None:
+        self.check_forward(replica)
+        self.check_whole_and_good(replica)
+        self.check_ages(replica)
+        self.check_ready(replica)
+
+    def check_forward(self, replica: Replica) -> None:
+        incarnation = replica.config.incarnation
+        before = self.highest.get(incarnation, Position())
+        assert replica.ledger.position >= before
+        self.highest[incarnation] = replica.ledger.position
+
+    def check_ages(self, replica: Replica) -> None:
+        assert replica.freshness.attempted_at <= self.model.attempted_at
+
+    def check_ready(self, replica: Replica) -> None:
+        held = replica.ledger.release is not None
+        assert held or not replica.is_ready(self.model.now)
+
+    def check_whole_and_good(self, replica: Replica) -> None:
+        release = replica.ledger.release
+        incarnation = replica.config.incarnation
+        if release is None or self.judged.get(incarnation) is release:
+            return
+        published = {
+            entry.position(revision): entry
+            for entry, revision in self.model.store.published
+        }
+        assert release.objects == published[replica.ledger.position].objects
+        assert not find_faults(tuple(release.objects.values()))
+        self.judged[incarnation] = release
+
+    def check_healed(self, least: Position) -> None:
+        positions = set(self.positions())
+        assert len(positions) == 1
+        assert min(positions) >= least
+        for replica in self.replicas():
+            held = replica.ledger.release is not None
+            assert replica.is_ready(self.model.now) is held
+            told = self.replicas()[0].ledger.conflicts
+            assert replica.ledger.conflicts == told
+
+    def replicas(self) -> list[Replica]:
+        return list(self.model.replicas.values())
+
+    def positions(self) -> list[Position]:
+        return [replica.ledger.position for replica in self.replicas()]
+
+    def stored_position(self) -> Position:
+        release, revision = self.model.store.published[-1]
+        good = not find_faults(tuple(release.objects.values()))
+        return release.position(revision) if good else Position()
+
+
+class LastComesLastServed(Ledger):
+    """Wrong: puts in force what it heard last."""
+
+    def wants(self, position: Position) -> bool:
+        return position.digest != self.digest
+
+    def offer(self, release: Release, revision: int) -> Outcome:
+        if self._faults_of(release):
+            return super().offer(release, revision)
+        return self._adopt(release, release.position(revision))
+
+
+class FirstOfANumberStays(Ledger):
+    """Wrong: of two releases of one number keeps the one it heard first."""
+
+    def offer(self, release: Release, revision: int) -> Outcome:
+        if release.number == self.position.number:
+            return Ignored(release.position(revision))
+        return super().offer(release, revision)
+
+
+class Unchecked(Ledger):
+    """Wrong: doesn't check the whole set again."""
+
+    def _faults_of(self, release: Release) -> tuple[str, ...]:
+        return ()
+
+
+class BlockedByRefused(Ledger):
+    """Wrong: a refused number stands in the way of lesser ones."""
+
+    def offer(self, release: Release, revision: int) -> Outcome:
+        numbers = [entry.position.number for entry in self.refused.values()]
+        if release.number <= max(numbers, default=0):
+            return Ignored(release.position(revision))
+        return super().offer(release, revision)
+
+
+class AppliedInPart(Replica):
+    """Wrong: puts changes on whatever is in force, without verifying."""
+
+    def apply_update(self, update, now):
+        header = msgspec.json.decode(update.header, type=ReleaseHeader)
+        payload = inflate(update.payload)
+        changes = msgspec.json.decode(payload, type=ReleaseChanges)
+        held = self.ledger.release
+        objects = list(held.objects.values()) if held else []
+        objects.extend(map(decode_object, map(bytes, changes.changed)))
+        release = Release.from_objects(header.number, header.parent, objects)
+        release = attrs.evolve(release, digest=header.digest)
+        return Ok(self.offer_release(release, update.revision, now))
+
+
+class AgesFromRequests(Replica):
+    """Wrong: believes the ages in requests, however long under way."""
+
+    def observe(self, summary: Summary, now, elapsed=None):
+        return super().observe(summary, now, elapsed or 0)
+
+
+class ReadyAtOnce(Readiness):
+    """Wrong: ready without having asked anybody."""
+
+    def is_ready(self, now: float, position: Position) -> bool:
+        return True
+
+
+def check_machine(machine: type[ReplicaMachine], examples: int) -> None:
+    run_state_machine_as_test(
+        machine,
+        settings=settings(
+            max_examples=examples,
+            stateful_step_count=20,
+            deadline=None,
+            database=None,
+            derandomize=True,
+            phases=[Phase.generate],
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
+
+
+def test_promises_hold_in_all_histories() -> None:
+    check_machine(ReplicaMachine, 100)
+
+
+@pytest.mark.parametrize(
+    ('variant', 'check'),
+    [
+        (LastComesLastServed, 'check_forward'),
+        (FirstOfANumberStays, 'check_healed'),
+        (Unchecked, 'check_whole_and_good'),
+        (BlockedByRefused, 'check_healed'),
+        (AppliedInPart, 'check_whole_and_good'),
+        (AgesFromRequests, 'check_ages'),
+        (ReadyAtOnce, 'check_ready'),
+    ],
+)
+def test_wrong_variants_are_caught(variant: type, check: str) -> None:
+    slots = {
+        Ledger: 'ledger_class',
+        Replica: 'replica_class',
+        Readiness: 'readiness_class',
+    }
+    name = next(slots[base] for base in variant.__mro__ if base in slots)
+    machine = type(
+        'WrongMachine',
+        (ReplicaMachine,),
+        {name: variant, 'judges_healing': check == 'check_healed'},
+    )
+    with pytest.raises(AssertionError) as caught:
+        check_machine(machine, 300)
+    assert caught.traceback[-1].name == check
