--- a/egretlanding/check.py
+++ b/egretlanding/check.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 
 from egretlanding import fieldchecks, setchecks
-from egretlanding.faults import CHECKS, Fault, ObjectKey, ObjectSet
+from egretlanding.faults import CHECKS, Fault, ObjectSet
 from egretlanding.objects import ConfigObject
 
 # Importing these modules registers their checks.
@@ -13,18 +13,18 @@
 
 def find_faults(
     objects: Iterable[ConfigObject],
-    also_known: Iterable[ObjectKey] = (),
+    partial: Iterable[ConfigObject] = (),
 ) -> tuple[Fault, ...]:
     """Runs every check on a whole set of objects.
 
     Args:
         objects: The objects; a daemon passes those of a release.
-        also_known: Keys of further objects that links may name.
+        partial: Further objects that couldn't be read in full.
 
     Returns:
         Every fault, ordered by check and object; empty if there is none.
     """
-    whole = ObjectSet.from_objects(objects, also_known)
+    whole = ObjectSet.from_objects(objects, partial)
     return tuple(
         itertools.chain.from_iterable(
             function(whole) for function in CHECKS.values()
--- a/egretlanding/declarations.py
+++ b/egretlanding/declarations.py
@@ -9,13 +9,12 @@
 from egretlanding.check import find_faults
 from egretlanding.documents import read_directory
 from egretlanding.exceptions import SourceError
-from egretlanding.faults import Fault
+from egretlanding.faults import Fault, ObjectKey
 from egretlanding.findings import Finding
 from egretlanding.objects import ConfigObject, Policy
 from egretlanding.policies import WrittenPolicy, flatten
 from egretlanding.release import Release
-from egretlanding.sources import ObjectKey, Reading, Source, read_objects
-from egretlanding.texts import show
+from egretlanding.sources import UNNAMED, Source, read_objects
 
 
 @attrs.frozen
@@ -23,7 +22,7 @@
     """What operators wrote in one directory.
 
     Attributes:
-        sources: The objects that could be read in full.
+        sources: The objects of known kinds, whole or not.
         findings: Every fault of the whole set, ordered by file and line.
     """
 
@@ -39,16 +38,16 @@
             chain.from_iterable(reading.sources for reading in readings),
         )
         faults = find_faults(
-            [source.entry for source in sources],
-            [reading.key for reading in readings],
+            (source.entry for source in sources if source.whole),
+            (source.entry for source in sources if not source.whole),
         )
         findings = chain(
             unread,
             *(reading.findings for reading in readings),
-            _duplicates(readings),
+            _duplicates(sources),
             _located(faults, sources),
         )
-        return cls(sources, tuple(sorted(findings)))
+        return cls(sources, tuple(sorted(set(findings))))
 
     def compile(self, number: int, parent: str) -> Release:
         """Builds the release of these declarations.
@@ -90,18 +89,20 @@
     return attrs.evolve(entry, spec=policies[entry.name])
 
 
-def _duplicates(readings: Iterable[Reading]) -> Iterator[Finding]:
-    first: dict[ObjectKey, Reading] = {}
-    for reading in readings:
-        known = first.setdefault(reading.key, reading)
-        if known is not reading and all(reading.key):
-            yield Finding(
-                reading.file,
-                reading.line,
-                ' '.join(map(show, reading.key)),
-                f'already declared at {known.file}:{known.line}',
-                'rename one of the two, or remove it',
-            )
+def _duplicates(sources: Iterable[Source]) -> Iterator[Finding]:
+    first: dict[ObjectKey, Source] = {}
+    for source in sources:
+        entry = source.entry
+        known = first.setdefault((entry.kind, entry.name), source)
+        if known is source or (entry.name == UNNAMED and not source.whole):
+            continue
+        yield Finding(
+            source.file,
+            source.line,
+            entry.label(),
+            f'already declared at {known.place()}',
+            'rename one of the two, or remove it',
+        )
 
 
 def _located(
--- a/egretlanding/documents.py
+++ b/egretlanding/documents.py
@@ -2,19 +2,21 @@
 
 import os
 from collections.abc import Iterator
+from itertools import islice
 from pathlib import Path
 
 import attrs
 import yaml
-from result import Err, Ok, Result
+from result import Err, Ok, Result, is_err, is_ok
 
 from egretlanding.findings import Finding
-from egretlanding.limits import SPLIT_REMEDY, refusals
+from egretlanding.limits import MAX_NODES_PER_FILE, SPLIT_REMEDY, Usage
 from egretlanding.texts import show
 
 MAX_FILES = 4_096
 MAX_FILE_BYTES = 262_144
 MAX_TOTAL_BYTES = 8_388_608
+MAX_TOTAL_NODES = 262_144
 SUFFIXES = ('.yaml', '.yml')
 
 
@@ -25,10 +27,25 @@
     Attributes:
         file: Path of the file, relative to the directory that was read.
         root: The root node, with line marks.
+        nodes: How many nodes the tree has.
     """
 
     file: str
     root: yaml.Node
+    nodes: int
+
+
+@attrs.define
+class Allowance:
+    """What the files that are still to be read may use.
+
+    Attributes:
+        size: Bytes.
+        nodes: Nodes of YAML trees.
+    """
+
+    size: int = MAX_TOTAL_BYTES
+    nodes: int = MAX_TOTAL_NODES
 
 
 def read_directory(
@@ -43,37 +60,44 @@
         The documents of the files that could be read, and a finding for
         each file that couldn't.
     """
-    files = list(_find_files(directory))
+    files = list(islice(_find_files(directory), MAX_FILES + 1))
     if not files:
         return (), (_without_files(directory),)
-    room = MAX_TOTAL_BYTES
-    documents: list[Document] = []
-    findings: list[Finding] = []
-    for path in files[:MAX_FILES]:
-        name = show(str(path.relative_to(directory)))
-        content = _read_bytes(path, min(room, MAX_FILE_BYTES))
-        room -= len(content.unwrap_or(b''))
-        outcome = content.and_then(compose)
-        if isinstance(outcome, Ok):
-            documents.append(Document(name, outcome.ok_value))
-        else:
-            findings.append(attrs.evolve(outcome.err_value, file=name))
-    if len(files) > MAX_FILES:
-        findings.append(_surplus(directory, files[MAX_FILES]))
-    return tuple(documents), tuple(findings)
-
-
-def compose(content: bytes) -> Result[yaml.Node, Finding]:
-    """Parses one document in bounded time and memory.
+    allowance = Allowance()
+    outcomes = [
+        _read_file(directory, path, allowance) for path in files[:MAX_FILES]
+    ]
+    surplus = [_surplus(directory, path) for path in files[MAX_FILES:]]
+    return (
+        tuple(outcome.ok_value for outcome in outcomes if is_ok(outcome)),
+        (
+            *(outcome.err_value for outcome in outcomes if is_err(outcome)),
+            *surplus,
+        ),
+    )
 
-    Args:
-        content: The bytes of the file.
 
-    Returns:
-        The root node, or a finding that says what was refused.
-    """
+def _read_file(
+    directory: Path,
+    path: Path,
+    allowance: Allowance,
+) -> Result[Document, Finding]:
+    name = show(str(path.relative_to(directory)))
+    outcome = _read_bytes(path, allowance).and_then(
+        lambda content: _compose_bytes(name, content, allowance.nodes),
+    )
+    if is_ok(outcome):
+        allowance.nodes -= outcome.ok_value.nodes
+    return outcome.map_err(lambda found: attrs.evolve(found, file=name))
+
+
+def _compose_bytes(
+    name: str,
+    content: bytes,
+    most_nodes: int,
+) -> Result[Document, Finding]:
     try:
-        return _compose(content.decode('utf-8'))
+        return _compose(name, content.decode('utf-8'), most_nodes)
     except UnicodeDecodeError as error:
         line = content[: error.start].count(b'\n') + 1
         return Err(
@@ -83,11 +107,16 @@
         return Err(_syntax_finding(error))
 
 
-def _compose(text: str) -> Result[yaml.Node, Finding]:
+def _compose(
+    name: str,
+    text: str,
+    most_nodes: int,
+) -> Result[Document, Finding]:
     # The events are checked first, since composing recurses into the tree
     # and follows aliases.
+    usage = Usage(min(most_nodes, MAX_NODES_PER_FILE))
     events = yaml.parse(text, Loader=yaml.CSafeLoader)
-    refused = next(refusals(events), None)
+    refused = next(usage.refusals(events), None)
     if refused is not None:
         return Err(refused)
     root = yaml.compose(text, Loader=yaml.CSafeLoader)
@@ -95,7 +124,7 @@
         return Err(
             Finding('', 0, '', 'the file is empty', 'write objects or drop it'),
         )
-    return Ok(root)
+    return Ok(Document(name, root, usage.nodes))
 
 
 def _syntax_finding(error: yaml.YAMLError) -> Finding:
@@ -118,10 +147,11 @@
                 yield Path(root, name)
 
 
-def _read_bytes(path: Path, most: int) -> Result[bytes, Finding]:
+def _read_bytes(path: Path, allowance: Allowance) -> Result[bytes, Finding]:
     # Opening a named pipe would block until another process writes to it.
     if not path.is_file():
         return Err(Finding('', 0, '', 'not a regular file', 'remove it'))
+    most = min(allowance.size, MAX_FILE_BYTES)
     try:
         with path.open('rb') as stream:
             content = stream.read(most + 1)
@@ -130,6 +160,7 @@
         return Err(Finding('', 0, '', reason, 'correct its permissions'))
     if len(content) > most:
         return Err(_oversized())
+    allowance.size -= len(content)
     return Ok(content)
 
 
--- a/egretlanding/faults.py
+++ b/egretlanding/faults.py
@@ -60,25 +60,28 @@
 
     Attributes:
         entries: The objects.
-        known: Keys that links may name; more than `entries` holds if some
-            objects couldn't be read in full.
+        partial: Objects that couldn't be read in full; fields of theirs
+            that couldn't be read hold None.
+        known: Kind and name of all of them, which links may name.
     """
 
     entries: tuple[ConfigObject, ...]
+    partial: tuple[ConfigObject, ...]
     known: frozenset[ObjectKey]
 
     @classmethod
     def from_objects(
         cls,
         objects: Iterable[ConfigObject],
-        also_known: Iterable[ObjectKey] = (),
+        partial: Iterable[ConfigObject] = (),
     ) -> 'ObjectSet':
         """Builds the set; the objects' order doesn't matter."""
         entries = tuple(sorted(objects, key=_key))
-        return cls(entries, frozenset(map(_key, entries)).union(also_known))
+        others = tuple(sorted(partial, key=_key))
+        return cls(entries, others, frozenset(map(_key, entries + others)))
 
     def of_kind(self, kind: str) -> Iterator[ConfigObject]:
-        """Yields the objects of one kind, ordered by name."""
+        """Yields the whole objects of one kind, ordered by name."""
         return (entry for entry in self.entries if entry.kind == kind)
 
     def fields(self, option: str) -> Iterator[FieldValue]:
@@ -88,11 +91,12 @@
         )
 
     def values(self) -> Iterator[FieldValue]:
-        """Yields every field, object by object."""
+        """Yields every field that could be read, object by object."""
         return (
             FieldValue(entry, field, getattr(entry.spec, field.name))
-            for entry in self.entries
+            for entry in self.entries + self.partial
             for field in attrs.fields(type(entry.spec))
+            if getattr(entry.spec, field.name) is not None
         )
 
 
--- a/egretlanding/fieldchecks.py
+++ b/egretlanding/fieldchecks.py
@@ -14,8 +14,8 @@
 def check_names(whole: ObjectSet) -> Iterator[Fault]:
     """Finds names that aren't in the allowed form."""
     return (
-        Fault(entry, '', 'the name is not allowed', f'use {NAME_FORM}')
-        for entry in whole.entries
+        Fault(entry, 'name', 'the name is not allowed', f'use {NAME_FORM}')
+        for entry in whole.entries + whole.partial
         if not re.fullmatch(NAME_PATTERN, entry.name)
     )
 
--- a/egretlanding/limits.py
+++ b/egretlanding/limits.py
@@ -19,11 +19,13 @@
     """What the events of a document have used up so far.
 
     Attributes:
+        most_nodes: Nodes that the document may have.
         nodes: Scalars, lists and mappings.
         depth: Lists and mappings open at this point.
         documents: Documents started.
     """
 
+    most_nodes: int
     nodes: int = 0
     depth: int = 0
     documents: int = 0
@@ -35,6 +37,17 @@
         self.depth -= isinstance(event, yaml.CollectionEndEvent)
         self.documents += isinstance(event, yaml.DocumentStartEvent)
 
+    def refusals(self, events: Iterable[yaml.Event]) -> Iterator[Finding]:
+        """Counts events and yields a finding for each that is refused."""
+        for event in events:
+            self.count(event)
+            mark = event.start_mark
+            yield from (
+                Finding('', mark.line + 1 if mark else 0, '', problem, remedy)
+                for predicate, (problem, remedy) in LIMITS.items()
+                if predicate(event, self)
+            )
+
 
 Limit = Callable[[yaml.Event, Usage], bool]
 
@@ -59,10 +72,10 @@
     return register
 
 
-@limit(f'more than {MAX_NODES_PER_FILE} values', SPLIT_REMEDY)
+@limit('too many values in this file, or in all', SPLIT_REMEDY)
 def too_many_nodes(event: yaml.Event, usage: Usage) -> bool:
     """Tells whether the document has too many values."""
-    return usage.nodes > MAX_NODES_PER_FILE
+    return usage.nodes > usage.most_nodes
 
 
 @limit(f'more than {MAX_DEPTH} levels of nesting', 'nest less deeply')
@@ -90,16 +103,3 @@
 def tagged(event: yaml.Event, usage: Usage) -> bool:
     """Tells whether a value has an explicit tag."""
     return getattr(event, 'tag', None) is not None
-
-
-def refusals(events: Iterable[yaml.Event]) -> Iterator[Finding]:
-    """Yields a finding for each event that a limit refuses."""
-    usage = Usage()
-    for event in events:
-        usage.count(event)
-        mark = event.start_mark
-        yield from (
-            Finding('', mark.line + 1 if mark else 0, '', problem, remedy)
-            for predicate, (problem, remedy) in LIMITS.items()
-            if predicate(event, usage)
-        )
--- a/egretlanding/policies.py
+++ b/egretlanding/policies.py
@@ -9,7 +9,7 @@
 from egretlanding.objects import ConfigObject, Policy
 from egretlanding.release import Release
 
-NO_PARENT = ''
+PARENT_FIELD = 'extends'
 
 
 @attrs.frozen
@@ -37,8 +37,9 @@
     def fields(self) -> dict[str, Any]:
         """Returns the written fields but for the link to the parent."""
         return {
-            name: getattr(self.policy, name)
-            for name in self.written - {'extends'}
+            field.name: getattr(self.policy, field.name)
+            for field in attrs.fields(Policy)
+            if field.name in self.written and field.name != PARENT_FIELD
         }
 
 
--- a/egretlanding/sources.py
+++ b/egretlanding/sources.py
@@ -12,7 +12,8 @@
 from egretlanding.objects import KINDS, ConfigObject
 from egretlanding.texts import quote, show
 
-ObjectKey = tuple[str, str]
+# Stands for a name that couldn't be read.
+UNNAMED = 'unnamed'
 
 
 @attrs.frozen
@@ -37,14 +38,20 @@
     Attributes:
         file: Path of the file, relative to the directory that was read.
         line: The line where the object starts, from 1.
-        lines: The line of each field of the spec that was written.
-        entry: The object.
+        lines: The line of each field that was written.
+        entry: The object; None stands for fields that couldn't be read.
+        whole: Whether all of it could be read.
     """
 
     file: str
     line: int
     lines: Mapping[str, int]
     entry: ConfigObject
+    whole: bool
+
+    def place(self) -> str:
+        """Returns file and line as error messages show them."""
+        return f'{self.file}:{self.line}'
 
 
 @attrs.frozen
@@ -52,18 +59,12 @@
     """What was read of one object.
 
     Attributes:
-        file: Path of the file, relative to the directory that was read.
-        line: The line where the object starts, from 1.
-        key: Kind and name; empty texts stand for what couldn't be read.
         findings: The faults met.
-        sources: The object, if it could be read in full.
+        sources: The object, if its kind could be read.
     """
 
-    file: str
-    line: int
-    key: ObjectKey
     findings: tuple[Finding, ...]
-    sources: tuple[Source, ...]
+    sources: tuple[Source, ...] = ()
 
 
 def read_objects(documents: Iterable[Document]) -> tuple[Reading, ...]:
@@ -93,12 +94,27 @@
             body.findings,
         )
     )
-    line = node.start_mark.line + 1
-    if findings:
-        return Reading(file, line, (kind, name), findings, ())
-    entry = ConfigObject(kind, name, KINDS[kind](**body.values))
-    source = Source(file, line, body.lines, entry)
-    return Reading(file, line, (kind, name), (), (source,))
+    if kind not in KINDS:
+        return Reading(findings)
+    source = Source(
+        file=file,
+        line=node.start_mark.line + 1,
+        lines={**envelope.lines, **body.lines},
+        entry=_build(kind, envelope.values.get('name', UNNAMED), body),
+        whole=not findings,
+    )
+    return Reading(findings, (source,))
+
+
+def _build(kind: str, name: str, body: Fields) -> ConfigObject:
+    spec_class = KINDS[kind]
+    names = (
+        field.name
+        for field in attrs.fields(spec_class)
+        if field.name in body.lines or field.default is attrs.NOTHING
+    )
+    spec = spec_class(**{each: body.values.get(each) for each in names})
+    return ConfigObject(kind, name, spec)
 
 
 def _read_spec(envelope: Fields, kind: str) -> Fields:
