--- a/egretlanding/daemon.py
+++ b/egretlanding/daemon.py
@@ -19,10 +19,10 @@
 from egretlanding.config import DaemonConfig
 from egretlanding.events import Event, Severity, log_event
 from egretlanding.exceptions import EgretlandingError, SettingsError
+from egretlanding.frames import Hello
 from egretlanding.hosts import HostList
 from egretlanding.httpserver import HttpServerFactory
 from egretlanding.ingress import Ingress, View
-from egretlanding.messages import Hello
 from egretlanding.peers import PeerFactory, PeerNode
 from egretlanding.release import (
     HEAD_KEY,
--- a/egretlanding/documents.py
+++ b/egretlanding/documents.py
@@ -9,8 +9,8 @@
 import yaml
 from result import Err, Ok, Result, is_err, is_ok
 
+from egretlanding.bounds import MAX_NODES_PER_FILE, SPLIT_REMEDY, Usage
 from egretlanding.findings import Finding
-from egretlanding.limits import MAX_NODES_PER_FILE, SPLIT_REMEDY, Usage
 from egretlanding.texts import show
 
 MAX_FILES = 4_096
--- a/egretlanding/httpclient.py
+++ b/egretlanding/httpclient.py
@@ -7,8 +7,8 @@
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
+from egretlanding.frames import MAX_FRAME_BYTES, Headers
 from egretlanding.httpserver import HttpRequest, HttpResponse
-from egretlanding.messages import MAX_FRAME_BYTES, Headers
 
 MAX_RESPONSE_BYTES = MAX_FRAME_BYTES // 2
 FRAMING_HEADERS = frozenset(
