--- /dev/null
+++ b/egretlanding/frames.py
@@ -0,0 +1,169 @@
+"""The frames that carry calls between daemons.
+
+The classes are msgspec structs, not attrs classes: they are encoded and
+decoded for each call, and structs take a fraction of the processor time.
+"""
+
+import enum
+
+import msgspec
+
+from egretlanding.exceptions import FrameError
+from egretlanding.objects import WorkClass
+from egretlanding.outcomes import Execution, Refusal
+
+MAX_FRAME_BYTES = 4_194_304
+
+Headers = list[tuple[str, str]]
+
+
+class Ran(enum.StrEnum):
+    """Whether a call ran at a target."""
+
+    YES = 'yes'
+    NOT_RUN = 'no'
+    UNKNOWN = 'unknown'
+
+
+class Frame(msgspec.Struct, frozen=True, array_like=True):
+    """The base of all frames between daemons."""
+
+
+class Hello(Frame, frozen=True, tag='hello'):
+    """Opens a connection between daemons.
+
+    Attributes:
+        host_id: The sender's host.
+        incarnation: Start time of the sender, ns since the epoch.
+        ready: Whether the sender takes calls for its target.
+    """
+
+    host_id: str
+    incarnation: int
+    ready: bool = True
+
+
+class CallRequest(Frame, frozen=True, tag='call'):
+    """Asks the daemon beside a target to run a call.
+
+    The fields that come from the release are those of the ingress, so that
+    a call is served by one release from start to end.
+
+    Attributes:
+        call_id: Number of the call, unique on the connection.
+        method: HTTP method.
+        path: HTTP request target.
+        headers: Headers to pass on.
+        body: The request's body.
+        route: Name of the route that matched.
+        remaining_ms: Time left until the deadline, ms.
+        short_wait_ms: Longest wait of a short call behind long ones, ms.
+        work: The class of work that the route declares.
+        idempotent: Whether the release says that the call may run twice.
+        key: Idempotency key that this daemon owns, or empty.
+    """
+
+    call_id: int
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    route: str
+    remaining_ms: int
+    short_wait_ms: int
+    work: WorkClass = WorkClass.LEARNED
+    idempotent: bool = False
+    key: str = ''
+
+
+class CallReply(Frame, frozen=True, tag='reply'):
+    """Answers a call request.
+
+    Attributes:
+        call_id: Number of the call.
+        status: HTTP status.
+        headers: Headers to pass back.
+        body: The answer's whole body.
+        ran: Whether the call ran at a target.
+        reason: Why the call was refused, empty for an answer.
+        detail: What was found, in one clause.
+        load: Calls that run or wait at the target, as a hint.
+    """
+
+    call_id: int
+    status: int
+    headers: Headers
+    body: bytes
+    ran: Ran = Ran.YES
+    reason: str = ''
+    detail: str = ''
+    load: int = 0
+
+
+class Cancel(Frame, frozen=True, tag='cancel'):
+    """Tells that the answer to a call is no longer wanted.
+
+    Attributes:
+        call_id: Number of the call.
+    """
+
+    call_id: int
+
+
+class Readiness(Frame, frozen=True, tag='readiness'):
+    """Tells whether the sender takes new calls for its target.
+
+    Attributes:
+        ready: False while the target drains, is down, or the daemon stops.
+    """
+
+    ready: bool
+
+
+class Ping(Frame, frozen=True, tag='ping'):
+    """Asks whether the other daemon is alive."""
+
+
+class Pong(Frame, frozen=True, tag='pong'):
+    """Answers a ping."""
+
+
+AnyFrame = Hello | CallRequest | CallReply | Cancel | Readiness | Ping | Pong
+
+ENCODER = msgspec.msgpack.Encoder()
+DECODER = msgspec.msgpack.Decoder(AnyFrame)
+
+
+def encode_frame(frame: AnyFrame) -> bytes:
+    """Encodes a frame as msgpack."""
+    return ENCODER.encode(frame)
+
+
+def decode_frame(encoded: bytes) -> AnyFrame:
+    """Decodes a frame.
+
+    Raises:
+        FrameError: The bytes aren't a frame that this version knows.
+    """
+    try:
+        return DECODER.decode(encoded)
+    except msgspec.MsgspecError as error:
+        raise FrameError(
+            f'a frame between daemons is malformed ({error})',
+            'run the same version of egretlandingd on every host',
+        ) from error
+
+
+def refusal_reply(call_id: int, refusal: Refusal, load: int = 0) -> CallReply:
+    """Returns the reply that carries a refusal."""
+    not_run = refusal.execution is Execution.NOT_RUN
+    return CallReply(
+        call_id,
+        refusal.status,
+        [],
+        b'',
+        Ran.NOT_RUN if not_run else Ran.UNKNOWN,
+        refusal.reason,
+        refusal.detail,
+        load,
+    )
--- a/egretlanding/httpclient.py
+++ b/egretlanding/httpclient.py
@@ -1,42 +1,45 @@
 """An HTTP/1.1 client protocol for the local target, parsed by httptools."""
 
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import Any
 
 import httptools
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
+from egretlanding.frames import MAX_FRAME_BYTES, Headers
+from egretlanding.httpheaders import drop_hop_headers, has_one_length
 from egretlanding.httpserver import HttpRequest, HttpResponse
-from egretlanding.messages import MAX_FRAME_BYTES, Headers
 
 MAX_RESPONSE_BYTES = MAX_FRAME_BYTES // 2
-FRAMING_HEADERS = frozenset(
-    ('connection', 'content-length', 'keep-alive', 'transfer-encoding'),
-)
+MAX_HEADER_BYTES = 65_536
+BODILESS = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 
 # Called with the whole response, or with None if the connection was lost
 # before the response was whole.
 OnResponse = Callable[[HttpResponse | None], None]
 
 
-def encode_request(request: HttpRequest, host: str) -> bytes:
+def encode_request(
+    request: HttpRequest,
+    host: str,
+    extra: Headers | None = None,
+) -> bytes:
     """Encodes a request with its framing headers.
 
     Args:
-        request: The request.
-        host: Value of the host header.
+        request: The request, without headers for one connection only.
+        host: Value of the host header if the request has none.
+        extra: Headers to add.
     """
-    lines = [
-        f'{request.method} {request.path} HTTP/1.1',
-        f'host: {host}',
-        f'content-length: {len(request.body)}',
-    ]
+    lines = [f'{request.method} {request.path} HTTP/1.1']
+    if not request.header('host'):
+        lines.append(f'host: {host}')
     lines.extend(
-        f'{name}: {value}'
-        for name, value in request.headers
-        if name != 'host' and name not in FRAMING_HEADERS
+        f'{name}: {value}' for name, value in (*request.headers, *(extra or ()))
     )
+    lines.append(f'content-length: {len(request.body)}')
     head = '\r\n'.join(lines).encode('latin-1')
     return b'%s\r\n\r\n%s' % (head, request.body)
 
@@ -44,10 +47,14 @@
 class HttpClient(Protocol):
     """Runs one request at a time on a kept connection.
 
+    A response must say where it ends. One that ends with its connection
+    counts as cut, since nothing tells it from the beginning of a longer one.
+
     Attributes:
         on_response: Called with the response of the request in flight.
         on_close: Called once when the connection is gone.
         usable: Whether another request may be sent.
+        is_head: Whether the request in flight asks for headers only.
     """
 
     def __init__(self, on_close: Callable[['HttpClient'], None]) -> None:
@@ -59,24 +66,41 @@
         self.on_close = on_close
         self.on_response: OnResponse | None = None
         self.usable = True
+        self.is_head = False
+        self.idle_since = 0.0
+        self.reset()
+
+    def reset(self) -> None:
+        """Prepares for the next response."""
         self.parser = httptools.HttpResponseParser(self)
         self.headers: Headers = []
         self.chunks: list[bytes] = []
         self.body_bytes = 0
+        self.header_bytes = 0
+        self.whole: HttpResponse | None = None
 
     def connectionMade(self) -> None:
         """Turns off Nagle's algorithm, since requests are written whole."""
         transport: Any = self.transport
         transport.setTcpNoDelay(True)
 
-    def send(self, encoded: bytes, on_response: OnResponse) -> None:
+    def send(
+        self,
+        encoded: bytes,
+        on_response: OnResponse,
+        *,
+        is_head: bool = False,
+    ) -> None:
         """Sends an encoded request.
 
         Args:
             encoded: The request.
             on_response: Called with the response, or None if it was cut.
+            is_head: Whether the response has no body, as for HEAD.
         """
+        self.reset()
         self.on_response = on_response
+        self.is_head = is_head
         transport: Any = self.transport
         transport.write(encoded)
 
@@ -88,10 +112,18 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Feeds the parser; a malformed response cuts the connection."""
+        if self.on_response is None:
+            # Bytes that no request asked for can't be told from an answer.
+            self.close()
+            return
         try:
             self.parser.feed_data(data)
-        except httptools.HttpParserError:
-            self.close()
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.usable = False
+            if self.whole is None:
+                self.close()
+        if self.whole is not None:
+            self.finish(self.whole)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Reports a request in flight as cut."""
@@ -101,9 +133,22 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collects one header."""
-        key = name.decode('latin-1').lower()
-        if key not in FRAMING_HEADERS:
-            self.headers.append((key, value.decode('latin-1')))
+        self.header_bytes += len(name) + len(value)
+        if self.header_bytes > MAX_HEADER_BYTES:
+            raise ValueError('the headers exceed their limit')
+        self.headers.append(
+            (name.decode('latin-1').lower(), value.decode('latin-1')),
+        )
+
+    def on_headers_complete(self) -> None:
+        """Checks the framing; a response to HEAD is whole here."""
+        status = self.parser.get_status_code()
+        if status < HTTPStatus.OK or self.whole is not None:
+            return
+        if self.is_head or status in BODILESS:
+            self.take(drop_hop_headers(self.headers))
+        elif not has_one_length(self.headers):
+            raise ValueError('the response does not say where it ends')
 
     def on_body(self, body: bytes) -> None:
         """Collects the body up to its limit."""
@@ -113,17 +158,23 @@
         self.chunks.append(body)
 
     def on_message_complete(self) -> None:
-        """Hands over the whole response."""
-        response = HttpResponse(
+        """Keeps the whole response, unless it is an interim one."""
+        if self.whole is not None:
+            return
+        if self.parser.get_status_code() < HTTPStatus.OK:
+            self.headers = []
+            return
+        headers = drop_hop_headers(self.headers)
+        self.take([pair for pair in headers if pair[0] != 'content-length'])
+
+    def take(self, headers: Headers) -> None:
+        """Keeps a whole response."""
+        self.usable = self.usable and self.parser.should_keep_alive()
+        self.whole = HttpResponse(
             self.parser.get_status_code(),
-            self.headers,
+            headers,
             b''.join(self.chunks),
         )
-        self.headers = []
-        self.chunks = []
-        self.body_bytes = 0
-        self.usable = self.usable and self.parser.should_keep_alive()
-        self.finish(response)
 
     def finish(self, response: HttpResponse | None) -> None:
         """Calls back for the request in flight, once."""
--- a/egretlanding/httpserver.py
+++ b/egretlanding/httpserver.py
@@ -11,23 +11,40 @@
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
-from egretlanding.messages import Headers
+from egretlanding.frames import Headers
+from egretlanding.httpheaders import LENGTH, drop_hop_headers, has_safe_framing
 
 MAX_HEADER_BYTES = 65_536
 MAX_BODY_BYTES = 1_048_576
 MAX_PIPELINED = 16
 
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
+BODILESS = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
+NOT_RUN_HEADERS = (
+    ('content-type', 'text/plain'),
+    ('x-egretlanding-ran', 'no'),
+    ('x-egretlanding-reason', 'malformed-request'),
+)
+MALFORMED = b'the request is not served; send well-formed HTTP/1.1 within limits'
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
+# The server has answered an expectation, and frames the body anew.
+CONSUMED_HEADERS = frozenset((LENGTH, 'expect'))
+
+
+class FramingError(ValueError):
+    """Two readers could disagree on where the request ends."""
+
+
 class HttpRequest(msgspec.Struct):
     """A whole HTTP request.
 
     Attributes:
         method: The method in capitals.
         path: The request target, with the query string.
-        headers: Names in lower case and values, in order.
+        headers: Names in lower case and values, in order, without those
+            for one connection only.
         body: The whole body.
         keep_alive: Whether the connection stays open afterwards.
     """
@@ -51,7 +68,8 @@
 
     Attributes:
         status: The status code.
-        headers: Names and values, without the framing headers.
+        headers: Names and values, without the framing headers; the response
+            to HEAD keeps its length.
         body: The whole body.
     """
 
@@ -66,11 +84,22 @@
         lines.extend(
             f'{name}: {value}'.encode('latin-1') for name, value in self.headers
         )
-        lines.append(b'content-length: %d' % len(self.body))
+        if self.needs_length():
+            lines.append(b'content-length: %d' % len(self.body))
         if not keep_alive:
             lines.append(b'connection: close')
         return b'%s\r\n\r\n%s' % (b'\r\n'.join(lines), self.body)
 
+    def needs_length(self) -> bool:
+        """Tells whether the length of the body is to be added.
+
+        Some statuses have no body, and the response to HEAD carries the
+        length of the body that it leaves out.
+        """
+        if self.status in BODILESS:
+            return False
+        return all(name != LENGTH for name, _ in self.headers)
+
 
 @attrs.define(eq=False)
 class Exchange:
@@ -105,16 +134,23 @@
         pending: Requests that aren't answered yet, oldest first.
     """
 
-    def __init__(self, handler: Handler) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        connections: set['HttpServer'],
+    ) -> None:
         """Prepares the parser.
 
         Args:
             handler: Called with each whole request.
+            connections: The open connections, which this one joins.
         """
         self.handler = handler
+        self.connections = connections
         self.pending: deque[Exchange] = deque()
         self.parser = httptools.HttpRequestParser(self)
-        self.closing = False
+        self.refused = False
+        self.leaving = False
         self.reset()
 
     def reset(self) -> None:
@@ -129,21 +165,30 @@
         """Turns off Nagle's algorithm, since answers are written whole."""
         transport: Any = self.transport
         transport.setTcpNoDelay(True)
+        self.connections.add(self)
 
     def dataReceived(self, data: bytes) -> None:
         """Feeds the parser; a malformed request closes the connection."""
-        if self.closing:
+        if self.refused:
             return
         try:
             self.parser.feed_data(data)
-        except httptools.HttpParserCallbackError:
-            self.reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+        except httptools.HttpParserUpgrade:
+            self.reject(HTTPStatus.NOT_IMPLEMENTED)
+        except httptools.HttpParserCallbackError as error:
+            framing = isinstance(error.__context__, FramingError)
+            self.reject(
+                HTTPStatus.BAD_REQUEST
+                if framing
+                else HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+            )
         except httptools.HttpParserError:
             self.reject(HTTPStatus.BAD_REQUEST)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Tells the requests in flight that their caller is gone."""
-        self.closing = True
+        self.refused = True
+        self.connections.discard(self)
         abandoned = [entry for entry in self.pending if not entry.response]
         self.pending.clear()
         for entry in abandoned:
@@ -151,11 +196,17 @@
                 entry.on_abandon()
 
     def reject(self, status: int) -> None:
-        """Answers a request that can't be parsed and closes."""
-        self.closing = True
-        response = HttpResponse(status, [], b'')
-        self.write(response.to_bytes(keep_alive=False))
-        self.close()
+        """Refuses what can't be parsed, after the answers before it."""
+        self.refused = True
+        entry = Exchange(HttpRequest('', '', [], b'', keep_alive=False), self)
+        self.pending.append(entry)
+        entry.respond(HttpResponse(status, list(NOT_RUN_HEADERS), MALFORMED))
+
+    def drain(self) -> None:
+        """Closes the connection once its requests are answered."""
+        self.leaving = True
+        if not self.pending and not self.header_bytes:
+            self.close()
 
     def flush(self) -> None:
         """Writes the answers that are due, oldest first."""
@@ -164,7 +215,8 @@
             if response is None:
                 break
             entry = self.pending.popleft()
-            keep_alive = entry.request.keep_alive and not self.closing
+            last = self.leaving and not self.pending
+            keep_alive = entry.request.keep_alive and not last
             self.write(response.to_bytes(keep_alive=keep_alive))
             if not keep_alive:
                 self.close()
@@ -202,7 +254,9 @@
         )
 
     def on_headers_complete(self) -> None:
-        """Answers an expectation before the body is sent."""
+        """Checks the framing and answers an expectation of the caller."""
+        if not has_safe_framing(self.headers):
+            raise FramingError
         if ('expect', '100-continue') in self.headers:
             self.write(CONTINUE)
 
@@ -218,7 +272,11 @@
         request = HttpRequest(
             self.parser.get_method().decode('ascii'),
             self.url.decode('latin-1'),
-            self.headers,
+            [
+                pair
+                for pair in drop_hop_headers(self.headers)
+                if pair[0] not in CONSUMED_HEADERS
+            ],
             b''.join(self.chunks),
             self.parser.should_keep_alive(),
         )
@@ -251,4 +309,9 @@
 
     def buildProtocol(self, addr: Any) -> HttpServer:
         """Builds the protocol of one connection."""
-        return HttpServer(self.handler)
+        return HttpServer(self.handler, self.connections)
+
+    def drain(self) -> None:
+        """Closes each connection once its requests are answered."""
+        for connection in tuple(self.connections):
+            connection.drain()
--- /dev/null
+++ b/egretlanding/peerlinks.py
@@ -0,0 +1,264 @@
+"""Kept connections from one daemon to the daemons that it sends calls to."""
+
+import enum
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.python.failure import Failure
+
+from egretlanding.frames import CallReply, CallRequest, refusal_reply
+from egretlanding.hosts import Host
+from egretlanding.outcomes import Reason, Refusal
+from egretlanding.peers import OnReply, PeerConnection, PeerFactory, PeerNode
+
+CONNECT_TIMEOUT_S = 0.5
+BACKOFF_FIRST_S = 0.1
+BACKOFF_LONGEST_S = 2
+HEARTBEAT_S = 1
+IDLE_LIMIT_S = 120
+# Frames above this size would hold up the short ones behind them.
+BULK_BYTES = 16_384
+
+
+class Lane(enum.Enum):
+    """The two connections to one daemon."""
+
+    SHORT = enum.auto()
+    BULK = enum.auto()
+
+
+@attrs.define(eq=False)
+class PendingCall:
+    """A call on its way, whether or not a connection is open yet.
+
+    Attributes:
+        request: The call.
+        on_reply: Called once with the reply.
+        connection: The connection that carries it, None before it is sent.
+        call_id: Its number on that connection.
+        cancelled: Whether the answer is no longer wanted.
+    """
+
+    request: CallRequest
+    on_reply: OnReply
+    connection: PeerConnection | None = None
+    call_id: int = 0
+    cancelled: bool = False
+
+    def send(self, connection: PeerConnection) -> None:
+        """Sends the call unless it was cancelled."""
+        if self.cancelled:
+            return
+        self.connection = connection
+        self.call_id = connection.call(self.request, self.on_reply)
+
+    def cancel(self) -> None:
+        """Abandons the call; its reply is dropped."""
+        self.cancelled = True
+        if self.connection:
+            self.connection.cancel(self.call_id)
+
+    def fail(self, detail: str) -> None:
+        """Reports that no byte of the call left this daemon."""
+        if not self.cancelled:
+            self.on_reply(unsent_reply(detail))
+
+
+@attrs.define(eq=False)
+class PeerLane:
+    """One kept connection, opened when it is needed.
+
+    Attributes:
+        connection: The connection, None while there is none.
+        connecting: Whether one is being opened.
+        queued: Calls that wait for it to open.
+        failures: Failed attempts in a row.
+        barred_until: No attempt is made before this time, seconds.
+        used: When the last call was sent, seconds.
+    """
+
+    connection: PeerConnection | None = None
+    connecting: bool = False
+    queued: list[PendingCall] = attrs.field(factory=list)
+    failures: int = 0
+    barred_until: float = 0
+    used: float = 0
+
+    def is_open(self) -> bool:
+        """Tells whether the connection can be used."""
+        return self.connection is not None and self.connection.is_open()
+
+    def record_failure(self, now: float) -> list[PendingCall]:
+        """Backs off and returns the calls that can't be sent."""
+        pause = BACKOFF_FIRST_S * 2**self.failures
+        self.failures += 1
+        self.barred_until = now + min(BACKOFF_LONGEST_S, pause)
+        self.connecting = False
+        queued, self.queued = self.queued, []
+        return queued
+
+    def record_success(self, connection: PeerConnection) -> list[PendingCall]:
+        """Keeps a connection and returns the calls that wait for it."""
+        self.connection = connection
+        self.connecting = False
+        self.failures = 0
+        queued, self.queued = self.queued, []
+        return queued
+
+
+@attrs.define(eq=False)
+class PeerLinks:
+    """All kept connections to other daemons, two for each in use.
+
+    Attributes:
+        reactor: The reactor to connect with.
+        node: What the connections share.
+        on_unreachable: Called with the id of a host that refused to connect.
+        lanes: The connections by host and address, and lane.
+    """
+
+    reactor: Any
+    node: PeerNode
+    on_unreachable: Callable[[str], None]
+    lanes: dict[tuple[Host, Lane], PeerLane] = attrs.field(factory=dict)
+
+    def incarnation_of(self, host: Host) -> int | None:
+        """Returns the incarnation of a connected daemon, else None."""
+        known = (
+            lane.connection.peer.incarnation
+            for (other, _), lane in self.lanes.items()
+            if other.host_id == host.host_id
+            and lane.connection is not None
+            and lane.connection.is_open()
+            and lane.connection.peer is not None
+        )
+        return next(known, None)
+
+    def connected_hosts(self) -> frozenset[str]:
+        """Returns the ids of the hosts with an open connection."""
+        return frozenset(
+            host.host_id
+            for (host, _), lane in self.lanes.items()
+            if lane.is_open()
+        )
+
+    def send(
+        self,
+        host: Host,
+        lane_of: Lane,
+        request: CallRequest,
+        on_reply: OnReply,
+    ) -> PendingCall:
+        """Sends a call now or as soon as a connection is open.
+
+        Args:
+            host: The host of the target.
+            lane_of: The lane to use.
+            request: The call.
+            on_reply: Called once with the reply.
+        """
+        pending = PendingCall(request, on_reply)
+        lane = self.connect(host, lane_of)
+        lane.used = self.reactor.seconds()
+        if lane.connection and lane.is_open():
+            pending.send(lane.connection)
+        elif lane.connecting:
+            lane.queued.append(pending)
+        else:
+            pending.fail('the daemon refused connections a moment ago')
+        return pending
+
+    def connect(self, host: Host, lane_of: Lane) -> PeerLane:
+        """Begins to open a connection unless it is open or backed off."""
+        lane = self.lanes.setdefault((host, lane_of), PeerLane())
+        now = self.reactor.seconds()
+        if lane.is_open() or lane.connecting or now < lane.barred_until:
+            return lane
+        lane.connecting = True
+        lane.used = now
+        factory: Any = PeerFactory(self.node)
+        endpoint = TCP4ClientEndpoint(
+            self.reactor,
+            host.address,
+            host.peer_port,
+            timeout=CONNECT_TIMEOUT_S,
+        )
+        connected = endpoint.connect(factory)
+        connected.addCallbacks(
+            self.take_connection,
+            self.take_failure,
+            callbackArgs=(lane,),
+            errbackArgs=(host, lane),
+        )
+        return lane
+
+    def take_connection(
+        self,
+        connection: PeerConnection,
+        lane: PeerLane,
+    ) -> None:
+        """Sends the calls that wait for a connection."""
+        for pending in lane.record_success(connection):
+            pending.send(connection)
+
+    def take_failure(
+        self,
+        failure: Failure,
+        host: Host,
+        lane: PeerLane,
+    ) -> None:
+        """Fails the calls that wait for a connection: none was sent."""
+        queued = lane.record_failure(self.reactor.seconds())
+        self.on_unreachable(host.host_id)
+        for pending in queued:
+            pending.fail(f'no connection to the daemon ({failure.value})')
+
+    def check_heartbeats(self) -> None:
+        """Cuts silent connections and closes those that are idle."""
+        now = self.reactor.seconds()
+        for key, lane in tuple(self.lanes.items()):
+            if lane.connection and lane.is_open():
+                self.check_lane(lane, lane.connection, now)
+            elif not lane.connecting and now - lane.used > IDLE_LIMIT_S:
+                del self.lanes[key]
+
+    def check_lane(
+        self,
+        lane: PeerLane,
+        connection: PeerConnection,
+        now: float,
+    ) -> None:
+        """Checks the heartbeat of one open connection."""
+        if now - lane.used > IDLE_LIMIT_S and connection.is_idle():
+            connection.abort()
+        else:
+            connection.check_heartbeat()
+
+    def forgive_silence(self) -> None:
+        """Starts all heartbeats anew, after a pause of the own process."""
+        for lane in self.lanes.values():
+            if lane.connection:
+                lane.connection.forgive_silence()
+
+    def close(self) -> None:
+        """Cuts all connections."""
+        for lane in self.lanes.values():
+            if lane.connection:
+                lane.connection.abort()
+
+
+def lane_for(size: int, is_long: bool) -> Lane:
+    """Returns the lane for a call.
+
+    Args:
+        size: Bytes of the request or of the answers that the route gives.
+        is_long: Whether the route declares long work.
+    """
+    return Lane.BULK if is_long or size > BULK_BYTES else Lane.SHORT
+
+
+def unsent_reply(detail: str) -> CallReply:
+    """Returns the reply to a call of which no byte left this daemon."""
+    return refusal_reply(0, Refusal.not_run(Reason.NO_TARGET, detail))
--- a/egretlanding/peers.py
+++ b/egretlanding/peers.py
@@ -2,46 +2,45 @@
 
 import itertools
 from collections.abc import Callable
-from http import HTTPStatus
 from typing import Any
 
 import attrs
-from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.protocol import Factory, connectionDone
 from twisted.protocols.basic import Int32StringReceiver
 from twisted.python.failure import Failure
 
 from egretlanding.exceptions import FrameError
-from egretlanding.hosts import Host
-from egretlanding.messages import (
+from egretlanding.frames import (
     MAX_FRAME_BYTES,
-    AnyMessage,
+    AnyFrame,
     CallReply,
     CallRequest,
     Cancel,
     Hello,
-    Leaving,
-    Ran,
-    decode_message,
-    encode_message,
+    Ping,
+    Pong,
+    Readiness,
+    decode_frame,
+    encode_frame,
+    refusal_reply,
 )
-
-CONNECT_TIMEOUT_S = 1
+from egretlanding.outcomes import Reason, Refusal
 
 # Called with the reply to a call, or with a synthetic one if it was lost.
 OnReply = Callable[[CallReply], None]
 OnCall = Callable[['PeerConnection', CallRequest], None]
+OnConnection = Callable[['PeerConnection'], None]
 
 
 class PeerConnection(Int32StringReceiver):
     """A connection to another daemon, in either direction.
 
     Attributes:
-        on_call: Called with each call that the other daemon sends.
-        on_cancel: Called when the other daemon abandons a call.
-        on_leaving: Called when the other daemon takes no new calls.
-        on_close: Called once when the connection is gone.
+        node: Who handles the frames that arrive.
+        peer: How the other daemon introduced itself, None before it did.
         waiting: What to call with the replies to calls in flight.
+        served: Jobs of calls from the other daemon, by the call's number.
+        heard: Bytes that arrived so far.
     """
 
     MAX_LENGTH = MAX_FRAME_BYTES
@@ -50,24 +49,27 @@
         """Prepares a connection.
 
         Args:
-            node: Who handles the messages that arrive.
+            node: Who handles the frames that arrive.
         """
         self.node = node
         self.peer: Hello | None = None
-        self.leaving = False
         self.waiting: dict[int, OnReply] = {}
+        self.served: dict[int, int] = {}
         self.call_ids = itertools.count(1)
+        self.heard = 0
+        self.heard_before = -1
 
     def connectionMade(self) -> None:
         """Introduces this daemon to the other one."""
         transport: Any = self.transport
         transport.setTcpNoDelay(True)
+        transport.setTcpKeepAlive(True)
+        self.node.connections.add(self)
         self.send(self.node.hello)
-        if self.node.draining:
-            self.send(Leaving())
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Answers the calls in flight: nobody knows whether they ran."""
+        self.node.connections.discard(self)
         waiting = self.waiting
         self.waiting = {}
         for call_id, on_reply in waiting.items():
@@ -75,13 +77,18 @@
         self.node.on_close(self)
 
     def is_open(self) -> bool:
-        """Tells whether messages can be sent."""
+        """Tells whether frames can be sent."""
         transport: Any = self.transport
         return bool(transport and transport.connected)
 
-    def send(self, message: AnyMessage) -> None:
-        """Writes a message."""
-        self.sendString(encode_message(message))
+    def is_idle(self) -> bool:
+        """Tells whether no call is in flight in either direction."""
+        return not self.waiting and not self.served
+
+    def send(self, frame: AnyFrame) -> None:
+        """Writes a frame, or drops it if the connection is gone."""
+        if self.is_open():
+            self.sendString(encode_frame(frame))
 
     def call(self, request: CallRequest, on_reply: OnReply) -> int:
         """Sends a call and returns its number on this connection.
@@ -100,59 +107,63 @@
         if self.waiting.pop(call_id, None):
             self.send(Cancel(call_id))
 
+    def check_heartbeat(self) -> None:
+        """Cuts a silent connection, else asks for a sign of life.
+
+        Called once per heartbeat interval. The replies of a silent daemon
+        would come too late; cutting tells the calls that wait for them.
+        """
+        if self.heard == self.heard_before:
+            self.abort()
+            return
+        self.heard_before = self.heard
+        self.send(Ping())
+
+    def forgive_silence(self) -> None:
+        """Starts the heartbeat anew, after a pause of the own process."""
+        self.heard_before = -1
+
+    def abort(self) -> None:
+        """Cuts the connection at once."""
+        transport: Any = self.transport
+        transport.abortConnection()
+
+    def dataReceived(self, data: bytes) -> None:
+        """Counts and decodes what arrived."""
+        self.heard += len(data)
+        super().dataReceived(data)
+
     def stringReceived(self, string: bytes) -> None:
-        """Decodes and handles a message; a malformed one cuts."""
+        """Decodes and handles a frame; a malformed one cuts."""
         try:
-            message = decode_message(string)
+            frame = decode_frame(string)
         except FrameError:
-            self.lengthLimitExceeded(len(string))
+            self.abort()
             return
-        self.handle(message)
+        self.handle(frame)
 
     def lengthLimitExceeded(self, length: int) -> None:
         """Cuts a connection that can't be understood any more."""
-        transport: Any = self.transport
-        transport.abortConnection()
+        self.abort()
 
-    def handle(self, message: AnyMessage) -> None:
-        """Handles a message."""
-        match message:
+    def handle(self, frame: AnyFrame) -> None:
+        """Handles a frame."""
+        match frame:
             case CallReply():
-                on_reply = self.waiting.pop(message.call_id, None)
+                on_reply = self.waiting.pop(frame.call_id, None)
                 if on_reply:
-                    on_reply(message)
+                    on_reply(frame)
             case CallRequest():
-                self.node.on_call(self, message)
+                self.node.on_call(self, frame)
             case Cancel():
-                self.node.on_cancel(self, message.call_id)
+                self.node.on_cancel(self, frame.call_id)
+            case Ping():
+                self.send(Pong())
             case Hello():
-                self.peer = message
-            case Leaving():
-                self.leaving = True
-                self.node.on_leaving(self)
-
-
-def renumber(request: CallRequest, call_id: int) -> CallRequest:
-    """Returns a call with another number."""
-    return CallRequest(
-        call_id,
-        request.method,
-        request.path,
-        request.headers,
-        request.body,
-        request.route,
-        request.remaining_ms,
-        request.depth,
-        request.key,
-        request.idempotent,
-    )
-
-
-def lost_reply(call_id: int) -> CallReply:
-    """Returns the answer to a call whose connection was lost."""
-    return CallReply(
-        call_id, HTTPStatus.BAD_GATEWAY, [], b'', Ran.UNKNOWN, 'connection_lost'
-    )
+                self.peer = frame
+                self.node.on_readiness(self, frame.ready)
+            case Readiness():
+                self.node.on_readiness(self, frame.ready)
 
 
 @attrs.define(eq=False)
@@ -162,18 +173,27 @@
     Attributes:
         hello: How this daemon introduces itself.
         on_call: Called with each call that arrives.
-        on_cancel: Called when a call is abandoned.
-        on_leaving: Called when the other daemon takes no new calls.
+        on_cancel: Called when the other daemon abandons a call.
+        on_readiness: Called when the other daemon starts or stops taking
+            calls.
         on_close: Called when a connection is gone.
-        draining: Whether this daemon takes no new calls.
+        connections: The connections that are open, in both directions.
     """
 
     hello: Hello
     on_call: OnCall
     on_cancel: Callable[[PeerConnection, int], None]
-    on_leaving: Callable[[PeerConnection], None]
-    on_close: Callable[[PeerConnection], None]
-    draining: bool = False
+    on_readiness: Callable[[PeerConnection, bool], None]
+    on_close: OnConnection
+    connections: set[PeerConnection] = attrs.field(factory=set)
+
+    def announce(self, ready: bool) -> None:
+        """Tells all daemons whether this one takes calls for its target."""
+        if ready == self.hello.ready:
+            return
+        self.hello = Hello(self.hello.host_id, self.hello.incarnation, ready)
+        for connection in tuple(self.connections):
+            connection.send(Readiness(ready))
 
 
 class PeerFactory(Factory):
@@ -194,21 +214,29 @@
         return PeerConnection(self.node)
 
 
-async def connect_peer(
-    reactor: Any,
-    host: Host,
-    node: PeerNode,
-) -> PeerConnection:
-    """Opens a connection to the daemon of a host.
+def renumber(request: CallRequest, call_id: int) -> CallRequest:
+    """Returns a call with another number."""
+    return CallRequest(
+        call_id,
+        request.method,
+        request.path,
+        request.headers,
+        request.body,
+        request.route,
+        request.remaining_ms,
+        request.short_wait_ms,
+        request.work,
+        request.idempotent,
+        request.key,
+    )
 
-    Raises:
-        ConnectError: The daemon can't be reached.
-    """
-    factory: Any = PeerFactory(node)
-    endpoint = TCP4ClientEndpoint(
-        reactor,
-        host.address,
-        host.peer_port,
-        timeout=CONNECT_TIMEOUT_S,
+
+def lost_reply(call_id: int) -> CallReply:
+    """Returns the answer to a call whose connection was lost."""
+    return refusal_reply(
+        call_id,
+        Refusal.unknown(
+            Reason.CONNECTION_LOST,
+            'the connection to the daemon beside the target was lost',
+        ),
     )
-    return await endpoint.connect(factory)
