--- /dev/null
+++ b/egretlanding/callheaders.py
@@ -0,0 +1,139 @@
+"""The HTTP headers of calls that the daemon reads, sets and removes."""
+
+import attrs
+
+from egretlanding.exceptions import CallHeaderError
+from egretlanding.frames import CallReply, Headers
+from egretlanding.httpserver import HttpRequest, HttpResponse
+from egretlanding.outcomes import TRAITS, Execution, Reason, Refusal
+from egretlanding.retries import (
+    DEADLINE_HEADER,
+    DEPTH_HEADER,
+    KEY_HEADER,
+    RETRY_HEADER,
+)
+
+RAN_HEADER = 'x-egretlanding-ran'
+REASON_HEADER = 'x-egretlanding-reason'
+REPLAYED_HEADER = 'x-egretlanding-replayed'
+# What the targets read: how long a call may take, and a name to cancel it by.
+TARGET_DEADLINE_HEADER = 'x-deadline-ms'
+TARGET_CALL_HEADER = 'x-call-id'
+# What a target answers with when it refuses a call that it did not run.
+TARGET_NOT_RUN_HEADER = 'x-not-run'
+
+MAX_TIMEOUT_MS = 3_600_000
+MAX_DEPTH_VALUE = 1_000
+# Set anew for each attempt, whatever the caller sent.
+REPLACED_HEADERS = frozenset(
+    (
+        DEADLINE_HEADER,
+        DEPTH_HEADER,
+        RETRY_HEADER,
+        TARGET_DEADLINE_HEADER,
+        TARGET_CALL_HEADER,
+    ),
+)
+# Only daemons may say these, so a target's answer can't.
+OWN_ANSWER_HEADERS = frozenset((RAN_HEADER, REASON_HEADER, REPLAYED_HEADER))
+
+
+@attrs.frozen
+class CallMeta:
+    """What the headers of a call say of it.
+
+    Attributes:
+        timeout_ms: Time that the caller allows, ms, or None if it names none.
+        depth: Calls that led to this one.
+        is_retry: Whether a level above has retried already.
+        key: The idempotency key, or empty.
+    """
+
+    timeout_ms: int | None
+    depth: int
+    is_retry: bool
+    key: str
+
+    @classmethod
+    def from_request(cls, request: HttpRequest) -> 'CallMeta':
+        """Reads the headers of a call.
+
+        Raises:
+            CallHeaderError: A header comes twice or its value is wrong.
+        """
+        return cls(
+            _integer(request, DEADLINE_HEADER, MAX_TIMEOUT_MS),
+            _integer(request, DEPTH_HEADER, MAX_DEPTH_VALUE) or 0,
+            _integer(request, RETRY_HEADER, 1) == 1,
+            _single(request, KEY_HEADER),
+        )
+
+
+def passed_on(headers: Headers) -> Headers:
+    """Returns a caller's headers without those that are set anew."""
+    return [pair for pair in headers if pair[0] not in REPLACED_HEADERS]
+
+
+def response_of(reply: CallReply) -> HttpResponse:
+    """Returns the response that carries a reply to the caller."""
+    if reply.reason:
+        return refusal_response(reply)
+    headers = [pair for pair in reply.headers if pair[0] != RAN_HEADER]
+    headers.append((RAN_HEADER, reply.ran.value))
+    return HttpResponse(reply.status, headers, reply.body)
+
+
+def refusal_response(reply: CallReply) -> HttpResponse:
+    """Returns the response that tells a caller of a refusal."""
+    known = reply.reason in set(Reason)
+    remedy = TRAITS[Reason(reply.reason)].remedy if known else ''
+    ran = {'no': 'did not run', 'unknown': 'may have run'}.get(reply.ran, '')
+    text = f'The call {ran}: {reply.detail or reply.reason}; {remedy}.\n'
+    return HttpResponse(
+        reply.status,
+        [
+            ('content-type', 'text/plain; charset=utf-8'),
+            (RAN_HEADER, reply.ran.value),
+            (REASON_HEADER, reply.reason),
+        ],
+        text.encode(),
+    )
+
+
+def is_denial(response: HttpResponse) -> bool:
+    """Tells whether a target says that it did not run the call."""
+    return any(name == TARGET_NOT_RUN_HEADER for name, _ in response.headers)
+
+
+def own_headers_removed(headers: Headers) -> Headers:
+    """Returns a target's headers without those that only daemons may say."""
+    return [pair for pair in headers if pair[0] not in OWN_ANSWER_HEADERS]
+
+
+def malformed(error: CallHeaderError) -> Refusal:
+    """Returns the refusal of a call with a header that can't be read."""
+    return Refusal(Reason.HEADER_MALFORMED, Execution.NOT_RUN, str(error))
+
+
+def _single(request: HttpRequest, wanted: str) -> str:
+    found = [value for name, value in request.headers if name == wanted]
+    if len(found) > 1:
+        raise CallHeaderError(
+            f'header {wanted} comes {len(found)} times',
+            'send it once',
+        )
+    return found[0].strip() if found else ''
+
+
+def _integer(request: HttpRequest, wanted: str, high: int) -> int | None:
+    text = _single(request, wanted)
+    if not text:
+        return None
+    # The length is checked first, since int() of a long text takes long.
+    fits = len(text) <= len(str(high)) and text.isascii() and text.isdigit()
+    if not fits or int(text) > high:
+        raise CallHeaderError(
+            f'header {wanted} is no integer from 0 to {high}',
+            'send a whole number without a sign',
+        )
+    return int(text)
--- /dev/null
+++ b/egretlanding/callreport.py
@@ -0,0 +1,85 @@
+"""What the call path tells operators of its state."""
+
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from egretlanding.serviceroutes import ServiceRoutes
+
+if TYPE_CHECKING:
+    from egretlanding.calls import CallService
+
+
+def explain_call(
+    routes: ServiceRoutes,
+    method: str,
+    path: str,
+    now: float,
+) -> dict[str, Any]:
+    """Says why a call would go where.
+
+    Args:
+        routes: What the ingress knows of the services.
+        method: HTTP method, in capitals.
+        path: The path.
+        now: Monotonic time, seconds.
+    """
+    view = routes.view
+    if view is None:
+        return {'reasons': ['no release is in force']}
+    explained = attrs.asdict(view.routes.explain(method, path))
+    match = view.routes.match(method, path)
+    if match:
+        service = match.service_name
+        explained['targets'] = describe_targets(routes, service, now)
+    return explained
+
+
+def describe_targets(
+    routes: ServiceRoutes,
+    service: str,
+    now: float,
+) -> list[dict[str, Any]]:
+    """Returns the targets of a service as the ingress sees them."""
+    targets = routes.service(service, now).balancer.targets
+    return [
+        {
+            'host_id': known.host.host_id,
+            'distance': targets.distance(known).name.lower(),
+            'slowness': round(known.believed_slowness(now), 2),
+            'in_flight': len(known.flights),
+            'shunned': known.probation is not None,
+            'barred': known.is_barred(now),
+            'leaving': known.host.host_id in targets.leaving,
+        }
+        for known in targets.evidence.values()
+    ]
+
+
+def dump_calls(service: 'CallService') -> dict[str, Any]:
+    """Returns the state of the call path."""
+    egress, ingress, routes = service.egress, service.ingress, service.routes
+    now = service.reactor.seconds()
+    return {
+        'draining': service.draining,
+        'in_flight': len(ingress.runs),
+        'at_target': len(egress.table.jobs),
+        'slots': egress.admission.slots.limit.current,
+        'queued': len(egress.admission.waiting),
+        'target_up': egress.health.up,
+        'target_draining': egress.health.draining,
+        'target_connections': egress.target.pool.opened,
+        'keys': len(egress.keys.entries),
+        'suspects': len(egress.quarantine.suspects),
+        'connected': sorted(service.links.connected_hosts()),
+        'unready': sorted(routes.unready),
+        'outcomes': {
+            f'{ran}:{reason}': count
+            for (ran, reason), count in ingress.outcomes.items()
+        },
+        'hedges': ingress.hedges,
+        'services': {
+            name: describe_targets(routes, name, now)
+            for name in routes.services
+        },
+    }
--- /dev/null
+++ b/egretlanding/calls.py
@@ -0,0 +1,316 @@
+"""The whole call path of one daemon behind one interface."""
+
+import random
+from collections.abc import Iterable
+from typing import Any
+
+import attrs
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.task import LoopingCall, deferLater
+
+from egretlanding.admission import Admission
+from egretlanding.callnotices import (
+    CallNotice,
+    CallNoticeKind,
+    merge_notice,
+    quarantine_notices,
+)
+from egretlanding.callreport import dump_calls, explain_call
+from egretlanding.config import DaemonConfig
+from egretlanding.egress import Egress
+from egretlanding.frames import Hello
+from egretlanding.httpserver import Exchange, Handler, HttpServerFactory
+from egretlanding.idempotency import KeyTable
+from egretlanding.ingress import Ingress
+from egretlanding.keyissuer import KEYS_PREFIX, KeyIssuer
+from egretlanding.lateness import Lateness
+from egretlanding.objects import Service
+from egretlanding.pauses import BEAT_S
+from egretlanding.peerlinks import HEARTBEAT_S, PeerLinks
+from egretlanding.peers import PeerFactory, PeerNode
+from egretlanding.peerserver import PeerServer
+from egretlanding.quarantine import Quarantine
+from egretlanding.reachability import Reachability
+from egretlanding.serviceroutes import CHOOSERS, ServiceRoutes
+from egretlanding.subsets import Locality
+from egretlanding.targetcalls import TargetCalls
+from egretlanding.targethealth import TargetHealth
+from egretlanding.targetpool import TargetPool
+from egretlanding.views import View
+
+DEFAULT_SERVICE = Service(regions=())
+BASELINE = 'random'
+# Time in which other daemons and callers learn of a drain, seconds.
+DRAIN_NOTICE_S = 1
+DRAIN_POLL_S = 0.02
+CLOSE_TIMEOUT_S = 2
+
+
+def build_egress(
+    reactor: Any,
+    config: DaemonConfig,
+    incarnation: int,
+) -> Egress:
+    """Builds what runs calls at the local target."""
+    pool = TargetPool(
+        reactor,
+        config.target_address,
+        config.target_port,
+        DEFAULT_SERVICE.connections,
+    )
+    health = TargetHealth(reactor, pool)
+    quarantine = Quarantine()
+    process = f'{config.host_id}:{incarnation:x}'
+    return Egress(
+        reactor,
+        TargetCalls(process, pool, health, quarantine),
+        health,
+        Admission.from_service(DEFAULT_SERVICE),
+        KeyTable.for_daemon(config.service, config.host_id, incarnation),
+        quarantine,
+    )
+
+
+def build_node(
+    config: DaemonConfig,
+    incarnation: int,
+    server: PeerServer,
+) -> PeerNode:
+    """Builds what the connections to other daemons share."""
+    return PeerNode(
+        Hello(config.host_id, incarnation, ready=False),
+        server.take_call,
+        server.take_cancel,
+        server.take_close,
+    )
+
+
+def build_routes(config: DaemonConfig) -> ServiceRoutes:
+    """Builds what is known of the services."""
+    locality = Locality(config.host_id, config.region, config.failure_domain)
+    return ServiceRoutes(
+        locality,
+        CHOOSERS[config.balancing],
+        random.Random(config.host_id),
+    )
+
+
+def front_of(ingress: Ingress, issuer: KeyIssuer) -> Handler:
+    """Returns what handles the requests of callers."""
+
+    def handle(entry: Exchange) -> None:
+        request = entry.request
+        if request.path.startswith(KEYS_PREFIX) and request.method == 'POST':
+            issuer.handle(entry)
+        else:
+            ingress.handle(entry)
+
+    return handle
+
+
+@attrs.define(eq=False)
+class CallService:
+    """Takes calls, sends them to targets and runs those for the local one.
+
+    Attributes:
+        reactor: The reactor that runs everything.
+        config: The daemon's settings.
+        egress: Runs calls at the local target.
+        links: Connections to other daemons.
+        routes: What is known of the services.
+        ingress: Sends calls to targets.
+        reachability: Which hosts take calls.
+        lateness: Notices pauses of the process.
+        http: The connections of callers.
+        draining: Whether the daemon is about to stop.
+        ports: The listening ports.
+        loops: The periodic duties.
+    """
+
+    reactor: Any
+    config: DaemonConfig
+    egress: Egress
+    links: PeerLinks
+    routes: ServiceRoutes
+    ingress: Ingress
+    reachability: Reachability
+    lateness: Lateness
+    http: HttpServerFactory
+    draining: bool = False
+    ports: list[Any] = attrs.field(factory=list)
+    loops: list[LoopingCall] = attrs.field(factory=list)
+
+    @classmethod
+    def from_config(
+        cls,
+        reactor: Any,
+        config: DaemonConfig,
+        incarnation: int,
+    ) -> 'CallService':
+        """Builds the call path without opening a socket.
+
+        Args:
+            reactor: The reactor.
+            config: The daemon's settings.
+            incarnation: Start time of the daemon, ns since the epoch.
+        """
+        lateness = Lateness.from_reactor(reactor)
+        egress = build_egress(reactor, config, incarnation)
+        server = PeerServer(egress, lateness.late_s)
+        node = build_node(config, incarnation, server)
+        links = PeerLinks(reactor, node)
+        routes = build_routes(config)
+        ingress = Ingress(
+            reactor,
+            config.host_id,
+            links,
+            egress,
+            routes,
+            lateness.late_s,
+            hedging=config.balancing != BASELINE,
+            classes=config.balancing != BASELINE,
+        )
+        issuer = KeyIssuer(reactor, links, routes, random.SystemRandom())
+        service = cls(
+            reactor,
+            config,
+            egress,
+            links,
+            routes,
+            ingress,
+            Reachability(reactor, node, routes),
+            lateness,
+            HttpServerFactory(front_of(ingress, issuer)),
+        )
+        service.join_tasks()
+        return service
+
+    @property
+    def in_flight(self) -> int:
+        """Returns the calls of callers and at the target in flight."""
+        return len(self.ingress.runs) + len(self.egress.table.jobs)
+
+    def notices(self) -> tuple[CallNotice, ...]:
+        """Returns what other daemons should know."""
+        now = self.reactor.seconds()
+        return quarantine_notices(self.egress.quarantine, now)
+
+    def explain(self, method: str, path: str) -> dict[str, Any]:
+        """Says why a call would go where."""
+        now = self.reactor.seconds()
+        return explain_call(self.routes, method, path, now)
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the state of the call path."""
+        return dump_calls(self)
+
+    def join_tasks(self) -> None:
+        """Lets the tasks hear of one another's changes."""
+        self.egress.health.on_change = self.announce
+        self.links.node.on_readiness = self.reachability.take_readiness
+        self.links.on_unreachable = self.reachability.take_unreachable
+        self.lateness.on_wake.append(self.wake)
+
+    def listen(self) -> None:
+        """Opens the ports for callers and other daemons."""
+        for port, factory in (
+            (self.config.call_port, self.http),
+            (self.config.peer_port, PeerFactory(self.links.node)),
+        ):
+            listening = self.reactor.listenTCP(
+                port,
+                factory,
+                interface=self.config.address,
+            )
+            self.ports.append(listening)
+        self.egress.health.start()
+        self.loops = [LoopingCall(self.lateness.beat), LoopingCall(self.tick)]
+        for loop, interval_s in zip(
+            self.loops, (BEAT_S, HEARTBEAT_S), strict=True
+        ):
+            loop.clock = self.reactor
+            loop.start(interval_s, now=False)
+
+    def apply(self, view: View) -> None:
+        """Swaps the configuration that new calls are served with."""
+        self.routes.apply(view, self.reactor.seconds())
+        own = view.routes.services.get(self.config.service)
+        if own:
+            self.egress.apply(own)
+        self.announce()
+
+    def confirm_hosts(self, age_s: float) -> None:
+        """Takes the news that the host list is the store's newest.
+
+        Args:
+            age_s: Time since it was confirmed to be, seconds.
+        """
+        view = self.routes.view
+        if view is None:
+            return
+        hosts = view.hosts.of_service(self.config.service)
+        self.egress.keys.ownership.confirm(
+            tuple(host.host_id for host in hosts),
+            age_s,
+            self.egress.moment(),
+        )
+
+    def take_notices(self, notices: Iterable[CallNotice]) -> None:
+        """Takes what other daemons know."""
+        now = self.reactor.seconds()
+        for notice in notices:
+            if notice.kind is CallNoticeKind.LEAVING:
+                self.reachability.take_leaving(notice.subject, notice.ttl)
+            else:
+                merge_notice(self.egress.quarantine, notice, now)
+
+    def announce(self) -> None:
+        """Tells other daemons whether this one takes calls."""
+        ready = self.egress.health.takes_calls and not self.draining
+        self.reachability.announce(ready)
+
+    def wake(self, now: float) -> None:
+        """Drops expired work and old beliefs after a pause."""
+        self.egress.advance()
+        self.routes.wake(now)
+        self.links.forgive_silence()
+
+    def tick(self) -> None:
+        """Does what is due once per heartbeat."""
+        self.links.check_heartbeats()
+        self.egress.tick()
+        self.reachability.refresh()
+
+    def drain(self) -> Deferred[None]:
+        """Ends the call path without cutting a call.
+
+        Returns:
+            Fires when nothing is in flight and all answers are written.
+        """
+        self.draining = True
+        self.http.leaving = True
+        self.announce()
+        self.egress.admission.drain()
+        return ensureDeferred(self.finish_drain())
+
+    async def finish_drain(self) -> None:
+        """Waits for the calls in flight and closes all ports."""
+        await deferLater(self.reactor, DRAIN_NOTICE_S)
+        for port in self.ports:
+            await port.stopListening()
+        while self.in_flight:
+            await deferLater(self.reactor, DRAIN_POLL_S)
+        self.http.drain()
+        deadline = self.reactor.seconds() + CLOSE_TIMEOUT_S
+        while self.http.connections and self.reactor.seconds() < deadline:
+            await deferLater(self.reactor, DRAIN_POLL_S)
+        self.close()
+
+    def close(self) -> None:
+        """Ends the periodic duties and closes all connections."""
+        for loop in self.loops:
+            if loop.running:
+                loop.stop()
+        self.egress.health.stop()
+        self.egress.target.pool.close()
+        self.links.close()
--- a/egretlanding/config.py
+++ b/egretlanding/config.py
@@ -41,6 +41,7 @@
     Option('service', str, 'name'),
     Option('store_url', str, 'URL'),
     Option('store_region', str, 'name'),
+    Option('balancing', str, 'p2c or random', 'p2c'),
     Option('seeds', tuple, 'list of address:port', ()),
 )
 
@@ -63,6 +64,8 @@
         service: The service that the target runs.
         store_url: Base URL of the platform's store.
         store_region: The region that the store is in.
+        balancing: How targets are chosen; "random" is a baseline for
+            measurements only.
         seeds: Exchange addresses of daemons to ask at start.
     """
 
@@ -79,6 +82,7 @@
     service: str
     store_url: str
     store_region: str
+    balancing: str = 'p2c'
     seeds: tuple[str, ...] = ()
 
     @classmethod
--- a/egretlanding/daemon.py
+++ b/egretlanding/daemon.py
@@ -13,17 +13,14 @@
 from twisted.internet import reactor as default_reactor
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.endpoints import TCP4ServerEndpoint
-from twisted.internet.task import deferLater
+from twisted.internet.task import LoopingCall, deferLater
 from twisted.web.server import Site
 
+from egretlanding.calls import CallService
 from egretlanding.config import DaemonConfig
 from egretlanding.events import Event, Severity, log_event
 from egretlanding.exceptions import EgretlandingError, SettingsError
 from egretlanding.hosts import HostList
-from egretlanding.httpserver import HttpServerFactory
-from egretlanding.ingress import Ingress, View
-from egretlanding.messages import Hello
-from egretlanding.peers import PeerFactory, PeerNode
 from egretlanding.release import (
     HEAD_KEY,
     HOSTS_KEY,
@@ -32,7 +29,7 @@
     Release,
 )
 from egretlanding.storeclient import StoreClient, StoreValue
-from egretlanding.target import TargetPool
+from egretlanding.views import View
 
 WATCH_MS = 20_000
 RETRY_S = 0.5
@@ -47,7 +44,7 @@
         config: The settings.
         incarnation: Start time of the process, ns since the epoch.
         store: The client of the platform's store.
-        ingress: The task that serves calls.
+        calls: The call path.
         release: The release in force.
         revision: The store's revision of its head.
         hosts: The host list in force.
@@ -57,7 +54,7 @@
     config: DaemonConfig
     incarnation: int
     store: StoreClient
-    ingress: Ingress
+    calls: CallService
     release: Release | None = None
     revision: int = 0
     hosts: HostList = attrs.field(factory=HostList)
@@ -66,34 +63,21 @@
     def from_config(cls, reactor: Any, config: DaemonConfig) -> 'Daemon':
         """Builds a daemon without opening a socket."""
         incarnation = time.time_ns()
-        node = PeerNode(
-            hello=Hello(config.host_id, incarnation),
-            on_call=lambda connection, call: ingress.run_local(
-                connection,
-                call,
-            ),
-            on_cancel=lambda _connection, _call_id: None,
-            on_leaving=lambda _connection: None,
-            on_close=lambda _connection: None,
-        )
-        pool = TargetPool(reactor, config.target_address, config.target_port)
-        ingress = Ingress(reactor, config.host_id, node, pool)
+        calls = CallService.from_config(reactor, config, incarnation)
         store = StoreClient.from_url(reactor, config.store_url)
-        return cls(reactor, config, incarnation, store, ingress)
+        return cls(reactor, config, incarnation, store, calls)
 
     async def start(self) -> None:
         """Opens the sockets and starts the watches."""
-        for port, factory in (
-            (self.config.call_port, HttpServerFactory(self.ingress.handle)),
-            (self.config.peer_port, PeerFactory(self.ingress.node)),
-            (self.config.admin_port, Site(admin_app(self).resource())),
-        ):
-            endpoint = TCP4ServerEndpoint(
-                self.reactor,
-                port,
-                interface=self.config.address,
-            )
-            await endpoint.listen(factory)
+        self.calls.listen()
+        endpoint = TCP4ServerEndpoint(
+            self.reactor,
+            self.config.admin_port,
+            interface=self.config.address,
+        )
+        await endpoint.listen(Site(admin_app(self).resource()))
+        confirming = LoopingCall(self.calls.confirm_hosts, 0)
+        confirming.start(1)
         log_event(Event.DAEMON_STARTED, 'started', host=self.config.host_id)
         ensureDeferred(self.watch(HEAD_KEY, self.take_head))
         ensureDeferred(self.watch(HOSTS_KEY, self.take_hosts))
@@ -150,7 +134,7 @@
     def apply(self) -> None:
         """Swaps the configuration that new calls are served with."""
         if self.release:
-            self.ingress.view = View(self.release, self.hosts)
+            self.calls.apply(View.from_release(self.release, self.hosts))
 
     def status(self) -> dict[str, Any]:
         """Returns what is in force."""
@@ -165,8 +149,17 @@
 
     def stop(self) -> None:
         """Stops the process."""
+        self.reactor.callFromThread(self.drain)
+
+    def drain(self) -> None:
+        """Ends the process once no call is in flight."""
+        log_event(Event.DAEMON_DRAINING, 'draining', host=self.config.host_id)
+        self.calls.drain().addBoth(self.end)
+
+    def end(self, _drained: Any) -> None:
+        """Ends the process."""
         log_event(Event.DAEMON_STOPPED, 'stopped', host=self.config.host_id)
-        self.reactor.callFromThread(self.reactor.stop)
+        self.reactor.stop()
 
 
 def admin_app(daemon: Daemon) -> Klein:
@@ -177,6 +170,10 @@
     def status(_request: Any) -> bytes:
         return msgspec.json.encode(daemon.status())
 
+    @app.route('/dump')
+    def dump(_request: Any) -> bytes:
+        return msgspec.json.encode(daemon.calls.dump())
+
     return app
 
 
--- /dev/null
+++ b/egretlanding/egress.py
@@ -0,0 +1,269 @@
+"""Runs calls at the target beside the daemon."""
+
+import itertools
+import time
+from typing import Any
+
+import attrs
+
+from egretlanding.admission import Admission, Refuse, Start
+from egretlanding.callheaders import (
+    REPLAYED_HEADER,
+    is_denial,
+    own_headers_removed,
+)
+from egretlanding.exceptions import KeyFormatError
+from egretlanding.frames import CallReply, CallRequest, refusal_reply
+from egretlanding.httpserver import HttpResponse
+from egretlanding.idempotency import (
+    Answer,
+    Join,
+    KeyTable,
+    Replay,
+    Run,
+    request_digest,
+)
+from egretlanding.jobs import MS_PER_S, Job, JobTable, OnReply
+from egretlanding.keys import parse_key
+from egretlanding.objects import Service
+from egretlanding.outcomes import (
+    Progress,
+    Reason,
+    Refusal,
+)
+from egretlanding.ownership import Moment
+from egretlanding.quarantine import Quarantine, signature_of
+from egretlanding.targetcalls import TargetCalls, failed_attempt
+from egretlanding.targethealth import TargetHealth
+from egretlanding.targetpool import TargetOutcome
+
+CANCEL_PATH = '/cancel'
+
+
+@attrs.define(eq=False)
+class Egress:
+    """Admits calls to the local target and runs them there.
+
+    Attributes:
+        reactor: The reactor that gives the time.
+        target: Sends calls to the target.
+        health: Whether the target takes calls.
+        admission: The slots and the queue.
+        keys: The idempotency keys that ran here.
+        quarantine: Requests that crash targets.
+        table: The calls queued or running.
+        numbers: Source of job numbers and tickets.
+        timer: Wakes the queue when a wait ends.
+        abandoned: Calls that were cancelled while they ran.
+    """
+
+    reactor: Any
+    target: TargetCalls
+    health: TargetHealth
+    admission: Admission
+    keys: KeyTable
+    quarantine: Quarantine
+    table: JobTable = attrs.field(factory=JobTable)
+    numbers: Any = attrs.field(factory=lambda: itertools.count(1))
+    timer: Any = None
+    abandoned: int = 0
+
+    def moment(self) -> Moment:
+        """Returns the current time on both clocks."""
+        return Moment(self.reactor.seconds(), time.time())
+
+    def run(self, call: CallRequest, late_s: float, on_reply: OnReply) -> int:
+        """Runs a call, or refuses it.
+
+        Args:
+            call: The call.
+            late_s: How long it may have waited unread, seconds.
+            on_reply: Called once with the reply, maybe before this returns.
+
+        Returns:
+            A ticket for `cancel`.
+        """
+        ticket = next(self.numbers)
+        now = self.reactor.seconds()
+        job = Job(
+            job_id=next(self.numbers),
+            call=call,
+            deadline=now + call.remaining_ms / MS_PER_S - late_s,
+            arrived=now,
+            signature=signature_of(
+                call.route,
+                call.method,
+                call.path,
+                call.body,
+            ),
+        )
+        if call.key:
+            self.run_keyed(job, ticket, on_reply)
+        else:
+            self.admit(job, ticket, on_reply)
+        return ticket
+
+    def run_keyed(self, job: Job, ticket: int, on_reply: OnReply) -> None:
+        """Runs a call with a key, at most once."""
+        call = job.call
+        try:
+            job.key = parse_key(call.key)
+        except KeyFormatError as error:
+            refusal = Refusal.not_run(Reason.KEY_MALFORMED, str(error))
+            on_reply(self.refuse(refusal))
+            return
+        digest = request_digest(call.method, call.path, call.body)
+        match self.keys.decide(job.key, digest, self.moment()):
+            case Refusal() as refusal:
+                on_reply(self.refuse(refusal))
+            case Replay(answer):
+                on_reply(replayed(answer))
+            case Join():
+                known = self.table.by_key[job.key.text]
+                self.table.join(known, ticket, on_reply)
+            case Run():
+                self.keys.begin(job.key, digest)
+                self.admit(job, ticket, on_reply)
+
+    def admit(self, job: Job, ticket: int, on_reply: OnReply) -> None:
+        """Gives a call a slot, queues it or refuses it."""
+        self.table.add(job)
+        self.table.join(job, ticket, on_reply)
+        refusal = self.refusal_of(job)
+        if refusal:
+            self.end_refused(job, refusal)
+            return
+        match self.admission.offer(job.queued_call(), job.arrived):
+            case Start():
+                self.start(job)
+            case Refuse(refusal=refusal):
+                self.end_refused(job, refusal)
+            case _:
+                self.schedule()
+
+    def refusal_of(self, job: Job) -> Refusal | None:
+        """Returns why a call can't run at this target, if so."""
+        if not self.health.up:
+            return Refusal.not_run(Reason.NO_TARGET, 'the target is down')
+        if self.health.draining:
+            return Refusal.not_run(Reason.DRAINING, 'the target is leaving')
+        if not self.quarantine.suspects:
+            return None
+        running = [other.signature for other in self.table.running()]
+        return self.quarantine.check(job.signature, running, job.arrived)
+
+    def start(self, job: Job) -> None:
+        """Sends a call that has a slot to the target."""
+        job.running = True
+        self.target.send(
+            job,
+            self.reactor.seconds(),
+            lambda outcome: self.finish(job, outcome),
+        )
+
+    def finish(self, job: Job, outcome: TargetOutcome) -> None:
+        """Frees the slot of a call that the target is done with."""
+        now = self.reactor.seconds()
+        response = outcome.response
+        denied = response is not None and is_denial(response)
+        if denied or outcome.progress is Progress.UNSENT:
+            self.admission.record_shed(job.job_id, now)
+        else:
+            self.admission.release(job.job_id, now)
+        if response is None:
+            self.target.note_loss(outcome, self.table.running(), now)
+            self.end_refused(job, failed_attempt(outcome).to_refusal())
+        elif denied:
+            self.health.check()
+            detail = 'the target refused the call'
+            self.end_refused(job, Refusal.not_run(Reason.SHED, detail))
+        else:
+            self.end_answered(job, response)
+        self.advance()
+
+    def end_answered(self, job: Job, response: HttpResponse) -> None:
+        """Passes an answer to all who wait for it."""
+        headers = own_headers_removed(response.headers)
+        if job.key:
+            answer = Answer(response.status, tuple(headers), response.body)
+            self.keys.record_answer(job.key, answer)
+        self.quarantine.record_completed(job.signature)
+        self.table.remove(job)
+        job.reply(
+            CallReply(
+                0,
+                response.status,
+                headers,
+                response.body,
+                load=len(self.table.jobs),
+            ),
+        )
+
+    def end_refused(self, job: Job, refusal: Refusal) -> None:
+        """Passes a refusal to all who wait for an answer."""
+        if job.key:
+            self.keys.record_refusal(job.key, refusal)
+        self.table.remove(job)
+        job.reply(self.refuse(refusal))
+
+    def refuse(self, refusal: Refusal) -> CallReply:
+        """Returns the reply that carries a refusal."""
+        return refusal_reply(0, refusal, len(self.table.jobs))
+
+    def cancel(self, ticket: int) -> None:
+        """Abandons a call.
+
+        A queued call never runs. The target is asked to end a running one,
+        whose slot is free once the target has answered. A call with a key
+        runs on, since its caller may ask for the answer again.
+        """
+        job = self.table.leave(ticket)
+        if job is None or job.waiters or job.key:
+            return
+        if self.admission.cancel(job.job_id):
+            self.table.remove(job)
+        elif job.running:
+            self.abandoned += 1
+            self.target.cancel(job)
+
+    def advance(self) -> None:
+        """Starts and refuses queued calls that are due."""
+        if self.admission.waiting:
+            for decision in self.admission.advance(self.reactor.seconds()):
+                self.take_decision(decision)
+            self.schedule()
+
+    def take_decision(self, decision: Start | Refuse) -> None:
+        """Carries out a decision on a call that was queued."""
+        job = self.table.jobs[decision.call.call_id]
+        if isinstance(decision, Refuse):
+            self.end_refused(job, decision.refusal)
+        else:
+            self.start(job)
+
+    def schedule(self) -> None:
+        """Sets the timer for the next wait that ends."""
+        now = self.reactor.seconds()
+        due = self.admission.next_wake(now)
+        if self.timer and self.timer.active():
+            self.timer.cancel()
+        if due is not None:
+            delay = max(0, due - now)
+            self.timer = self.reactor.callLater(delay, self.advance)
+
+    def apply(self, service: Service) -> None:
+        """Takes over the bounds of the service."""
+        self.admission.queue_limit = service.queue_limit
+        self.admission.slots.limit.slots = service.slots
+        self.target.pool.limit = service.connections
+
+    def tick(self) -> None:
+        """Forgets what has expired."""
+        self.keys.expire(self.moment())
+        self.quarantine.expire(self.reactor.seconds())
+
+
+def replayed(answer: Answer) -> CallReply:
+    """Returns the reply that repeats a stored answer."""
+    headers = [*answer.headers, (REPLAYED_HEADER, 'yes')]
+    return CallReply(0, answer.status, headers, answer.body)
--- a/egretlanding/exceptions.py
+++ b/egretlanding/exceptions.py
@@ -55,6 +55,11 @@
     """A message between daemons can't be decoded."""
 
 
+@final
+class CallHeaderError(RemediedError):
+    """A header of a call has a value that can't be used."""
+
+
 @final
 class KeyFormatError(RemediedError):
     """An idempotency key doesn't have a form that can be honoured."""
--- a/egretlanding/httpclient.py
+++ b/egretlanding/httpclient.py
@@ -67,7 +67,7 @@
         self.on_response: OnResponse | None = None
         self.usable = True
         self.is_head = False
-        self.idle_since = 0.0
+        self.idle_since: float = 0
         self.reset()
 
     def reset(self) -> None:
--- a/egretlanding/httpserver.py
+++ b/egretlanding/httpserver.py
@@ -25,7 +25,9 @@
     ('x-egretlanding-ran', 'no'),
     ('x-egretlanding-reason', 'malformed-request'),
 )
-MALFORMED = b'the request is not served; send well-formed HTTP/1.1 within limits'
+MALFORMED = (
+    b'the request is not served; send well-formed HTTP/1.1 within limits'
+)
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -130,27 +132,20 @@
     """Serves one connection of a caller.
 
     Attributes:
-        handler: Called with each whole request.
+        server: Who handles the requests and knows the connections.
         pending: Requests that aren't answered yet, oldest first.
     """
 
-    def __init__(
-        self,
-        handler: Handler,
-        connections: set['HttpServer'],
-    ) -> None:
+    def __init__(self, factory: 'HttpServerFactory') -> None:
         """Prepares the parser.
 
         Args:
-            handler: Called with each whole request.
-            connections: The open connections, which this one joins.
+            factory: Who handles the requests and knows the connections.
         """
-        self.handler = handler
-        self.connections = connections
+        self.server = factory
         self.pending: deque[Exchange] = deque()
         self.parser = httptools.HttpRequestParser(self)
         self.refused = False
-        self.leaving = False
         self.reset()
 
     def reset(self) -> None:
@@ -165,7 +160,7 @@
         """Turns off Nagle's algorithm, since answers are written whole."""
         transport: Any = self.transport
         transport.setTcpNoDelay(True)
-        self.connections.add(self)
+        self.server.connections.add(self)
 
     def dataReceived(self, data: bytes) -> None:
         """Feeds the parser; a malformed request closes the connection."""
@@ -188,7 +183,7 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Tells the requests in flight that their caller is gone."""
         self.refused = True
-        self.connections.discard(self)
+        self.server.connections.discard(self)
         abandoned = [entry for entry in self.pending if not entry.response]
         self.pending.clear()
         for entry in abandoned:
@@ -203,10 +198,9 @@
         entry.respond(HttpResponse(status, list(NOT_RUN_HEADERS), MALFORMED))
 
     def drain(self) -> None:
-        """Closes the connection once its requests are answered."""
-        self.leaving = True
-        if not self.pending and not self.header_bytes:
-            self.close()
+        """Closes the connection unless requests wait for answers."""
+        if not self.pending:
+            self.write(b'', last=True)
 
     def flush(self) -> None:
         """Writes the answers that are due, oldest first."""
@@ -215,11 +209,11 @@
             if response is None:
                 break
             entry = self.pending.popleft()
-            last = self.leaving and not self.pending
+            last = self.server.leaving and not self.pending
             keep_alive = entry.request.keep_alive and not last
-            self.write(response.to_bytes(keep_alive=keep_alive))
+            encoded = response.to_bytes(keep_alive=keep_alive)
+            self.write(encoded, last=not keep_alive)
             if not keep_alive:
-                self.close()
                 return
         self.regulate()
 
@@ -231,15 +225,12 @@
         elif transport.connected:
             transport.resumeProducing()
 
-    def write(self, encoded: bytes) -> None:
-        """Writes to the caller."""
+    def write(self, encoded: bytes, *, last: bool = False) -> None:
+        """Writes to the caller and closes after the last answer."""
         transport: Any = self.transport
         transport.write(encoded)
-
-    def close(self) -> None:
-        """Closes the connection once everything is written."""
-        transport: Any = self.transport
-        transport.loseConnection()
+        if last:
+            transport.loseConnection()
 
     def on_url(self, url: bytes) -> None:
         """Collects the request target."""
@@ -284,7 +275,7 @@
         entry = Exchange(request, self)
         self.pending.append(entry)
         self.regulate()
-        self.handler(entry)
+        self.server.handler(entry)
 
     def limit_headers(self, size: int) -> None:
         """Counts header bytes against their limit."""
@@ -306,10 +297,11 @@
         """
         self.handler = handler
         self.connections: set[HttpServer] = set()
+        self.leaving = False
 
     def buildProtocol(self, addr: Any) -> HttpServer:
         """Builds the protocol of one connection."""
-        return HttpServer(self.handler, self.connections)
+        return HttpServer(self)
 
     def drain(self) -> None:
         """Closes each connection once its requests are answered."""
--- a/egretlanding/ingress.py
+++ b/egretlanding/ingress.py
@@ -1,65 +1,37 @@
 """Takes calls from callers and sends them to targets."""
 
-import random
-from http import HTTPStatus
+import itertools
+from collections import Counter
+from collections.abc import Callable
 from typing import Any
 
 import attrs
-from twisted.internet.defer import ensureDeferred
-from twisted.python.failure import Failure
 
-from egretlanding.hosts import Host, HostList
-from egretlanding.httpserver import Exchange, HttpRequest, HttpResponse
-from egretlanding.messages import CallReply, CallRequest, Ran
-from egretlanding.objects import IdempotencyRule, Route
-from egretlanding.peers import PeerConnection, PeerNode, connect_peer
-from egretlanding.release import Release
-from egretlanding.target import TargetPool
-
-RAN_HEADER = 'x-egretlanding-ran'
-REASON_HEADER = 'x-egretlanding-reason'
-KEY_HEADER = 'idempotency-key'
-TIMEOUT_HEADER = 'x-timeout-ms'
-DEPTH_HEADER = 'x-call-depth'
-
-
-@attrs.frozen
-class View:
-    """The configuration that a call is served with from start to end.
-
-    Attributes:
-        release: The release in force.
-        hosts: The host list in force.
-    """
-
-    release: Release
-    hosts: HostList
-
-    def route_of(self, request: HttpRequest) -> tuple[str, Route] | None:
-        """Returns the route with the longest prefix that matches."""
-        matches = [
-            (name, entry.spec)
-            for (kind, name), entry in self.release.objects.items()
-            if kind == 'Route'
-            and request.path.startswith(entry.spec.path_prefix)
-            and request.method in (entry.spec.methods or (request.method,))
-        ]
-        return max(
-            matches,
-            key=lambda match: len(match[1].path_prefix),
-            default=None,
-        )
-
-    def is_idempotent(self, route: str, method: str) -> bool:
-        """Tells whether a rule says that the call may run twice."""
-        rules = [
-            entry.spec
-            for entry in self.release.objects.values()
-            if isinstance(entry.spec, IdempotencyRule)
-            and entry.spec.route == route
-            and method in (entry.spec.methods or (method,))
-        ]
-        return bool(rules) and all(rule.idempotent for rule in rules)
+from egretlanding.attempts import Attempt, CallRun
+from egretlanding.callheaders import CallMeta, malformed, response_of
+from egretlanding.egress import Egress
+from egretlanding.exceptions import CallHeaderError, KeyFormatError
+from egretlanding.frames import (
+    CallReply,
+    CallRequest,
+    Ran,
+    refusal_reply,
+)
+from egretlanding.hosts import Host
+from egretlanding.httpserver import Exchange
+from egretlanding.jobs import MS_PER_S
+from egretlanding.keys import parse_key
+from egretlanding.objects import WorkClass
+from egretlanding.outcomes import Reason, Refusal
+from egretlanding.ownership import locate_owner
+from egretlanding.peerlinks import BULK_BYTES, PeerLinks, lane_for
+from egretlanding.retries import CallContext
+from egretlanding.routing import Match
+from egretlanding.serviceroutes import ServiceRoutes
+from egretlanding.views import View
+
+MAX_BULK_ROUTES = 1_024
+OnReply = Callable[[CallReply], None]
 
 
 @attrs.define(eq=False)
@@ -67,135 +39,164 @@
     """Sends each call to the daemon beside a target.
 
     Attributes:
-        reactor: The reactor to connect with.
+        reactor: The reactor that gives the time.
         host_id: This daemon's host.
-        node: What the peer connections share.
-        pool: Connections to the local target.
-        view: The configuration in force, None until there is one.
-        connections: Peer connections by host.
+        links: Connections to other daemons.
+        egress: Runs calls at the local target.
+        routes: What is known of the services.
+        late_s: Returns how long arriving bytes may have waited, seconds.
+        hedging: Whether idempotent calls may be hedged.
+        classes: Whether short and long work are told apart.
+        runs: The calls in flight.
+        bulk_routes: Routes whose answers have been large.
+        numbers: Source of attempt numbers.
+        outcomes: Calls answered, by whether they ran and why not.
+        hedges: Second attempts made beside late first ones.
     """
 
     reactor: Any
     host_id: str
-    node: PeerNode
-    pool: TargetPool
-    view: View | None = None
-    connections: dict[str, PeerConnection] = attrs.field(factory=dict)
+    links: PeerLinks
+    egress: Egress
+    routes: ServiceRoutes
+    late_s: Callable[[], float]
+    hedging: bool = True
+    classes: bool = True
+    runs: set[CallRun] = attrs.field(factory=set)
+    bulk_routes: set[str] = attrs.field(factory=set)
+    numbers: Any = attrs.field(factory=lambda: itertools.count(1))
+    outcomes: Counter[tuple[str, str]] = attrs.field(factory=Counter)
+    hedges: int = 0
+
+    def next_number(self) -> int:
+        """Returns a number for an attempt."""
+        return int(next(self.numbers))
+
+    def work_class(self, declared: WorkClass) -> WorkClass:
+        """Returns the class of work that the target's daemon is told."""
+        return declared if self.classes else WorkClass.SHORT
 
     def handle(self, entry: Exchange) -> None:
         """Serves a call from a caller."""
-        view = self.view
+        view = self.routes.view
         if view is None:
-            entry.respond(refusal(HTTPStatus.SERVICE_UNAVAILABLE, 'not_ready'))
+            self.refuse(
+                entry,
+                Refusal.not_run(
+                    Reason.NOT_READY,
+                    'the daemon has no configuration yet',
+                ),
+            )
             return
-        match = view.route_of(entry.request)
+        match = view.routes.match(entry.request.method, entry.request.path)
         if match is None:
-            entry.respond(refusal(HTTPStatus.NOT_FOUND, 'no_route'))
+            detail = f'no Route takes {entry.request.method} on this path'
+            self.refuse(entry, Refusal.not_run(Reason.NO_ROUTE, detail))
             return
-        name, route = match
-        hosts = view.hosts.of_service(route.service)
-        if not hosts:
-            entry.respond(refusal(HTTPStatus.SERVICE_UNAVAILABLE, 'no_target'))
+        try:
+            meta = CallMeta.from_request(entry.request)
+        except CallHeaderError as error:
+            self.refuse(entry, malformed(error))
             return
-        call = build_call(
-            entry.request,
-            name,
-            view.is_idempotent(name, entry.request.method),
-        )
-        self.dispatch(random.choice(hosts), call, entry)
+        self.run(entry, view, match, meta)
 
-    def dispatch(
+    def run(
         self,
-        host: Host,
-        call: CallRequest,
         entry: Exchange,
+        view: View,
+        match: Match,
+        meta: CallMeta,
     ) -> None:
-        """Sends a call to the daemon of a host and answers the caller."""
-        sent = ensureDeferred(self.send(host, call, entry))
-        sent.addErrback(lambda _failure: not_sent(entry, _failure))
-
-    async def send(
+        """Begins a call that has a route."""
+        owner = self.find_owner(view, match, meta.key)
+        if isinstance(owner, Refusal):
+            self.refuse(entry, owner)
+            return
+        run = CallRun(
+            ingress=self,
+            entry=entry,
+            match=match,
+            context=CallContext(
+                deadline=self.deadline(match, meta),
+                idempotent=match.idempotent,
+                key_owner=owner.host_id if owner else '',
+                depth=meta.depth,
+                is_retry=meta.is_retry,
+            ),
+            known=self.routes.service(
+                match.service_name,
+                self.reactor.seconds(),
+            ),
+            key=meta.key if owner else '',
+            owner=owner,
+        )
+        self.runs.add(run)
+        run.start()
+
+    def deadline(self, match: Match, meta: CallMeta) -> float:
+        """Returns when a call's answer has no more use, seconds."""
+        allowed_ms = match.policy.timeout_ms
+        if meta.timeout_ms is not None:
+            allowed_ms = min(allowed_ms, meta.timeout_ms)
+        now = float(self.reactor.seconds())
+        return now + allowed_ms / MS_PER_S - self.late_s()
+
+    def find_owner(
         self,
-        host: Host,
-        call: CallRequest,
-        entry: Exchange,
-    ) -> None:
-        """Sends a call over the kept connection to a host."""
-        connection = self.connections.get(host.host_id)
-        if connection is None or not connection.is_open():
-            connection = await connect_peer(self.reactor, host, self.node)
-            self.connections[host.host_id] = connection
-        connection.call(call, lambda reply: entry.respond(to_response(reply)))
-
-    def run_local(
+        view: View,
+        match: Match,
+        text: str,
+    ) -> Host | Refusal | None:
+        """Returns the host that owns a call's key, or why it can't run.
+
+        Idempotent calls need no owner, so their key is only passed on.
+        """
+        if not text or match.idempotent:
+            return None
+        try:
+            key = parse_key(text)
+        except KeyFormatError as error:
+            return Refusal.not_run(Reason.KEY_MALFORMED, str(error))
+        hosts = view.hosts.of_service(match.service_name)
+        return locate_owner(key, match.service_name, hosts)
+
+    def send(
         self,
-        connection: PeerConnection,
+        attempt: Attempt,
         call: CallRequest,
+        on_reply: OnReply,
     ) -> None:
-        """Runs a call from another daemon at the local target."""
-        request = HttpRequest(call.method, call.path, call.headers, call.body)
-        self.pool.run(
-            request,
-            lambda response: connection.send(to_reply(call, response)),
-        )
-
-
-def build_call(
-    request: HttpRequest,
-    route: str,
-    idempotent: bool,
-) -> CallRequest:
-    """Builds the message that carries a caller's request."""
-    return CallRequest(
-        0,
-        request.method,
-        request.path,
-        request.headers,
-        request.body,
-        route,
-        int(request.header(TIMEOUT_HEADER, '1000')),
-        int(request.header(DEPTH_HEADER, '0')),
-        request.header(KEY_HEADER),
-        idempotent,
-    )
-
-
-def to_reply(call: CallRequest, response: HttpResponse | None) -> CallReply:
-    """Returns the reply that carries a target's response."""
-    if response is None:
-        return CallReply(
-            call.call_id,
-            HTTPStatus.BAD_GATEWAY,
-            [],
-            b'',
-            Ran.UNKNOWN,
-            'target_lost',
-        )
-    return CallReply(
-        call.call_id,
-        response.status,
-        response.headers,
-        response.body,
-    )
-
-
-def to_response(reply: CallReply) -> HttpResponse:
-    """Returns the response that carries a reply to the caller."""
-    headers = [*reply.headers, (RAN_HEADER, reply.ran.value)]
-    if reply.reason:
-        headers.append((REASON_HEADER, reply.reason))
-    return HttpResponse(reply.status, headers, reply.body)
-
-
-def refusal(status: int, reason: str) -> HttpResponse:
-    """Returns the refusal of a call that did not run."""
-    return HttpResponse(
-        status,
-        [(RAN_HEADER, Ran.NOT_RUN.value), (REASON_HEADER, reason)],
-        b'',
-    )
-
-
-def not_sent(entry: Exchange, _failure: Failure) -> None:
-    """Refuses a call that reached no other daemon."""
-    entry.respond(refusal(HTTPStatus.SERVICE_UNAVAILABLE, 'target_unreachable'))
+        """Sends an attempt to the daemon beside its target."""
+        if attempt.host.host_id == self.host_id:
+            ticket = self.egress.run(call, 0, on_reply)
+            attempt.cancel = lambda: self.egress.cancel(ticket)
+            return
+        is_long = call.work is WorkClass.LONG
+        bulky = BULK_BYTES + 1 if call.route in self.bulk_routes else 0
+        lane = lane_for(len(call.body) + bulky, is_long)
+        pending = self.links.send(attempt.host, lane, call, on_reply)
+        attempt.cancel = pending.cancel
+        attempt.is_sent = pending.is_sent
+
+    def record_size(self, route: str, size: int) -> None:
+        """Learns which routes have large answers."""
+        if size > BULK_BYTES and len(self.bulk_routes) < MAX_BULK_ROUTES:
+            self.bulk_routes.add(route)
+
+    def refuse(self, entry: Exchange, refusal: Refusal) -> None:
+        """Answers a call that is refused before any attempt."""
+        reply = refusal_reply(0, refusal)
+        self.count(reply)
+        entry.respond(response_of(reply))
+
+    def count(self, reply: CallReply) -> None:
+        """Counts an answered call."""
+        self.outcomes[reply.ran.value, reply.reason] += 1
+
+    def forget(self, run: CallRun) -> None:
+        """Forgets a call that has ended."""
+        self.runs.discard(run)
+
+    def answered(self) -> int:
+        """Returns the number of calls that a target answered."""
+        return self.outcomes[Ran.YES.value, '']
--- /dev/null
+++ b/egretlanding/jobs.py
@@ -0,0 +1,102 @@
+"""The calls that one daemon runs at its own target."""
+
+from collections.abc import Callable
+
+import attrs
+
+from egretlanding.frames import CallReply, CallRequest
+from egretlanding.keys import Key
+from egretlanding.slots import QueuedCall
+
+MS_PER_S = 1_000
+
+# Called once with the reply to a call.
+OnReply = Callable[[CallReply], None]
+
+
+@attrs.define(eq=False)
+class Job:
+    """One call at the target, wanted by one caller or several.
+
+    Attributes:
+        job_id: The daemon's own number for the call.
+        call: The call as it arrived first.
+        deadline: When its answer has no more use, seconds.
+        arrived: When it arrived, seconds.
+        signature: The request's signature for the quarantine.
+        key: Its idempotency key, or None.
+        waiters: Who wants the reply, by ticket.
+        running: Whether the target has it.
+    """
+
+    job_id: int
+    call: CallRequest
+    deadline: float
+    arrived: float
+    signature: str
+    key: Key | None = None
+    waiters: dict[int, OnReply] = attrs.field(factory=dict)
+    running: bool = False
+
+    def queued_call(self) -> QueuedCall:
+        """Returns the call as the admission sees it."""
+        return QueuedCall(
+            self.job_id,
+            self.call.route,
+            self.call.work,
+            self.deadline,
+            self.call.short_wait_ms / MS_PER_S,
+            self.arrived,
+        )
+
+    def reply(self, reply: CallReply) -> None:
+        """Replies to all who wait."""
+        waiters = self.waiters
+        self.waiters = {}
+        for on_reply in waiters.values():
+            on_reply(reply)
+
+
+@attrs.define(eq=False)
+class JobTable:
+    """The calls at the target, queued or running.
+
+    Attributes:
+        jobs: The calls by number.
+        by_key: The calls by the text of their idempotency key.
+        by_ticket: The calls by the tickets of those who wait.
+    """
+
+    jobs: dict[int, Job] = attrs.field(factory=dict)
+    by_key: dict[str, Job] = attrs.field(factory=dict)
+    by_ticket: dict[int, Job] = attrs.field(factory=dict)
+
+    def running(self) -> list[Job]:
+        """Returns the calls that the target has."""
+        return [job for job in self.jobs.values() if job.running]
+
+    def add(self, job: Job) -> None:
+        """Takes in a call."""
+        self.jobs[job.job_id] = job
+        if job.key:
+            self.by_key[job.key.text] = job
+
+    def join(self, job: Job, ticket: int, on_reply: OnReply) -> None:
+        """Adds one who waits for the reply to a call."""
+        job.waiters[ticket] = on_reply
+        self.by_ticket[ticket] = job
+
+    def leave(self, ticket: int) -> Job | None:
+        """Removes one who waits, and returns the call that it waited for."""
+        job = self.by_ticket.pop(ticket, None)
+        if job:
+            job.waiters.pop(ticket, None)
+        return job
+
+    def remove(self, job: Job) -> None:
+        """Forgets a call that has ended."""
+        self.jobs.pop(job.job_id, None)
+        if job.key:
+            self.by_key.pop(job.key.text, None)
+        for ticket in job.waiters:
+            self.by_ticket.pop(ticket, None)
--- a/egretlanding/outcomes.py
+++ b/egretlanding/outcomes.py
@@ -38,6 +38,8 @@
     CONNECTION_LOST = 'connection-lost'
     TRUNCATED = 'truncated'
     CANCELLED = 'cancelled'
+    NOT_READY = 'not-ready'
+    HEADER_MALFORMED = 'header-malformed'
     KEY_MALFORMED = 'key-malformed'
     KEY_REUSED = 'key-reused'
     KEY_EXPIRED = 'key-expired'
@@ -101,6 +103,14 @@
     Reason.CONNECTION_LOST: ReasonTraits(HTTPStatus.BAD_GATEWAY, _CHECK_FIRST),
     Reason.TRUNCATED: ReasonTraits(HTTPStatus.BAD_GATEWAY, _CHECK_FIRST),
     Reason.CANCELLED: ReasonTraits(HTTPStatus.REQUEST_TIMEOUT, _CHECK_FIRST),
+    Reason.NOT_READY: ReasonTraits(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'send the call to another host',
+    ),
+    Reason.HEADER_MALFORMED: ReasonTraits(
+        HTTPStatus.BAD_REQUEST,
+        'send each header once, with a value in its bounds',
+    ),
     Reason.KEY_MALFORMED: ReasonTraits(
         HTTPStatus.BAD_REQUEST,
         'send a UUIDv7 or a key issued by a daemon',
--- a/egretlanding/peerlinks.py
+++ b/egretlanding/peerlinks.py
@@ -54,6 +54,10 @@
         self.connection = connection
         self.call_id = connection.call(self.request, self.on_reply)
 
+    def is_sent(self) -> bool:
+        """Tells whether any byte of the call may have left this daemon."""
+        return self.connection is not None
+
     def cancel(self) -> None:
         """Abandons the call; its reply is dropped."""
         self.cancelled = True
@@ -96,7 +100,8 @@
         self.failures += 1
         self.barred_until = now + min(BACKOFF_LONGEST_S, pause)
         self.connecting = False
-        queued, self.queued = self.queued, []
+        queued = self.queued
+        self.queued = []
         return queued
 
     def record_success(self, connection: PeerConnection) -> list[PendingCall]:
@@ -104,7 +109,8 @@
         self.connection = connection
         self.connecting = False
         self.failures = 0
-        queued, self.queued = self.queued, []
+        queued = self.queued
+        self.queued = []
         return queued
 
 
@@ -121,7 +127,7 @@
 
     reactor: Any
     node: PeerNode
-    on_unreachable: Callable[[str], None]
+    on_unreachable: Callable[[str], None] = lambda _host_id: None
     lanes: dict[tuple[Host, Lane], PeerLane] = attrs.field(factory=dict)
 
     def incarnation_of(self, host: Host) -> int | None:
--- a/egretlanding/peers.py
+++ b/egretlanding/peers.py
@@ -29,6 +29,7 @@
 # Called with the reply to a call, or with a synthetic one if it was lost.
 OnReply = Callable[[CallReply], None]
 OnCall = Callable[['PeerConnection', CallRequest], None]
+OnReadiness = Callable[['PeerConnection', bool], None]
 OnConnection = Callable[['PeerConnection'], None]
 
 
@@ -40,6 +41,7 @@
         peer: How the other daemon introduced itself, None before it did.
         waiting: What to call with the replies to calls in flight.
         served: Jobs of calls from the other daemon, by the call's number.
+        ready: Whether the other daemon takes calls.
         heard: Bytes that arrived so far.
     """
 
@@ -56,6 +58,7 @@
         self.waiting: dict[int, OnReply] = {}
         self.served: dict[int, int] = {}
         self.call_ids = itertools.count(1)
+        self.ready = True
         self.heard = 0
         self.heard_before = -1
 
@@ -161,8 +164,10 @@
                 self.send(Pong())
             case Hello():
                 self.peer = frame
+                self.ready = frame.ready
                 self.node.on_readiness(self, frame.ready)
             case Readiness():
+                self.ready = frame.ready
                 self.node.on_readiness(self, frame.ready)
 
 
@@ -174,17 +179,17 @@
         hello: How this daemon introduces itself.
         on_call: Called with each call that arrives.
         on_cancel: Called when the other daemon abandons a call.
+        on_close: Called when a connection is gone.
         on_readiness: Called when the other daemon starts or stops taking
             calls.
-        on_close: Called when a connection is gone.
         connections: The connections that are open, in both directions.
     """
 
     hello: Hello
     on_call: OnCall
     on_cancel: Callable[[PeerConnection, int], None]
-    on_readiness: Callable[[PeerConnection, bool], None]
     on_close: OnConnection
+    on_readiness: OnReadiness = lambda _connection, _ready: None
     connections: set[PeerConnection] = attrs.field(factory=set)
 
     def announce(self, ready: bool) -> None:
--- a/egretlanding/retries.py
+++ b/egretlanding/retries.py
@@ -14,9 +14,9 @@
 )
 from egretlanding.tokens import TokenBucket
 
-DEPTH_HEADER = 'x-egretlanding-depth'
-RETRY_HEADER = 'x-egretlanding-retry'
-DEADLINE_HEADER = 'x-egretlanding-deadline-ms'
+DEPTH_HEADER = 'x-call-depth'
+RETRY_HEADER = 'x-call-retry'
+DEADLINE_HEADER = 'x-timeout-ms'
 KEY_HEADER = 'idempotency-key'
 
 MAX_DEPTH = 8
--- /dev/null
+++ b/egretlanding/targetcalls.py
@@ -0,0 +1,101 @@
+"""Sends calls to the target and finds out why it lost them."""
+
+from collections.abc import Iterable
+
+import attrs
+
+from egretlanding.callheaders import (
+    TARGET_CALL_HEADER,
+    TARGET_DEADLINE_HEADER,
+)
+from egretlanding.httpserver import HttpRequest
+from egretlanding.jobs import MS_PER_S, Job
+from egretlanding.outcomes import FailedAttempt, Progress, Reason
+from egretlanding.quarantine import Quarantine
+from egretlanding.targethealth import TargetHealth
+from egretlanding.targetpool import OnOutcome, TargetOutcome, TargetPool
+
+CANCEL_PATH = '/cancel'
+
+
+@attrs.define(eq=False)
+class TargetCalls:
+    """Sends calls to the target beside the daemon.
+
+    Attributes:
+        process: Names the daemon's process, as host:incarnation.
+        pool: Connections to the target.
+        health: Whether the target takes calls.
+        quarantine: Requests that crash targets.
+    """
+
+    process: str
+    pool: TargetPool
+    health: TargetHealth
+    quarantine: Quarantine
+
+    def send(self, job: Job, now: float, on_outcome: OnOutcome) -> None:
+        """Sends a call that has a slot."""
+        call = job.call
+        remaining_ms = max(1, int((job.deadline - now) * MS_PER_S))
+        self.pool.run(
+            HttpRequest(call.method, call.path, call.headers, call.body),
+            [
+                (TARGET_CALL_HEADER, self.name_of(job)),
+                (TARGET_DEADLINE_HEADER, str(remaining_ms)),
+            ],
+            on_outcome,
+        )
+
+    def cancel(self, job: Job) -> None:
+        """Asks the target to end a call."""
+        request = HttpRequest('POST', CANCEL_PATH, [], b'')
+        header = (TARGET_CALL_HEADER, self.name_of(job))
+        self.pool.run(request, [header], lambda _outcome: None)
+
+    def name_of(self, job: Job) -> str:
+        """Returns the name by which the target knows a call."""
+        return f'{self.process}.{job.job_id}'
+
+    def note_loss(
+        self,
+        outcome: TargetOutcome,
+        running: Iterable[Job],
+        now: float,
+    ) -> None:
+        """Finds out whether the target's process is gone.
+
+        The requests that it was running are noted before the others learn
+        of the loss, since each of them may have brought it down.
+
+        Args:
+            outcome: How a call was lost.
+            running: The calls that the target had.
+            now: Monotonic time, seconds.
+        """
+        if outcome.progress is Progress.UNSENT:
+            self.health.check()
+            return
+        process = f'{self.process}.{self.health.epoch}'
+        blamed = [job.signature for job in running]
+        self.pool.connect().addCallbacks(
+            self.pool.keep,
+            lambda _failure: self.note_crash(process, blamed, now),
+        )
+
+    def note_crash(self, process: str, blamed: list[str], now: float) -> None:
+        """Blames the calls that a crashed target was running."""
+        self.quarantine.record_crash(process, blamed, now)
+        self.health.update(up=False, draining=False)
+
+
+def failed_attempt(outcome: TargetOutcome) -> FailedAttempt:
+    """Returns what became of a call without a whole answer."""
+    match outcome.progress:
+        case Progress.UNSENT:
+            reason, detail = Reason.NO_TARGET, 'the target refused to connect'
+        case Progress.SENT:
+            reason, detail = Reason.CONNECTION_LOST, 'the target was lost'
+        case _:
+            reason, detail = Reason.TRUNCATED, "the target's answer was cut"
+    return FailedAttempt(reason, outcome.progress, detail=detail)
--- /dev/null
+++ b/egretlanding/targethealth.py
@@ -0,0 +1,135 @@
+"""Watches the target beside the daemon."""
+
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Any
+
+import attrs
+import msgspec
+
+from egretlanding.events import Event, Severity, log_event
+from egretlanding.httpserver import HttpRequest
+from egretlanding.outcomes import Progress
+from egretlanding.targetpool import TargetOutcome, TargetPool
+
+CHECK_S = 1
+CHECK_DOWN_S = 0.2
+LOAD_PATH = '/load'
+MISSES_TO_DOWN = 3
+
+
+class LoadReport(msgspec.Struct):
+    """What the target says of itself; it may lag.
+
+    Attributes:
+        draining: Whether it takes no new calls.
+    """
+
+    draining: bool = False
+
+
+@attrs.define(eq=False)
+class TargetHealth:
+    """Whether the target takes calls, by its port and its own report.
+
+    A target whose port refuses connections is down at once; one that
+    doesn't answer is down after a few checks. A report alone never brings
+    calls to a stop for longer than it is repeated.
+
+    Attributes:
+        reactor: The reactor that runs the checks.
+        pool: Connections to the target.
+        on_change: Called when the target starts or stops taking calls.
+        up: Whether the target answers.
+        draining: Whether it said that it takes no new calls.
+        epoch: Times that it came up, which tells its processes apart.
+        misses: Checks without an answer in a row.
+        checking: Whether a check is under way.
+    """
+
+    reactor: Any
+    pool: TargetPool
+    on_change: Callable[[], None] = lambda: None
+    up: bool = False
+    draining: bool = False
+    epoch: int = 0
+    misses: int = 0
+    checking: bool = False
+    timer: Any = None
+
+    @property
+    def takes_calls(self) -> bool:
+        """Tells whether calls may be sent to the target."""
+        return self.up and not self.draining
+
+    def start(self) -> None:
+        """Checks now and from then on."""
+        self.check()
+        delay = CHECK_S if self.up else CHECK_DOWN_S
+        self.timer = self.reactor.callLater(delay, self.start)
+
+    def stop(self) -> None:
+        """Ends the checks."""
+        if self.timer and self.timer.active():
+            self.timer.cancel()
+
+    def check(self) -> None:
+        """Asks the target for its report."""
+        if self.checking:
+            self.miss()
+            return
+        self.checking = True
+        request = HttpRequest('GET', LOAD_PATH, [], b'')
+        self.pool.run(request, [], self.take_outcome)
+
+    def miss(self) -> None:
+        """Counts a check without an answer."""
+        self.misses += 1
+        if self.misses >= MISSES_TO_DOWN:
+            self.update(up=False, draining=self.draining)
+
+    def take_outcome(self, outcome: TargetOutcome) -> None:
+        """Takes the outcome of a check."""
+        self.checking = False
+        response = outcome.response
+        if response is None:
+            if outcome.progress is Progress.UNSENT:
+                self.misses = MISSES_TO_DOWN
+            self.miss()
+            return
+        self.misses = 0
+        # A target without a load endpoint is up as long as it answers.
+        report = LoadReport()
+        if response.status == HTTPStatus.OK:
+            report = decode_report(response.body)
+        self.update(up=True, draining=report.draining)
+
+    def update(self, *, up: bool, draining: bool) -> None:
+        """Takes over a new state and tells of a change."""
+        before = self.takes_calls
+        if up != self.up:
+            self.log(up)
+        self.epoch += int(up and not self.up)
+        self.up = up
+        self.draining = draining
+        if self.takes_calls != before:
+            self.on_change()
+
+    def log(self, up: bool) -> None:
+        """Writes the event of a target that came up or went down."""
+        if up:
+            log_event(Event.TARGET_REACHABLE, 'target answers')
+        else:
+            log_event(
+                Event.TARGET_UNREACHABLE,
+                'target does not answer; look at its own process',
+                Severity.WARNING,
+            )
+
+
+def decode_report(body: bytes) -> LoadReport:
+    """Returns a load report; one that can't be read says nothing."""
+    try:
+        return msgspec.json.decode(body, type=LoadReport)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return LoadReport()
