--- a/egretlanding/callnotices.py
+++ b/egretlanding/callnotices.py
@@ -1,64 +1,42 @@
-"""Short-lived facts of the call path that daemons pass on to each other."""
-
-import enum
-
-import attrs
+"""Notices on requests that crash targets."""
 
+from egretlanding.messages import Notice, NoticeKind
 from egretlanding.quarantine import FactKind, Quarantine, RequestFact
 
-
-class CallNoticeKind(enum.StrEnum):
-    """The kinds of facts, as the control exchange names them."""
-
-    LEAVING = 'leaving'
-    SUSPECT = 'suspect'
-    QUARANTINED = 'quarantined'
-    CLEARED = 'cleared'
-
-
-@attrs.frozen
-class CallNotice:
-    """One fact.
-
-    Attributes:
-        kind: The kind of fact.
-        subject: The host's id, or the signature of a request.
-        ttl: Remaining lifetime, seconds.
-        evidence: Target processes that crashed, as host:incarnation.
-    """
-
-    kind: CallNoticeKind
-    subject: str
-    ttl: float
-    evidence: tuple[str, ...] = ()
+# Notices have no kind for a request that was cleared: each daemon clears it
+# by its own completed run, and the suspicion lapses everywhere else.
+KINDS_OF_FACTS = {
+    FactKind.SUSPECT: NoticeKind.SUSPECT,
+    FactKind.QUARANTINED: NoticeKind.QUARANTINED,
+}
+FACTS_OF_KINDS = {kind: fact for fact, kind in KINDS_OF_FACTS.items()}
 
 
 def quarantine_notices(
     quarantine: Quarantine,
     now: float,
-) -> tuple[CallNotice, ...]:
+) -> tuple[Notice, ...]:
     """Returns what other daemons should know of crashing requests."""
     return tuple(
-        CallNotice(
-            CallNoticeKind(fact.kind.value),
+        Notice(
+            KINDS_OF_FACTS[fact.kind],
             fact.signature,
-            fact.ttl_s,
-            tuple(sorted(fact.crashes)),
+            ttl=fact.ttl_s,
+            evidence=tuple(sorted(fact.crashes)),
         )
         for fact in quarantine.facts(now)
+        if fact.kind in KINDS_OF_FACTS
     )
 
 
-def merge_notice(
-    quarantine: Quarantine,
-    notice: CallNotice,
-    now: float,
-) -> None:
+def merge_notice(quarantine: Quarantine, notice: Notice, now: float) -> None:
     """Takes over what another daemon knows of a crashing request."""
-    fact = RequestFact(
-        FactKind(notice.kind.value),
-        notice.subject,
-        frozenset(notice.evidence),
-        notice.ttl,
-    )
-    quarantine.merge(fact, now)
+    kind = FACTS_OF_KINDS.get(notice.kind)
+    if kind:
+        fact = RequestFact(
+            kind,
+            notice.subject,
+            frozenset(notice.evidence),
+            notice.ttl,
+        )
+        quarantine.merge(fact, now)
--- a/egretlanding/calls.py
+++ b/egretlanding/calls.py
@@ -8,37 +8,24 @@
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.task import LoopingCall, deferLater
 
-from egretlanding.admission import Admission
-from egretlanding.callnotices import (
-    CallNotice,
-    CallNoticeKind,
-    merge_notice,
-    quarantine_notices,
-)
+from egretlanding.callnotices import merge_notice, quarantine_notices
+from egretlanding.callparts import build_egress, build_node, build_routes
 from egretlanding.callreport import dump_calls, explain_call
 from egretlanding.config import DaemonConfig
 from egretlanding.egress import Egress
-from egretlanding.frames import Hello
 from egretlanding.httpserver import Exchange, Handler, HttpServerFactory
-from egretlanding.idempotency import KeyTable
 from egretlanding.ingress import Ingress
 from egretlanding.keyissuer import KEYS_PREFIX, KeyIssuer
 from egretlanding.lateness import Lateness
-from egretlanding.objects import Service
+from egretlanding.messages import Notice, NoticeKind
 from egretlanding.pauses import BEAT_S
 from egretlanding.peerlinks import HEARTBEAT_S, PeerLinks
-from egretlanding.peers import PeerFactory, PeerNode
+from egretlanding.peers import PeerFactory
 from egretlanding.peerserver import PeerServer
-from egretlanding.quarantine import Quarantine
 from egretlanding.reachability import Reachability
-from egretlanding.serviceroutes import CHOOSERS, ServiceRoutes
-from egretlanding.subsets import Locality
-from egretlanding.targetcalls import TargetCalls
-from egretlanding.targethealth import TargetHealth
-from egretlanding.targetpool import TargetPool
+from egretlanding.serviceroutes import ServiceRoutes
 from egretlanding.views import View
 
-DEFAULT_SERVICE = Service(regions=())
 BASELINE = 'random'
 # Time in which other daemons and callers learn of a drain, seconds.
 DRAIN_NOTICE_S = 1
@@ -46,55 +33,6 @@
 CLOSE_TIMEOUT_S = 2
 
 
-def build_egress(
-    reactor: Any,
-    config: DaemonConfig,
-    incarnation: int,
-) -> Egress:
-    """Builds what runs calls at the local target."""
-    pool = TargetPool(
-        reactor,
-        config.target_address,
-        config.target_port,
-        DEFAULT_SERVICE.connections,
-    )
-    health = TargetHealth(reactor, pool)
-    quarantine = Quarantine()
-    process = f'{config.host_id}:{incarnation:x}'
-    return Egress(
-        reactor,
-        TargetCalls(process, pool, health, quarantine),
-        health,
-        Admission.from_service(DEFAULT_SERVICE),
-        KeyTable.for_daemon(config.service, config.host_id, incarnation),
-        quarantine,
-    )
-
-
-def build_node(
-    config: DaemonConfig,
-    incarnation: int,
-    server: PeerServer,
-) -> PeerNode:
-    """Builds what the connections to other daemons share."""
-    return PeerNode(
-        Hello(config.host_id, incarnation, ready=False),
-        server.take_call,
-        server.take_cancel,
-        server.take_close,
-    )
-
-
-def build_routes(config: DaemonConfig) -> ServiceRoutes:
-    """Builds what is known of the services."""
-    locality = Locality(config.host_id, config.region, config.failure_domain)
-    return ServiceRoutes(
-        locality,
-        CHOOSERS[config.balancing],
-        random.Random(config.host_id),
-    )
-
-
 def front_of(ingress: Ingress, issuer: KeyIssuer) -> Handler:
     """Returns what handles the requests of callers."""
 
@@ -190,7 +128,7 @@
         """Returns the calls of callers and at the target in flight."""
         return len(self.ingress.runs) + len(self.egress.table.jobs)
 
-    def notices(self) -> tuple[CallNotice, ...]:
+    def notices(self) -> tuple[Notice, ...]:
         """Returns what other daemons should know."""
         now = self.reactor.seconds()
         return quarantine_notices(self.egress.quarantine, now)
@@ -232,7 +170,10 @@
             loop.start(interval_s, now=False)
 
     def apply(self, view: View) -> None:
-        """Swaps the configuration that new calls are served with."""
+        """Swaps the configuration that new calls are served with.
+
+        Calls in flight go on with the one that they began with.
+        """
         self.routes.apply(view, self.reactor.seconds())
         own = view.routes.services.get(self.config.service)
         if own:
@@ -255,12 +196,14 @@
             self.egress.moment(),
         )
 
-    def take_notices(self, notices: Iterable[CallNotice]) -> None:
+    def take_notices(self, notices: Iterable[Notice]) -> None:
         """Takes what other daemons know."""
         now = self.reactor.seconds()
         for notice in notices:
-            if notice.kind is CallNoticeKind.LEAVING:
+            if notice.kind is NoticeKind.LEAVING:
                 self.reachability.take_leaving(notice.subject, notice.ttl)
+            elif notice.kind is NoticeKind.RETURNED:
+                self.routes.mark_ready(notice.subject)
             else:
                 merge_notice(self.egress.quarantine, notice, now)
 
--- a/egretlanding/views.py
+++ b/egretlanding/views.py
@@ -1,11 +1,10 @@
 """The configuration that a call is served with from start to end."""
 
-from collections.abc import Callable
-
 import attrs
 
 from egretlanding.hosts import HostList
-from egretlanding.objects import Policy, Region
+from egretlanding.objects import Region
+from egretlanding.policies import resolve_policy
 from egretlanding.release import Release
 from egretlanding.routing import RouteTable
 
@@ -25,20 +24,14 @@
     routes: RouteTable
 
     @classmethod
-    def from_release(
-        cls,
-        release: Release,
-        hosts: HostList,
-        resolve: Callable[[Release, str], Policy] | None = None,
-    ) -> 'View':
+    def from_release(cls, release: Release, hosts: HostList) -> 'View':
         """Indexes a release.
 
         Args:
             release: A release that passed the check.
             hosts: The host list.
-            resolve: Returns the effective policy of a name.
         """
-        routes = RouteTable.from_release(release, resolve or written_policy)
+        routes = RouteTable.from_release(release, resolve_policy)
         return cls(release, hosts, routes)
 
     def with_hosts(self, hosts: HostList) -> 'View':
@@ -49,9 +42,3 @@
         """Returns a region, or one with the default budget."""
         entry = self.release.objects.get(('Region', name))
         return entry.spec if entry else Region(failure_domains=())
-
-
-def written_policy(release: Release, name: str) -> Policy:
-    """Returns a policy as compiled releases hold it, with all its fields."""
-    policy: Policy = release.objects['Policy', name].spec
-    return policy
