--- a/egretlanding/attempts.py
+++ b/egretlanding/attempts.py
@@ -95,9 +95,10 @@
     def start(self) -> None:
         """Makes the first attempt."""
         self.entry.on_abandon = self.abandon
-        refusal = self.context.check_depth() or late_refusal(
-            self.context,
-            self.now,
+        refusal = (
+            self.context.check_depth()
+            or late_refusal(self.context, self.now)
+            or self.ingress.quarantine_refusal(self.match, self.entry.request)
         )
         if refusal:
             self.answer(refusal_reply(0, refusal))
--- a/egretlanding/calls.py
+++ b/egretlanding/calls.py
@@ -24,6 +24,7 @@
 from egretlanding.peerserver import PeerServer
 from egretlanding.reachability import Reachability
 from egretlanding.serviceroutes import ServiceRoutes
+from egretlanding.suspicions import Suspicions
 from egretlanding.views import View
 
 BASELINE = 'random'
@@ -58,6 +59,7 @@
         routes: What is known of the services.
         ingress: Sends calls to targets.
         reachability: Which hosts take calls.
+        suspicions: Spreads what is known of crashing requests.
         lateness: Notices pauses of the process.
         http: The connections of callers.
         draining: Whether the daemon is about to stop.
@@ -72,6 +74,7 @@
     routes: ServiceRoutes
     ingress: Ingress
     reachability: Reachability
+    suspicions: Suspicions
     lateness: Lateness
     http: HttpServerFactory
     draining: bool = False
@@ -117,6 +120,7 @@
             routes,
             ingress,
             Reachability(reactor, node, routes),
+            Suspicions(reactor, node, egress.quarantine),
             lateness,
             HttpServerFactory(front_of(ingress, issuer)),
         )
@@ -147,6 +151,8 @@
         self.egress.health.on_change = self.announce
         self.links.node.on_readiness = self.reachability.take_readiness
         self.links.on_unreachable = self.reachability.take_unreachable
+        self.links.node.on_suspicion = self.suspicions.take
+        self.egress.target.on_crash = self.suspicions.spread
         self.lateness.on_wake.append(self.wake)
 
     def listen(self) -> None:
--- a/egretlanding/frames.py
+++ b/egretlanding/frames.py
@@ -120,6 +120,22 @@
     ready: bool
 
 
+class Suspicion(Frame, frozen=True, tag='suspicion'):
+    """Tells of a request that was in flight when targets crashed.
+
+    Attributes:
+        kind: What the evidence amounts to, a value of `FactKind`.
+        signature: The request.
+        crashes: The target processes that crashed.
+        ttl_ms: Remaining lifetime, ms.
+    """
+
+    kind: str
+    signature: str
+    crashes: list[str]
+    ttl_ms: int
+
+
 class Ping(Frame, frozen=True, tag='ping'):
     """Asks whether the other daemon is alive."""
 
@@ -128,7 +144,16 @@
     """Answers a ping."""
 
 
-AnyFrame = Hello | CallRequest | CallReply | Cancel | Readiness | Ping | Pong
+AnyFrame = (
+    Hello
+    | CallRequest
+    | CallReply
+    | Cancel
+    | Readiness
+    | Suspicion
+    | Ping
+    | Pong
+)
 
 ENCODER = msgspec.msgpack.Encoder()
 DECODER = msgspec.msgpack.Decoder(AnyFrame)
--- a/egretlanding/ingress.py
+++ b/egretlanding/ingress.py
@@ -18,13 +18,14 @@
     refusal_reply,
 )
 from egretlanding.hosts import Host
-from egretlanding.httpserver import Exchange
+from egretlanding.httpserver import Exchange, HttpRequest
 from egretlanding.jobs import MS_PER_S
 from egretlanding.keys import parse_key
 from egretlanding.objects import WorkClass
 from egretlanding.outcomes import Reason, Refusal
 from egretlanding.ownership import locate_owner
 from egretlanding.peerlinks import BULK_BYTES, PeerLinks, lane_for
+from egretlanding.quarantine import signature_of
 from egretlanding.retries import CallContext
 from egretlanding.routing import Match
 from egretlanding.serviceroutes import ServiceRoutes
@@ -178,6 +179,23 @@
         attempt.cancel = pending.cancel
         attempt.is_sent = pending.is_sent
 
+    def quarantine_refusal(
+        self,
+        match: Match,
+        request: HttpRequest,
+    ) -> Refusal | None:
+        """Refuses a request that is known to crash targets."""
+        quarantine = self.egress.quarantine
+        if not quarantine.suspects:
+            return None
+        signature = signature_of(
+            match.route_name,
+            request.method,
+            request.path,
+            request.body,
+        )
+        return quarantine.check(signature, (), self.reactor.seconds())
+
     def record_size(self, route: str, size: int) -> None:
         """Learns which routes have large answers."""
         if size > BULK_BYTES and len(self.bulk_routes) < MAX_BULK_ROUTES:
--- a/egretlanding/peers.py
+++ b/egretlanding/peers.py
@@ -20,6 +20,7 @@
     Ping,
     Pong,
     Readiness,
+    Suspicion,
     decode_frame,
     encode_frame,
     refusal_reply,
@@ -160,6 +161,8 @@
                 self.node.on_call(self, frame)
             case Cancel():
                 self.node.on_cancel(self, frame.call_id)
+            case Suspicion():
+                self.node.on_suspicion(frame)
             case Ping():
                 self.send(Pong())
             case Hello():
@@ -182,6 +185,7 @@
         on_close: Called when a connection is gone.
         on_readiness: Called when the other daemon starts or stops taking
             calls.
+        on_suspicion: Called with what another daemon knows of a request.
         connections: The connections that are open, in both directions.
     """
 
@@ -190,6 +194,7 @@
     on_cancel: Callable[[PeerConnection, int], None]
     on_close: OnConnection
     on_readiness: OnReadiness = lambda _connection, _ready: None
+    on_suspicion: Callable[[Suspicion], None] = lambda _frame: None
     connections: set[PeerConnection] = attrs.field(factory=set)
 
     def announce(self, ready: bool) -> None:
@@ -197,8 +202,12 @@
         if ready == self.hello.ready:
             return
         self.hello = Hello(self.hello.host_id, self.hello.incarnation, ready)
+        self.broadcast(Readiness(ready))
+
+    def broadcast(self, frame: AnyFrame) -> None:
+        """Sends a frame on all connections."""
         for connection in tuple(self.connections):
-            connection.send(Readiness(ready))
+            connection.send(frame)
 
 
 class PeerFactory(Factory):
--- a/egretlanding/targetcalls.py
+++ b/egretlanding/targetcalls.py
@@ -1,6 +1,6 @@
 """Sends calls to the target and finds out why it lost them."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -27,12 +27,14 @@
         pool: Connections to the target.
         health: Whether the target takes calls.
         quarantine: Requests that crash targets.
+        on_crash: Called after the target crashed.
     """
 
     process: str
     pool: TargetPool
     health: TargetHealth
     quarantine: Quarantine
+    on_crash: Callable[[], None] = lambda: None
 
     def send(self, job: Job, now: float, on_outcome: OnOutcome) -> None:
         """Sends a call that has a slot."""
@@ -87,6 +89,7 @@
         """Blames the calls that a crashed target was running."""
         self.quarantine.record_crash(process, blamed, now)
         self.health.update(up=False, draining=False)
+        self.on_crash()
 
 
 def failed_attempt(outcome: TargetOutcome) -> FailedAttempt:
