--- /dev/null
+++ b/egretlanding/callparts.py
@@ -0,0 +1,71 @@
+"""Builds the parts of the call path from the settings of a daemon."""
+
+import random
+from typing import Any
+
+from egretlanding.admission import Admission
+from egretlanding.config import DaemonConfig
+from egretlanding.egress import Egress
+from egretlanding.frames import Hello
+from egretlanding.idempotency import KeyTable
+from egretlanding.objects import Service
+from egretlanding.peers import PeerNode
+from egretlanding.peerserver import PeerServer
+from egretlanding.quarantine import Quarantine
+from egretlanding.serviceroutes import CHOOSERS, ServiceRoutes
+from egretlanding.subsets import Locality
+from egretlanding.targetcalls import TargetCalls
+from egretlanding.targethealth import TargetHealth
+from egretlanding.targetpool import TargetPool
+
+# Bounds of the local service until a release is in force.
+DEFAULT_SERVICE = Service(regions=())
+
+
+def build_egress(
+    reactor: Any,
+    config: DaemonConfig,
+    incarnation: int,
+) -> Egress:
+    """Builds what runs calls at the local target."""
+    pool = TargetPool(
+        reactor,
+        config.target_address,
+        config.target_port,
+        DEFAULT_SERVICE.connections,
+    )
+    health = TargetHealth(reactor, pool)
+    quarantine = Quarantine()
+    process = f'{config.host_id}:{incarnation:x}'
+    return Egress(
+        reactor,
+        TargetCalls(process, pool, health, quarantine),
+        health,
+        Admission.from_service(DEFAULT_SERVICE),
+        KeyTable.for_daemon(config.service, config.host_id, incarnation),
+        quarantine,
+    )
+
+
+def build_node(
+    config: DaemonConfig,
+    incarnation: int,
+    server: PeerServer,
+) -> PeerNode:
+    """Builds what the connections to other daemons share."""
+    return PeerNode(
+        Hello(config.host_id, incarnation, ready=False),
+        server.take_call,
+        server.take_cancel,
+        server.take_close,
+    )
+
+
+def build_routes(config: DaemonConfig) -> ServiceRoutes:
+    """Builds what is known of the services."""
+    locality = Locality(config.host_id, config.region, config.failure_domain)
+    return ServiceRoutes(
+        locality,
+        CHOOSERS[config.balancing],
+        random.Random(config.host_id),
+    )
