Check settings from one table and list every fault with its line

The attrs fields of DaemonConfig are the table: name, type, unit, bounds, form, default. Field declarations move to schema.py, which objects and settings share. Files are read with the limits of object files, so hostile settings are refused in bounded time, and YAML's own number and truth-value forms (010, 1:30, yes) are refused rather than reinterpreted.

--- a/egretlanding/config.py
+++ b/egretlanding/config.py
@@ -1,56 +1,65 @@
 """The checked settings of a daemon."""
 
-import pathlib
-from collections.abc import Callable, Mapping
+from collections.abc import Iterator
+from itertools import chain
+from pathlib import Path
 from typing import Any
 
 import attrs
-import yaml
+from result import is_err
 
+from egretlanding.documents import Allowance, Document, read_document
 from egretlanding.exceptions import SettingsError
+from egretlanding.faults import Fault, ObjectSet
+from egretlanding.fieldchecks import check_bounds, check_choices, check_forms
+from egretlanding.fields import Fields, read_fields
+from egretlanding.findings import Finding
+from egretlanding.objects import ConfigObject
+from egretlanding.schema import (
+    NAME_FORM,
+    NAME_PATTERN,
+    bounded,
+    choice,
+    form,
+)
 
+OCTET = r'(25[0-5]|2[0-4]\d|1\d\d|[1-9]?\d)'
+ADDRESS_PATTERN = rf'{OCTET}(\.{OCTET}){{3}}'
+ADDRESS_FORM = 'an IPv4 address such as 10.0.0.7'
+SEED_PATTERN = rf'{ADDRESS_PATTERN}:[1-9]\d{{0,4}}'
+SEED_FORM = 'address:port, such as 10.0.0.7:7103'
+HOST_PATTERN = '[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?'
+HOST_FORM = 'lower-case letters, digits, dots and inner hyphens, at most 63'
+URL_PATTERN = 'https?://[^/?# ]+(/[^?# ]*)?'
+URL_FORM = 'a URL such as http://10.0.0.1:7000'
 
-@attrs.frozen
-class Option:
-    """One row of the table of settings.
+PORT_FIELDS = ('call_port', 'peer_port', 'exchange_port', 'admin_port')
 
-    Attributes:
-        name: The key in the settings file.
-        convert: Turns the YAML value into the setting's type.
-        unit: What the value measures, for documentation and errors.
-        default: The value used when the key is absent; None means required.
-    """
 
-    name: str
-    convert: Callable[[Any], Any]
-    unit: str
-    default: Any = None
-
-
-OPTIONS = (
-    Option('host_id', str, 'name'),
-    Option('address', str, 'IP address'),
-    Option('call_port', int, 'TCP port'),
-    Option('peer_port', int, 'TCP port'),
-    Option('exchange_port', int, 'TCP port'),
-    Option('admin_port', int, 'TCP port'),
-    Option('target_address', str, 'IP address'),
-    Option('target_port', int, 'TCP port'),
-    Option('region', str, 'name'),
-    Option('failure_domain', str, 'name'),
-    Option('service', str, 'name'),
-    Option('store_url', str, 'URL'),
-    Option('store_region', str, 'name'),
-    Option('seeds', tuple, 'list of address:port', ()),
-)
+def required_name() -> Any:
+    """Declares a required name."""
+    return form(NAME_PATTERN, NAME_FORM)
+
+
+def tcp_port() -> Any:
+    """Declares a required TCP port."""
+    return bounded(1, 65_535, 'TCP port')
+
+
+def ip_address() -> Any:
+    """Declares a required IP address."""
+    return form(ADDRESS_PATTERN, ADDRESS_FORM)
 
 
 @attrs.frozen(kw_only=True)
 class DaemonConfig:
-    """The settings of one daemon; docs/SETTINGS.md describes each.
+    """The settings of one daemon.
+
+    The fields of this class are the table of settings: its metadata holds
+    bounds, units and forms, and docs/SETTINGS.md is generated from it.
 
     Attributes:
-        host_id: The name of the host.
+        host_id: The name of the host, unique in the mesh.
         address: The IP address that the daemon listens on.
         call_port: TCP port for calls from callers.
         peer_port: TCP port for calls from other daemons.
@@ -64,77 +73,99 @@
         store_url: Base URL of the platform's store.
         store_region: The region that the store is in.
         seeds: Exchange addresses of daemons to ask at start.
+        distribution: How releases reach the daemon; "direct" is a baseline
+            for measurements only.
+        balancing: How targets are chosen; "random" is a baseline for
+            measurements only.
     """
 
-    host_id: str
-    address: str
-    call_port: int
-    peer_port: int
-    exchange_port: int
-    admin_port: int
-    target_address: str
-    target_port: int
-    region: str
-    failure_domain: str
-    service: str
-    store_url: str
-    store_region: str
-    seeds: tuple[str, ...] = ()
-
-    @classmethod
-    def from_mapping(cls, settings: Mapping[str, Any]) -> 'DaemonConfig':
-        """Checks settings and builds the config.
-
-        Raises:
-            SettingsError: A key is unknown, missing or has a wrong value.
-        """
-        known = {option.name for option in OPTIONS}
-        unknown = sorted(set(settings) - known)
-        if unknown:
-            raise SettingsError(
-                f'unknown settings: {", ".join(unknown)}',
-                'remove them or see docs/SETTINGS.md for the right names',
-            )
-        return cls(
-            **{option.name: _convert(option, settings) for option in OPTIONS},
-        )
+    host_id: str = form(HOST_PATTERN, HOST_FORM)
+    address: str = ip_address()
+    call_port: int = tcp_port()
+    peer_port: int = tcp_port()
+    exchange_port: int = tcp_port()
+    admin_port: int = tcp_port()
+    target_address: str = ip_address()
+    target_port: int = tcp_port()
+    region: str = required_name()
+    failure_domain: str = required_name()
+    service: str = required_name()
+    store_url: str = form(URL_PATTERN, URL_FORM)
+    store_region: str = required_name()
+    seeds: tuple[str, ...] = form(SEED_PATTERN, SEED_FORM, default=())
+    distribution: str = choice(('exchange', 'direct'), default='exchange')
+    balancing: str = choice(('p2c', 'random'), default='p2c')
 
     @classmethod
     def from_file(cls, path: str) -> 'DaemonConfig':
         """Reads and checks a settings file.
 
         Args:
-            path: A YAML file holding one mapping.
+            path: A YAML file that holds one mapping.
 
         Raises:
-            SettingsError: The file can't be read or fails the check.
+            SettingsError: The file has faults; the error lists each.
         """
-        try:
-            settings = yaml.safe_load(pathlib.Path(path).read_bytes())
-        except (OSError, yaml.YAMLError) as error:
-            raise SettingsError(
-                f'{path} can not be read ({error})',
-                'give the path of a YAML file',
-            ) from error
-        if not isinstance(settings, dict):
-            raise SettingsError(
-                f'{path} holds no mapping',
-                'write one "name: value" a line',
-            )
-        return cls.from_mapping(settings)
-
-
-def _convert(option: Option, settings: Mapping[str, Any]) -> Any:
-    raw = settings.get(option.name, option.default)
-    if raw is None:
-        raise SettingsError(
-            f'setting {option.name} is missing',
-            f'add "{option.name}: <{option.unit}>"',
+        outcome = read_document(Path(path), path, Allowance())
+        if is_err(outcome):
+            raise _error([outcome.err_value])
+        return cls._from_document(outcome.unwrap())
+
+    @classmethod
+    def _from_document(cls, document: Document) -> 'DaemonConfig':
+        fields = read_fields(document.root, cls)
+        read = _build(cls, fields)
+        findings = [
+            attrs.evolve(finding, file=document.file)
+            for finding in chain(fields.findings, _check(read, fields))
+        ]
+        if findings:
+            raise _error(sorted(findings))
+        return read
+
+
+def _build(config_class: type, fields: Fields) -> Any:
+    # None stands for what couldn't be read; the checks pass over it.
+    names = (
+        field.name
+        for field in attrs.fields(config_class)
+        if field.name in fields.lines or field.default is attrs.NOTHING
+    )
+    return config_class(**{each: fields.values.get(each) for each in names})
+
+
+def _check(read: DaemonConfig, fields: Fields) -> Iterator[Finding]:
+    settings = ObjectSet.from_objects([ConfigObject('', '', read)])
+    faults = chain(
+        check_bounds(settings),
+        check_forms(settings),
+        check_choices(settings),
+        _shared_ports(settings),
+    )
+    return (
+        Finding(
+            '',
+            fields.lines.get(fault.field, 1),
+            '',
+            fault.problem,
+            fault.remedy,
         )
-    try:
-        return option.convert(raw)
-    except (TypeError, ValueError) as error:
-        raise SettingsError(
-            f'setting {option.name} has the value {raw!r}',
-            f'give a {option.unit}',
-        ) from error
+        for fault in faults
+    )
+
+
+def _shared_ports(settings: ObjectSet) -> Iterator[Fault]:
+    owners: dict[int, str] = {}
+    for listener in settings.values():
+        if listener.field.name in PORT_FIELDS:
+            owner = owners.setdefault(listener.value, listener.field.name)
+            if owner != listener.field.name:
+                problem = f'is the same as {owner}'
+                yield listener.fault(problem, 'give each its own port')
+
+
+def _error(findings: list[Finding]) -> SettingsError:
+    return SettingsError(
+        '\n'.join(map(str, findings)),
+        'see docs/SETTINGS.md for each setting',
+    )
--- a/egretlanding/documents.py
+++ b/egretlanding/documents.py
@@ -65,7 +65,8 @@
         return (), (_without_files(directory),)
     allowance = Allowance()
     outcomes = [
-        _read_file(directory, path, allowance) for path in files[:MAX_FILES]
+        read_document(path, str(path.relative_to(directory)), allowance)
+        for path in files[:MAX_FILES]
     ]
     surplus = [_surplus(directory, path) for path in files[MAX_FILES:]]
     return (
@@ -77,18 +78,28 @@
     )
 
 
-def _read_file(
-    directory: Path,
+def read_document(
     path: Path,
+    name: str,
     allowance: Allowance,
 ) -> Result[Document, Finding]:
-    name = show(str(path.relative_to(directory)))
+    """Reads one file in bounded time and memory.
+
+    Args:
+        path: The file.
+        name: The name to show in findings.
+        allowance: What the file may use; its use is taken off.
+
+    Returns:
+        The document, or a finding that says what was refused.
+    """
+    shown = show(name)
     outcome = _read_bytes(path, allowance).and_then(
-        lambda content: _compose_bytes(name, content, allowance.nodes),
+        lambda content: _compose_bytes(shown, content, allowance.nodes),
     )
     if is_ok(outcome):
         allowance.nodes -= outcome.ok_value.nodes
-    return outcome.map_err(lambda found: attrs.evolve(found, file=name))
+    return outcome.map_err(lambda found: attrs.evolve(found, file=shown))
 
 
 def _compose_bytes(
--- a/egretlanding/fieldchecks.py
+++ b/egretlanding/fieldchecks.py
@@ -6,7 +6,7 @@
 import attrs
 
 from egretlanding.faults import Fault, FieldValue, ObjectSet, check
-from egretlanding.objects import NAME_FORM, NAME_PATTERN
+from egretlanding.schema import NAME_FORM, NAME_PATTERN
 from egretlanding.texts import quote
 
 
--- a/egretlanding/setchecks.py
+++ b/egretlanding/setchecks.py
@@ -9,7 +9,8 @@
     ObjectSet,
     check,
 )
-from egretlanding.objects import HTTP_METHODS, ConfigObject, Policy, Route
+from egretlanding.objects import ConfigObject, Policy, Route
+from egretlanding.schema import HTTP_METHODS
 from egretlanding.texts import quote
 
 RESERVED_PREFIX = '/.egretlanding'
