Test calls through real processes; use the standard event loop

Causes found by the tests and mended: - With uvloop, Twisted doesn't learn of connections that the other side resets.

The target stand-in can end a drain now.

--- a/egretlanding/attempts.py
+++ b/egretlanding/attempts.py
@@ -204,6 +204,10 @@
         """Makes another attempt, or answers once no attempt is open."""
         if self.open:
             return
+        request = self.entry.request
+        if self.ingress.quarantine_refusal(self.match, request):
+            self.answer(refusal_reply(0, combine(self.failed)))
+            return
         policy, budget = self.match.policy, self.known.budget
         decision = decide_retry(
             self.context,
--- a/egretlanding/callreport.py
+++ b/egretlanding/callreport.py
@@ -62,6 +62,7 @@
     now = service.reactor.seconds()
     return {
         'draining': service.draining,
+        'callers': len(service.http.connections),
         'in_flight': len(ingress.runs),
         'at_target': len(egress.table.jobs),
         'slots': egress.admission.slots.limit.current,
--- a/egretlanding/egress.py
+++ b/egretlanding/egress.py
@@ -171,8 +171,13 @@
         else:
             self.admission.release(job.job_id, now)
         if response is None:
-            self.target.note_loss(outcome, self.table.running(), now)
-            self.end_refused(job, failed_attempt(outcome).to_refusal())
+            refusal = failed_attempt(outcome).to_refusal()
+            self.target.note_loss(
+                outcome,
+                self.table.running(),
+                now,
+                lambda: self.end_refused(job, refusal),
+            )
         elif denied:
             self.health.check()
             detail = 'the target refused the call'
--- a/egretlanding/reactors.py
+++ b/egretlanding/reactors.py
@@ -1,8 +1,8 @@
 """The choice of the Twisted reactor."""
 
+import asyncio
 import importlib
 
-import uvloop
 from twisted.internet import asyncioreactor
 
 
@@ -13,10 +13,14 @@
     to be installed before klein is imported, because klein picks the default
     reactor when it is imported; so the module is imported here.
 
+    The loop is the standard one. With uvloop, Twisted doesn't learn of
+    connections that the other side resets, and the next socket with the same
+    descriptor can't be used.
+
     Args:
         module: Full name of the module to import and run.
     """
-    asyncioreactor.install(uvloop.new_event_loop())
+    asyncioreactor.install(asyncio.new_event_loop())
     importlib.import_module(module).main()
 
 
--- a/egretlanding/targetcalls.py
+++ b/egretlanding/targetcalls.py
@@ -64,6 +64,7 @@
         outcome: TargetOutcome,
         running: Iterable[Job],
         now: float,
+        on_known: Callable[[], None],
     ) -> None:
         """Finds out whether the target's process is gone.
 
@@ -74,16 +75,24 @@
             outcome: How a call was lost.
             running: The calls that the target had.
             now: Monotonic time, seconds.
+            on_known: Called once it is known, so that whoever sends the call
+                elsewhere learns first what it may have done here.
         """
         if outcome.progress is Progress.UNSENT:
             self.health.check()
+            on_known()
             return
         process = f'{self.process}.{self.health.epoch}'
         blamed = [job.signature for job in running]
-        self.pool.connect().addCallbacks(
-            self.pool.keep,
-            lambda _failure: self.note_crash(process, blamed, now),
-        )
+
+        def take_verdict(alive: bool) -> None:
+            if not alive:
+                self.note_crash(process, blamed, now)
+            on_known()
+
+        # A process that ends may close its port last, so a connection alone
+        # doesn't show that it lives.
+        self.health.probe(take_verdict)
 
     def note_crash(self, process: str, blamed: list[str], now: float) -> None:
         """Blames the calls that a crashed target was running."""
--- a/egretlanding/targethealth.py
+++ b/egretlanding/targethealth.py
@@ -8,12 +8,14 @@
 import msgspec
 
 from egretlanding.events import Event, Severity, log_event
+from egretlanding.httpclient import encode_request
 from egretlanding.httpserver import HttpRequest
 from egretlanding.outcomes import Progress
 from egretlanding.targetpool import TargetOutcome, TargetPool
 
 CHECK_S = 1
 CHECK_DOWN_S = 0.2
+PROBE_TIMEOUT_S = 0.5
 LOAD_PATH = '/load'
 MISSES_TO_DOWN = 3
 
@@ -82,6 +84,31 @@
         request = HttpRequest('GET', LOAD_PATH, [], b'')
         self.pool.run(request, [], self.take_outcome)
 
+    def probe(self, on_verdict: Callable[[bool], None]) -> None:
+        """Finds out whether the target's process is gone.
+
+        Args:
+            on_verdict: Called once with whether it may be alive; one that
+                is just slow to answer is.
+        """
+        verdicts: list[bool] = []
+
+        def give(alive: bool) -> None:
+            if not verdicts:
+                verdicts.append(alive)
+                on_verdict(alive)
+
+        timer = self.reactor.callLater(PROBE_TIMEOUT_S, give, True)
+
+        def take(outcome: TargetOutcome) -> None:
+            if timer.active():
+                timer.cancel()
+            give(outcome.response is not None)
+
+        request = HttpRequest('GET', LOAD_PATH, [], b'')
+        encoded = encode_request(request, self.pool.address)
+        self.pool.send_fresh(encoded, False, take)
+
     def miss(self) -> None:
         """Counts a check without an answer."""
         self.misses += 1
--- a/egretlanding/targetpool.py
+++ b/egretlanding/targetpool.py
@@ -75,14 +75,24 @@
         client = self.take_idle()
         if client:
             self.send(client, encoded, is_head, on_outcome)
-        elif self.opened < self.limit:
-            self.connect().addCallbacks(
-                self.send,
-                lambda _failure: on_outcome(UNSENT),
-                callbackArgs=(encoded, is_head, on_outcome),
-            )
         else:
+            self.send_fresh(encoded, is_head, on_outcome)
+
+    def send_fresh(
+        self,
+        encoded: bytes,
+        is_head: bool,
+        on_outcome: OnOutcome,
+    ) -> None:
+        """Sends an encoded request on a new connection."""
+        if self.opened >= self.limit:
             on_outcome(UNSENT)
+            return
+        self.connect().addCallbacks(
+            self.send,
+            lambda _failure: on_outcome(UNSENT),
+            callbackArgs=(encoded, is_head, on_outcome),
+        )
 
     def take_idle(self) -> HttpClient | None:
         """Returns a connection that can be used, and drops old ones."""
--- a/standins/target.py
+++ b/standins/target.py
@@ -125,11 +125,10 @@
         ).encode()
 
     def control(self, request: Any) -> bytes:
-        """Changes the slowdown or starts a drain."""
+        """Changes the slowdown, begins or ends a drain."""
         changes = json.load(request.content)
         self.state.slowdown = changes.get('slowdown', self.state.slowdown)
-        if changes.get('drain'):
-            self.state.draining = True
+        self.state.draining = changes.get('drain', self.state.draining)
         return b'ok'
 
     def cancel(self, request: Any) -> bytes:
--- /dev/null
+++ b/tests/test_calls.py
@@ -0,0 +1,229 @@
+"""Tests of calls through real processes under cuts, crashes and load."""
+
+import itertools
+import signal
+import socket
+import struct
+import time
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from standins.faults import Flow, Rule
+from standins.fleet import wait_until
+from tests.callfleet import (
+    FRONT,
+    ORDERS,
+    PATIENT,
+    SOLO,
+    CallFleet,
+    Load,
+    is_whole,
+    open_call,
+)
+
+CUTS = (0, 20, 60, 120, 250, 400, 1_000, 3_000, 7_000)
+ANSWER_BYTES = 6_000
+SHORT_BOUND_S = 0.5
+
+
+@pytest.fixture(scope='module')
+def calls() -> Iterator[CallFleet]:
+    fleet = CallFleet.start()
+    yield fleet
+    fleet.close()
+
+
+@pytest.mark.parametrize('link', ['peer', 'target'])
+@pytest.mark.parametrize('direction', ['to_server', 'to_client'])
+def test_cuts_before_within_and_after_tell_the_truth(
+    calls: CallFleet,
+    link: str,
+    direction: str,
+) -> None:
+    outcomes = {}
+    for cut in CUTS:
+        body = f'cut-{link}-{direction}-{cut}'
+        rule = Rule(**{direction: Flow(close_after=cut)})
+        with calls.rules(link, rule):
+            outcomes[body] = calls.order(
+                body,
+                x_answer_bytes=str(ANSWER_BYTES),
+                x_timeout_ms='1500',
+            )
+        calls.wait_served()
+    runs = calls.runs()
+    for body, answer in outcomes.items():
+        assert runs[body] <= 1, (body, answer)
+        assert answer.ran != 'no' or runs[body] == 0, (body, answer)
+        if answer.ran == 'yes':
+            assert runs[body] == 1
+            assert is_whole(answer, body, ANSWER_BYTES), (body, answer)
+    assert {answer.ran for answer in outcomes.values()} >= {'unknown'}
+
+
+def test_an_idempotent_call_survives_a_lost_reply(calls: CallFleet) -> None:
+    with calls.rules('peer', Rule(to_client=Flow(close_after=60))):
+        answer = calls.lookup('orders')
+    assert (answer.status, answer.ran) == (200, 'yes')
+
+
+def test_a_draining_target_says_that_a_call_did_not_run(
+    calls: CallFleet,
+) -> None:
+    solo = calls.member(SOLO)
+    solo.control_target(drain=True)
+    answers = [calls.order(f'drained-{number}') for number in range(5)]
+    assert {answer.ran for answer in answers} == {'no'}
+    assert calls.runs_of('drained') == 0
+    assert b';' in answers[0].body
+    solo.control_target(drain=False)
+    calls.wait_served()
+
+
+def test_a_leaving_target_gets_no_new_work_though_the_list_lags(
+    calls: CallFleet,
+) -> None:
+    leaving = ORDERS[0]
+    load = Load(calls)
+    with load.running():
+        time.sleep(0.5)
+        calls.member(leaving).control_target(drain=True)
+        time.sleep(2)
+        before = calls.runs(leaving).total()
+        time.sleep(1)
+        after = calls.runs(leaving).total()
+    assert before == after
+    assert before
+    assert [
+        answer.status for answer in load.answers if answer.status != 200
+    ] == []
+    calls.member(leaving).control_target(drain=False)
+    wait_until(lambda: leaving not in str(calls.dump(FRONT)['unready']))
+
+
+def test_answers_out_of_order_reach_their_own_caller_whole(
+    calls: CallFleet,
+) -> None:
+    def call(number: int) -> bool:
+        size = (number % 5) * 40_000
+        answer = calls.order(
+            f'own-{number}',
+            'orders',
+            x_service_ms=str(60 - number),
+            x_answer_bytes=str(size),
+        )
+        return answer.status == 200 and is_whole(answer, f'own-{number}', size)
+
+    with ThreadPoolExecutor(20) as pool:
+        assert all(pool.map(call, range(60)))
+
+
+def test_short_calls_pass_long_batches(calls: CallFleet) -> None:
+    def batch(number: int) -> int:
+        return (
+            calls.member(FRONT)
+            .call(
+                'POST',
+                '/solo/batch',
+                b'batch',
+                x_service_ms='700',
+            )
+            .status
+        )
+
+    def short(number: int) -> float:
+        began = time.monotonic()
+        assert calls.lookup('solo').status == 200
+        return time.monotonic() - began
+
+    with ThreadPoolExecutor(16) as pool:
+        batches = [pool.submit(batch, number) for number in range(12)]
+        time.sleep(0.3)
+        times = list(map(short, range(20)))
+        assert {future.result() for future in batches} == {200}
+    assert max(times) < SHORT_BOUND_S
+
+
+def test_a_caller_that_goes_away_frees_the_slot(calls: CallFleet) -> None:
+    port = calls.member(FRONT).settings['call_port']
+    held = [
+        open_call(port, '/solo/order', x_service_ms='4000', **PATIENT)
+        for _ in range(3)
+    ]
+    wait_until(lambda: calls.dump(SOLO)['at_target'] == 3)
+    for connection in held:
+        connection.close()
+    wait_until(lambda: calls.dump(SOLO)['at_target'] == 0, 1.5)
+
+
+def test_callers_that_reset_their_connections_are_forgotten(
+    calls: CallFleet,
+) -> None:
+    port = calls.member(FRONT).settings['call_port']
+    for _ in range(20):
+        held = open_call(port, '/solo/order', x_service_ms='3000', **PATIENT)
+        reset = struct.pack('ii', 1, 0)
+        held.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset)
+        held.close()
+    wait_until(lambda: calls.dump(FRONT)['callers'] == 0, 2)
+    wait_until(lambda: calls.dump(SOLO)['at_target'] == 0, 2)
+    calls.wait_served()
+
+
+def test_odd_requests_pass_unchanged_or_are_refused(calls: CallFleet) -> None:
+    front = calls.member(FRONT)
+    odd = '/solo/lookup/a%2Fb/..;x=%00?q=%20&&'
+    assert front.call('GET', odd).status == 200
+    assert odd in [run['path'] for run in _executions(calls)]
+    head = front.call('HEAD', '/solo/lookup')
+    assert (head.status, head.body) == (200, b'')
+    refused = [
+        front.call('GET', '/solo/lookup', **{name: text})
+        for name, text in itertools.product(
+            ('x_timeout_ms', 'x_call_depth', 'x_call_retry'),
+            ('-1', 'a', '1e9', '9' * 5_000, '\xb2'),
+        )
+    ]
+    assert {(answer.status, answer.ran) for answer in refused} == {(400, 'no')}
+    deep = front.call('GET', '/solo/lookup', x_call_depth='9')
+    assert (deep.status, deep.ran) == (508, 'no')
+    assert front.call('GET', '/nowhere').status == 404
+
+
+def test_expired_work_is_dropped_when_a_daemon_wakes(calls: CallFleet) -> None:
+    solo = calls.member(SOLO)
+    assert solo.daemon
+    solo.daemon.send_signal(signal.SIGSTOP)
+    answers = [
+        calls.order(f'slept-{number}', x_timeout_ms='300')
+        for number in range(3)
+    ]
+    time.sleep(2.5)
+    solo.daemon.send_signal(signal.SIGCONT)
+    calls.wait_served()
+    assert {answer.ran for answer in answers} == {'unknown'}
+    assert calls.runs_of('slept') == 0
+
+
+def test_a_request_that_crashes_targets_is_stopped(calls: CallFleet) -> None:
+    answers = [
+        calls.member(FRONT).call(
+            'GET',
+            '/orders/lookup/poison',
+            x_crash='1',
+        )
+        for _ in range(6)
+    ]
+    assert answers[-1].headers['x-egretlanding-reason'] == 'quarantined'
+    assert answers[-1].ran == 'no'
+    alive = [
+        name for name in ORDERS if calls.member(name).target.poll() is None
+    ]
+    assert alive
+    assert calls.lookup('orders').status == 200
+
+
+def _executions(calls: CallFleet) -> list[dict[str, str]]:
+    return list(calls.member(SOLO).executions())
