Prove admission and idempotency keys; queue calls in heaps

Seen to fail first, each kept in the tests as a variant: long work without a reserve holds all 6 slots; slots that never count short work as held up exceed the 50 ms; a queue that predicts no wait starts late work. Keys: no hold-off, hold-off for the clocks only, any age of list, no check of gaps, any incarnation, eviction, forgetting lost and forgetting early each ran a key twice.

--- a/egretlanding/admission.py
+++ b/egretlanding/admission.py
@@ -1,15 +1,18 @@
 """Admits calls to the slots of the one target beside a daemon."""
 
-import math
+from collections.abc import Iterator
 
 import attrs
 
+from egretlanding.callqueue import CallQueue
 from egretlanding.limits import ConcurrencyLimit
 from egretlanding.objects import Service, WorkClass
 from egretlanding.outcomes import Reason, Refusal
 from egretlanding.servicetimes import ServiceTimes
 from egretlanding.slots import QueuedCall, Slots, Waiting
 
+CLOCK_STEP_S = 0.0001
+
 
 @attrs.frozen
 class Start:
@@ -61,14 +64,16 @@
         queue_limit: Calls that may wait.
         slots: The slots and the calls that hold them.
         times: Learned service times.
-        waiting: Queued calls by id.
+        short: Queued short work.
+        long: Queued long work.
         draining: Whether new calls are refused.
     """
 
     queue_limit: int
     slots: Slots
     times: ServiceTimes = attrs.field(factory=ServiceTimes)
-    waiting: dict[int, Waiting] = attrs.field(factory=dict)
+    short: CallQueue = attrs.field(factory=CallQueue)
+    long: CallQueue = attrs.field(factory=CallQueue)
     draining: bool = False
 
     @classmethod
@@ -81,23 +86,21 @@
 
     def predicted_wait(self, is_long: bool) -> float:
         """Returns how long a call that arrives now would wait, seconds."""
-        ahead = [
-            self.times.expected(queued.call.route)
-            for queued in self.waiting.values()
-            if queued.is_long == is_long
-        ]
+        ahead = self._queue(is_long)
         if not ahead and self.slots.may_start(is_long):
             return 0
-        same = map(self.times.expected, self.slots.routes_running(is_long))
+        running = map(self.times.expected, self.slots.routes_running(is_long))
         # A running call is on average half done.
-        return (sum(ahead) + sum(same) / 2) / self.slots.usable(is_long)
+        work = ahead.work(self.times) + sum(running) / 2
+        return work / self.slots.usable(is_long)
 
     def next_wake(self, now: float) -> float | None:
         """Returns when `advance` must run at the latest, seconds."""
-        times = [
-            min(queued.call.deadline, now + self._patience(queued, now))
-            for queued in self.waiting.values()
-        ]
+        firsts = [self.short.first(), self.long.first()]
+        times = [queued.call.deadline for queued in firsts if queued]
+        impatient = self.short.first_bound()
+        if impatient is not None and self.slots.holds_up(impatient):
+            times.append(now + self._patience(impatient, now))
         return min(times, default=None)
 
     def offer(self, call: QueuedCall, now: float) -> Decision:
@@ -119,27 +122,26 @@
         refusal = self._refusal_of(queued, now)
         if refusal is not None:
             return Refuse(call, refusal)
-        if self.slots.may_start(queued.is_long) and not self._is_behind(queued):
-            return self._start(queued, now)
-        if len(self.waiting) >= self.queue_limit:
+        queue = self._queue(queued.is_long)
+        if self.slots.may_start(queued.is_long) and not queue:
+            self.slots.occupy(queued, now)
+            return Start(call)
+        if len(self.short) + len(self.long) >= self.queue_limit:
             return Refuse(
                 call,
                 Refusal.not_run(Reason.QUEUE_FULL, 'the queue is full'),
             )
-        self.waiting[call.call_id] = queued
+        queue.add(queued)
         return Wait(call)
 
     def advance(self, now: float) -> tuple[Start | Refuse, ...]:
         """Refuses what has waited too long and fills the free slots."""
-        refused = [
-            self._drop(queued, now)
-            for queued in tuple(self.waiting.values())
-            if now >= queued.call.deadline or self._patience(queued, now) <= 0
-        ]
+        refused = [*self._drop_late(now), *self._drop_held_up(now)]
         started = []
         while (queued := self._next()) is not None:
-            self.waiting.pop(queued.call.call_id)
-            started.append(self._start(queued, now))
+            self._queue(queued.is_long).remove(queued.call.call_id)
+            self.slots.occupy(queued, now)
+            started.append(Start(queued.call))
         return (*refused, *started)
 
     def release(self, call_id: int, now: float) -> None:
@@ -162,7 +164,8 @@
         Returns:
             Whether it was queued; if so it never ran.
         """
-        return self.waiting.pop(call_id, None) is not None
+        queued = self.short.remove(call_id) or self.long.remove(call_id)
+        return queued is not None
 
     def drain(self) -> None:
         """Refuses new calls from now on; admitted ones still run."""
@@ -183,53 +186,49 @@
                 Reason.DEADLINE,
                 f'the call would wait about {wait:.3f} s',
             )
-        if self._held_up(queued) and wait > call.short_wait_s:
+        if self.slots.holds_up(queued) and wait > call.short_wait_s:
             return Refusal.not_run(
                 Reason.SHORT_WAIT,
                 f'the call would wait about {wait:.3f} s beside long work',
             )
         return None
 
-    def _is_behind(self, queued: Waiting) -> bool:
-        return any(
-            other.is_long == queued.is_long for other in self.waiting.values()
-        )
-
-    def _held_up(self, queued: Waiting) -> bool:
-        return not queued.is_long and self.slots.long_running > 0
+    def _queue(self, is_long: bool) -> CallQueue:
+        return self.long if is_long else self.short
 
     def _patience(self, queued: Waiting, now: float) -> float:
-        """Returns how much longer a call may wait behind long work."""
-        if not self._held_up(queued):
-            return math.inf
-        waited = self.slots.long_time(now) - queued.long_time
-        return queued.call.short_wait_s - waited
+        patience = queued.long_bound - self.slots.long_time(now)
+        # Less than the clock can tell apart would wake the daemon in a loop.
+        return patience if patience > CLOCK_STEP_S else 0
 
     def _next(self) -> Waiting | None:
+        order = [self.short, self.long]
         # One slot of several is kept for long work, which would starve else.
-        starved = self.slots.is_long_starved
-        return min(
-            (
-                queued
-                for queued in self.waiting.values()
-                if self.slots.may_start(queued.is_long)
-            ),
-            key=lambda queued: (
-                queued.is_long != starved,
-                queued.call.deadline,
-                queued.call.call_id,
-            ),
-            default=None,
+        if self.slots.is_long_starved:
+            order.reverse()
+        heads = [queue.first() for queue in order]
+        startable = (
+            head
+            for head in heads
+            if head is not None and self.slots.may_start(head.is_long)
         )
-
-    def _start(self, queued: Waiting, now: float) -> Start:
-        self.slots.occupy(queued, now)
-        return Start(queued.call)
-
-    def _drop(self, queued: Waiting, now: float) -> Refuse:
-        self.waiting.pop(queued.call.call_id)
-        late = now >= queued.call.deadline
-        reason = Reason.DEADLINE if late else Reason.SHORT_WAIT
+        return next(startable, None)
+
+    def _drop_late(self, now: float) -> Iterator[Refuse]:
+        for queue in (self.short, self.long):
+            while (queued := queue.first()) is not None:
+                if now < queued.call.deadline:
+                    break
+                yield self._drop(queued, Reason.DEADLINE)
+
+    def _drop_held_up(self, now: float) -> Iterator[Refuse]:
+        while (queued := self.short.first_bound()) is not None:
+            if not self.slots.holds_up(queued) or self._patience(queued, now):
+                return
+            yield self._drop(queued, Reason.SHORT_WAIT)
+
+    def _drop(self, queued: Waiting, reason: Reason) -> Refuse:
+        self._queue(queued.is_long).remove(queued.call.call_id)
         return Refuse(
             queued.call,
             Refusal.not_run(reason, 'the call waited too long'),
--- a/egretlanding/quarantine.py
+++ b/egretlanding/quarantine.py
@@ -177,12 +177,11 @@
         suspect = self.suspects.get(signature)
         if suspect is None or suspect.expires <= now:
             self._make_room(signature)
-            self.suspects[signature] = Suspect(crashes, expires)
+            self.suspects[signature] = Suspect(_bounded(crashes), expires)
             return
         if suspect.cleared:
             return
-        if len(suspect.crashes) < MAX_EVIDENCE:
-            suspect.crashes |= crashes
+        suspect.crashes = _bounded(suspect.crashes | crashes)
         suspect.expires = max(suspect.expires, expires)
 
     def _make_room(self, signature: str) -> None:
@@ -211,3 +210,7 @@
         hashed.update(len(field).to_bytes(8, 'big'))
         hashed.update(field)
     return hashed.hexdigest()
+
+
+def _bounded(crashes: frozenset[str]) -> frozenset[str]:
+    return frozenset(sorted(crashes)[:MAX_EVIDENCE])
--- a/egretlanding/slots.py
+++ b/egretlanding/slots.py
@@ -1,5 +1,7 @@
 """The slots of one target, and how many of them long work may hold."""
 
+import math
+
 import attrs
 
 from egretlanding.limits import ConcurrencyLimit
@@ -43,6 +45,13 @@
     is_long: bool
     long_time: float
 
+    @property
+    def long_bound(self) -> float:
+        """Value of `Slots.long_time` up to which it may wait, seconds."""
+        if self.is_long:
+            return math.inf
+        return self.long_time + self.call.short_wait_s
+
 
 @attrs.frozen
 class Running:
@@ -111,6 +120,10 @@
             return False
         return not is_long or self.long_running < self.long_limit
 
+    def holds_up(self, queued: Waiting) -> bool:
+        """Returns whether a short call waits behind long work now."""
+        return not queued.is_long and self.long_running > 0
+
     def routes_running(self, is_long: bool) -> list[str]:
         """Returns the routes of the running calls of a class."""
         return [
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,239 @@
+"""Slots, classes, deadlines and overload of one target."""
+
+import heapq
+import random
+
+import attrs
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from egretlanding.admission import Admission, Refuse, Start, Wait
+from egretlanding.objects import Service, WorkClass
+from egretlanding.outcomes import Execution, Reason
+from egretlanding.slots import QueuedCall, Slots
+
+SERVICE = Service(regions=('x',), slots=6, queue_limit=20)
+SHORT_S = 0.005
+LONG_S = 0.25
+WAIT_S = 0.05
+
+
+@attrs.define
+class Target:
+    """Drives an admission with calls of known service times.
+
+    Attributes:
+        admission: The admission under test.
+        starts: Start times by call id.
+        refused: Refusals by call id.
+        most_long: Most slots that long work held.
+        short_behind: Longest wait of a started short call while long work
+            held slots all the time, seconds.
+    """
+
+    admission: Admission
+    now: float = 0
+    ends: list = attrs.field(factory=list)
+    starts: dict = attrs.field(factory=dict)
+    refused: dict = attrs.field(factory=dict)
+    calls: dict = attrs.field(factory=dict)
+    good: int = 0
+    most_long: int = 0
+    short_behind: float = 0
+    free_since: float = 0
+
+    def offer(self, call, service_s):
+        self.calls[call.call_id] = (call, service_s)
+        self.apply([self.admission.offer(call, self.now)])
+
+    def apply(self, decisions):
+        for decision in decisions:
+            call = decision.call
+            if isinstance(decision, Refuse):
+                assert decision.refusal.execution is Execution.NOT_RUN
+                self.refused[call.call_id] = decision.refusal.reason
+            if isinstance(decision, Start):
+                self.start(call)
+
+    def start(self, call):
+        assert call.call_id not in self.starts
+        assert self.now < call.deadline
+        self.starts[call.call_id] = self.now
+        end = self.now + self.calls[call.call_id][1]
+        heapq.heappush(self.ends, (end, call.call_id))
+        slots = self.admission.slots
+        assert len(slots.running) <= SERVICE.slots
+        self.most_long = max(self.most_long, slots.long_running)
+        if call.work is WorkClass.SHORT:
+            behind = self.now - max(call.arrived, self.free_since)
+            self.short_behind = max(self.short_behind, behind)
+
+    def run_until(self, until):
+        while True:
+            wake = self.admission.next_wake(self.now)
+            times = [until, *(time for time, _ in self.ends[:1])]
+            self.now = max(
+                self.now, min(*times, until if wake is None else wake)
+            )
+            self.step()
+            if self.now >= until:
+                return
+
+    def step(self):
+        if not self.admission.slots.long_running:
+            self.free_since = self.now
+        while self.ends and self.ends[0][0] <= self.now:
+            _, call_id = heapq.heappop(self.ends)
+            self.admission.release(call_id, self.now)
+            self.good += self.now <= self.calls[call_id][0].deadline
+        self.apply(self.admission.advance(self.now))
+
+
+def make_call(call_id, work, now, timeout=1.0):
+    return QueuedCall(call_id, work.value, work, now + timeout, WAIT_S, now)
+
+
+def drive(admission, rate, seconds, long_share, seed=1):
+    rng = random.Random(seed)
+    target = Target(admission)
+    for call_id in range(int(rate * seconds)):
+        target.run_until(target.now + rng.expovariate(rate))
+        is_long = rng.random() < long_share
+        work = WorkClass.LONG if is_long else WorkClass.SHORT
+        call = make_call(call_id, work, target.now, 5 if is_long else 0.3)
+        target.offer(call, LONG_S if is_long else SHORT_S)
+    target.run_until(target.now + 10)
+    return target
+
+
+@settings(max_examples=30, deadline=None)
+@given(
+    rate=st.integers(20, 3_000),
+    long_share=st.sampled_from([0, 0.05, 0.5, 1]),
+    seed=st.integers(0, 1_000),
+)
+def test_calls_start_once_in_time_or_are_refused(rate, long_share, seed):
+    target = drive(Admission.from_service(SERVICE), rate, 1, long_share, seed)
+    assert target.starts.keys().isdisjoint(target.refused)
+    assert target.starts.keys() | target.refused.keys() == target.calls.keys()
+    assert target.most_long <= 4
+    assert target.short_behind <= WAIT_S + 1e-6
+
+
+class NoReserve(Slots):
+    """Long work may hold every slot."""
+
+    long_limit = SERVICE.slots
+
+
+class Patient(Slots):
+    """A short call waits behind long work until its deadline."""
+
+    def holds_up(self, queued):
+        return False
+
+
+class Trusting(Admission):
+    """Calls are queued whatever wait is predicted."""
+
+    def predicted_wait(self, is_long):
+        return 0
+
+
+def admission_of(slots_class=Slots, admission_class=Admission, limit=20):
+    correct = Admission.from_service(SERVICE)
+    slots = slots_class(correct.slots.limit)
+    return admission_class(limit, slots)
+
+
+def test_long_work_leaves_slots_to_short_work():
+    target = drive(admission_of(), 100, 3, 0.5)
+    assert target.most_long == 4
+    assert not drive(admission_of(), 50, 3, 0.5).short_behind > SHORT_S
+    wrong = drive(admission_of(slots_class=NoReserve), 100, 3, 0.5)
+    assert wrong.most_long == SERVICE.slots
+
+
+def test_short_call_waits_a_bounded_time_behind_long_work():
+    patient = admission_of(slots_class=Patient, limit=200)
+    right = admission_of(limit=200)
+    assert drive(right, 1_000, 2, 0.02).short_behind <= WAIT_S + 1e-6
+    assert drive(patient, 1_000, 2, 0.02).short_behind > WAIT_S + 1e-6
+
+
+@pytest.mark.parametrize('factor', [1.2, 3, 10])
+def test_goodput_holds_past_capacity(factor):
+    capacity = SERVICE.slots / SHORT_S
+    right = drive(admission_of(limit=200), factor * capacity, 3, 0)
+    assert right.good >= 0.9 * capacity * 3
+
+
+def test_trusting_queue_starts_work_that_comes_too_late():
+    capacity = SERVICE.slots / SHORT_S
+    right = drive(admission_of(limit=1_000), 3 * capacity, 3, 0)
+    wrong = drive(
+        admission_of(admission_class=Trusting, limit=1_000),
+        3 * capacity,
+        3,
+        0,
+    )
+    late = [len(target.starts) - target.good for target in (right, wrong)]
+    assert late[0] < 0.02 * len(right.starts)
+    assert late[1] > 0.1 * len(wrong.starts)
+
+
+def test_slot_is_free_only_when_the_target_says_so():
+    admission = admission_of()
+    calls = [make_call(i, WorkClass.SHORT, 0) for i in range(7)]
+    decisions = [admission.offer(call, 0) for call in calls]
+    assert isinstance(decisions[6], Wait)
+    assert not admission.cancel(0)
+    assert not admission.advance(0.01)
+    admission.release(0, 0.02)
+    assert admission.advance(0.02) == (Start(calls[6]),)
+
+
+def test_long_work_is_not_starved():
+    admission = admission_of()
+    for call_id in range(6):
+        admission.offer(make_call(call_id, WorkClass.SHORT, 0), 0)
+    waiting = [WorkClass.SHORT, WorkClass.LONG]
+    for call_id, work in enumerate(waiting, start=6):
+        admission.offer(make_call(call_id, work, 0), 0)
+    admission.release(0, 0.01)
+    assert [start.call.call_id for start in admission.advance(0.01)] == [7]
+
+
+def test_draining_runs_what_was_admitted():
+    admission = admission_of()
+    calls = [make_call(i, WorkClass.SHORT, 0) for i in range(8)]
+    for call in calls[:7]:
+        admission.offer(call, 0)
+    admission.drain()
+    assert admission.offer(calls[7], 0).refusal.reason is Reason.DRAINING
+    admission.release(0, 0.01)
+    assert admission.advance(0.01) == (Start(calls[6]),)
+
+
+def test_limit_follows_shed_load_and_recovers():
+    admission = admission_of()
+    for call_id in range(3):
+        admission.offer(make_call(call_id, WorkClass.SHORT, call_id), call_id)
+        admission.record_shed(call_id, call_id)
+    assert admission.slots.limit.current < SERVICE.slots / 2
+    for call_id in range(10, 60):
+        admission.offer(make_call(call_id, WorkClass.SHORT, call_id), call_id)
+        admission.release(call_id, call_id + SHORT_S)
+    assert admission.slots.limit.current == SERVICE.slots
+
+
+def test_class_is_learned_from_service_times():
+    times = admission_of().times
+    assert times.classify('new', WorkClass.LEARNED) is WorkClass.LONG
+    for _ in range(20):
+        times.observe('lookup', SHORT_S)
+        times.observe('batch', LONG_S)
+    assert times.classify('lookup', WorkClass.LEARNED) is WorkClass.SHORT
+    assert times.classify('batch', WorkClass.LEARNED) is WorkClass.LONG
+    assert times.classify('batch', WorkClass.SHORT) is WorkClass.SHORT
--- /dev/null
+++ b/tests/test_idempotency.py
@@ -0,0 +1,392 @@
+"""Each idempotency key runs at most once, whatever hosts and lists do."""
+
+import random
+
+import attrs
+import pytest
+from hypothesis import HealthCheck, Phase, given, settings, stateful
+from hypothesis import strategies as st
+
+from egretlanding.exceptions import KeyFormatError
+from egretlanding.idempotency import (
+    Answer,
+    Join,
+    KeyState,
+    KeyTable,
+    Replay,
+    Run,
+    request_digest,
+)
+from egretlanding.keys import CallerKey, issue_key, make_uuid7, parse_key
+from egretlanding.outcomes import Execution, Reason, Refusal
+from egretlanding.ownership import KeyBounds, Moment, Ownership, owner_id
+
+HOSTS = ('a', 'b', 'c')
+START = 1_000_000
+BOUNDS = KeyBounds(clock_s=2, view_lag_s=10, retention_s=90)
+# Wall clocks differ by at most BOUNDS.clock_s.
+CLOCK_ERRORS = {'a': -1, 'b': 0, 'c': 1}
+DIGEST = request_digest('POST', '/orders', b'one')
+hosts = st.sampled_from(HOSTS)
+
+
+class KeyMachine(stateful.RuleBasedStateMachine):
+    """Daemons with lagging lists, restarts and resends by any ingress."""
+
+    table_class = KeyTable
+    ownership_class = Ownership
+    bounds = BOUNDS
+
+    def __init__(self):
+        super().__init__()
+        self.rng = random.Random(5)
+        self.time = START
+        self.lists = [(self.time, HOSTS)]
+        self.starts = 0
+        self.tables = {}
+        self.read_at = {}
+        self.keys = []
+        self.executions = {}
+        for host in HOSTS:
+            self.start(host, 0)
+
+    def moment(self, host):
+        return Moment(self.time, self.time + CLOCK_ERRORS[host])
+
+    def list_at(self, time):
+        return [names for since, names in self.lists if since <= time][-1]
+
+    def start(self, host, age):
+        self.starts += 1
+        self.tables[host] = self.table_class(
+            'orders',
+            host,
+            self.starts,
+            self.ownership_class(host, self.bounds),
+            max_keys=2,
+        )
+        self.read_at[host] = START
+        self.read(host, age)
+
+    @stateful.rule(seconds=st.sampled_from([0.4, 3, 7, 9, 12, 24, 95]))
+    def pass_time(self, seconds):
+        self.time += seconds
+
+    @stateful.rule(seconds=st.sampled_from([1, 6, 9, 12]))
+    def pass_time_with_news(self, seconds):
+        self.time += seconds
+        for host in HOSTS:
+            self.read(host, 0)
+
+    @stateful.rule(host=hosts)
+    def change_list(self, host):
+        names = set(self.lists[-1][1]) ^ {host}
+        self.lists.append((self.time, tuple(sorted(names))))
+
+    @stateful.rule(host=hosts, age=st.sampled_from([0, 1, 4, 8]))
+    def read(self, host, age):
+        read_at = self.time - age
+        if read_at >= self.read_at[host]:
+            self.read_at[host] = read_at
+            names = self.list_at(read_at)
+            self.tables[host].ownership.confirm(names, age, self.moment(host))
+
+    @stateful.rule(host=hosts, age=st.sampled_from([0, 4]))
+    def restart(self, host, age):
+        self.start(host, age)
+
+    @stateful.rule(age=st.sampled_from([-3, -1, 0, 5, 15]))
+    def make_key(self, age):
+        self.keys.append(make_uuid7(self.time - age, self.rng))
+
+    @stateful.rule(host=hosts, issuer=hosts)
+    def issue_key(self, host, issuer):
+        incarnation = self.tables[host].incarnation
+        wall = self.moment(issuer).wall
+        key = issue_key('orders', host, incarnation, wall, self.rng)
+        self.keys.append(parse_key(key.text))
+
+    @stateful.precondition(lambda machine: machine.keys)
+    @stateful.rule(
+        host=hosts,
+        draw=st.data(),
+        digest=st.sampled_from([DIGEST, DIGEST, b'other']),
+    )
+    def send(self, host, draw, digest):
+        key = draw.draw(st.sampled_from(self.keys))
+        self.offer(key, host, digest)
+
+    @stateful.precondition(lambda machine: machine.keys)
+    @stateful.rule()
+    def send_newest_everywhere(self):
+        for host in HOSTS:
+            self.offer(self.keys[-1], host, DIGEST)
+
+    def offer(self, key, host, digest):
+        table = self.tables[host]
+        decision = table.decide(key, digest, self.moment(host))
+        if isinstance(decision, Run):
+            assert key.text not in self.executions, 'a key ran twice'
+            table.begin(key, digest)
+            self.executions[key.text] = digest
+        if isinstance(decision, Replay):
+            assert decision.answer.body == key.text.encode()
+            assert self.executions[key.text] == digest
+        if getattr(decision, 'execution', None) is Execution.NOT_RUN:
+            assert self.executions.get(key.text) != digest
+
+    @stateful.rule(
+        host=hosts,
+        end=st.sampled_from(['answer', 'lost', 'not run']),
+    )
+    def end(self, host, end):
+        table = self.tables[host]
+        running = [
+            entry.key
+            for entry in table.entries.values()
+            if entry.state is KeyState.RUNNING
+        ]
+        for key in running[:1]:
+            if end == 'answer':
+                table.record_answer(key, Answer(200, body=key.text.encode()))
+            elif end == 'lost':
+                refusal = Refusal.unknown(Reason.CONNECTION_LOST)
+                table.record_refusal(key, refusal)
+            else:
+                table.record_refusal(key, Refusal.not_run(Reason.SHED))
+                self.executions.pop(key.text)
+
+    @stateful.rule(host=hosts)
+    def expire(self, host):
+        self.tables[host].expire(self.moment(host))
+
+    @stateful.invariant()
+    def memory_is_bounded(self):
+        assert all(len(table.entries) <= 2 for table in self.tables.values())
+
+
+KeyMachine.TestCase.settings = settings(
+    max_examples=300,
+    stateful_step_count=40,
+    deadline=None,
+)
+TestKeys = KeyMachine.TestCase
+
+
+class NoHoldOff(KeyBounds):
+    """A new owner takes keys at once."""
+
+    hold_off_s = 0
+
+
+class ClockHoldOff(KeyBounds):
+    """A new owner waits for the clocks only."""
+
+    hold_off_s = 2 * BOUNDS.clock_s
+
+
+class AnyAge(Ownership):
+    """An owner takes keys however old its list is."""
+
+    def check(self, key, moment):
+        self.confirmed = moment.now
+        return super().check(key, moment)
+
+
+class NoGapCheck(Ownership):
+    """An owner trusts that it missed no list."""
+
+    def confirm(self, names, age_s, moment):
+        self.confirmed = max(self.confirmed, moment.now - age_s)
+        super().confirm(names, age_s, moment)
+
+
+class AnyIncarnation(KeyTable):
+    """A restarted owner runs the keys of its predecessor."""
+
+    def _not_issued_here(self, key):
+        return super()._not_issued_here(
+            attrs.evolve(key, incarnation=self.incarnation),
+        )
+
+
+class Evicting(KeyTable):
+    """A full table evicts the oldest key."""
+
+    def decide(self, key, digest, moment):
+        if len(self.entries) >= self.max_keys and key.text not in self.entries:
+            self.entries.pop(next(iter(self.entries)))
+        return super().decide(key, digest, moment)
+
+
+class ForgetsLost(KeyTable):
+    """A call with an unknown outcome may run again."""
+
+    def record_refusal(self, key, refusal):
+        self.entries.pop(key.text)
+
+
+class ForgetsEarly(KeyTable):
+    """Keys are forgotten before their age refuses them."""
+
+    def expire(self, moment):
+        self.entries.clear()
+
+
+@pytest.mark.parametrize(
+    'variant',
+    [
+        {'bounds': NoHoldOff(2, 10, 90)},
+        {'table_class': AnyIncarnation},
+        {'table_class': Evicting},
+        {'table_class': ForgetsLost},
+        {'table_class': ForgetsEarly},
+    ],
+    ids=lambda variant: str(next(iter(variant.values()))),
+)
+def test_machine_catches_wrong_variant(variant):
+    machine = type('Wrong', (KeyMachine,), variant)
+    with pytest.raises(AssertionError):
+        stateful.run_state_machine_as_test(
+            machine,
+            settings=settings(
+                max_examples=1_000,
+                stateful_step_count=40,
+                deadline=None,
+                derandomize=True,
+                database=None,
+                report_multiple_bugs=False,
+                suppress_health_check=list(HealthCheck),
+                phases=[Phase.generate],
+            ),
+        )
+
+
+def add_b(machine):
+    """Lists b as the new owner of some keys, of which only b learns."""
+    machine.change_list('b')
+    settle(machine, HOSTS, 40)
+    machine.change_list('b')
+    machine.read('b', 0)
+
+
+def settle(machine, readers, seconds):
+    for _ in range(seconds // 4):
+        machine.pass_time(4)
+        for host in readers:
+            machine.read(host, 0)
+
+
+def key_moved_from_a_to_b(machine):
+    while True:
+        key = make_uuid7(machine.time, machine.rng)
+        if (owner_id(key, ('a', 'c')), owner_id(key, HOSTS)) == ('a', 'b'):
+            return key
+
+
+def old_owner_has_old_list(machine):
+    add_b(machine)
+    machine.pass_time(8)
+    key = key_moved_from_a_to_b(machine)
+    machine.offer(key, 'a', DIGEST)
+    assert key.text in machine.executions
+    machine.offer(key, 'b', DIGEST)
+
+
+def old_owner_is_cut_off(machine):
+    add_b(machine)
+    settle(machine, ('b',), 40)
+    key = key_moved_from_a_to_b(machine)
+    machine.offer(key, 'b', DIGEST)
+    assert key.text in machine.executions
+    machine.offer(key, 'a', DIGEST)
+
+
+def old_owner_misses_that_it_was_replaced(machine):
+    add_b(machine)
+    settle(machine, ('b',), 40)
+    key = key_moved_from_a_to_b(machine)
+    machine.offer(key, 'b', DIGEST)
+    assert key.text in machine.executions
+    machine.change_list('b')
+    machine.read('a', 0)
+    machine.offer(key, 'a', DIGEST)
+
+
+@pytest.mark.parametrize(
+    ('scenario', 'variant'),
+    [
+        (old_owner_has_old_list, {'bounds': ClockHoldOff(2, 10, 90)}),
+        (old_owner_is_cut_off, {'ownership_class': AnyAge}),
+        (
+            old_owner_misses_that_it_was_replaced,
+            {'ownership_class': NoGapCheck},
+        ),
+    ],
+)
+def test_key_of_two_owners_runs_once(scenario, variant):
+    scenario(KeyMachine())
+    with pytest.raises(AssertionError, match='a key ran twice'):
+        scenario(type('Wrong', (KeyMachine,), variant)())
+
+
+def test_resends_join_and_replay():
+    table = KeyTable.for_daemon('orders', 'a', 7)
+    key = issue_key('orders', 'a', 7, START, random.Random(1))
+    now = Moment(0, START)
+    assert table.decide(key, DIGEST, now) == Run()
+    table.begin(key, DIGEST)
+    assert table.decide(key, DIGEST, now) == Join()
+    table.record_answer(key, Answer(200, (), b'done'))
+    assert table.decide(key, DIGEST, now) == Replay(Answer(200, (), b'done'))
+    assert table.decide(key, b'else', now).reason is Reason.KEY_REUSED
+
+
+def test_settled_owner_runs_new_keys_and_only_one_host_owns_them():
+    tables = [KeyTable.for_daemon('orders', host, 1) for host in HOSTS]
+    for table in tables:
+        for now in (0, 8, 16, 24, 30):
+            moment = Moment(now, START + now)
+            table.ownership.confirm(HOSTS, 0, moment)
+    key = make_uuid7(START + 30, random.Random(1))
+    moment = Moment(30, START + 30)
+    decisions = [table.decide(key, DIGEST, moment) for table in tables]
+    assert decisions.count(Run()) == 1
+
+
+def test_answers_are_dropped_before_keys():
+    table = KeyTable.for_daemon('orders', 'a', 7)
+    table.max_answer_bytes = 10
+    rng = random.Random(1)
+    keys = [issue_key('orders', 'a', 7, START, rng) for _ in range(3)]
+    for key in keys:
+        table.begin(key, DIGEST)
+        table.record_answer(key, Answer(200, (), b'12345'))
+    decisions = [table.decide(key, DIGEST, Moment(0, START)) for key in keys]
+    assert decisions[0].reason is Reason.ANSWER_DROPPED
+    assert decisions[0].execution is Execution.UNKNOWN
+    assert all(isinstance(decision, Replay) for decision in decisions[1:])
+    assert table.answer_bytes <= table.max_answer_bytes
+
+
+@given(
+    st.text() | st.binary().map(repr) | st.from_regex('egk1:.*', fullmatch=True)
+)
+def test_other_texts_are_refused_with_a_remedy(text):
+    try:
+        key = parse_key(text)
+    except KeyFormatError as error:
+        assert 'send a UUIDv7' in error.remedy
+    else:
+        assert isinstance(key, CallerKey)
+
+
+@given(st.integers(0, 2**40), st.randoms(use_true_random=False), st.data())
+def test_issued_keys_survive_the_wire_and_damage_shows(incarnation, rng, draw):
+    key = issue_key('orders', 'host-1', incarnation, START, rng)
+    assert parse_key(key.text) == key
+    at = draw.draw(st.integers(5, len(key.text) - 1))
+    other = chr(ord(key.text[at]) ^ 1)
+    damaged = key.text[:at] + other + key.text[at + 1 :]
+    with pytest.raises(KeyFormatError):
+        parse_key(damaged)
