Test keyed calls and planned stops with real processes

Wrong variants that fail: known keys not looked up, keys without an owner, the owner's incarnation unchecked, unknown outcomes forgotten, a key whose owner refuses connections called not run; a drain that doesn't wait for calls in flight, a draining daemon that admits, callers not told of the close.

--- a/tests/callfleet.py
+++ b/tests/callfleet.py
@@ -152,7 +152,7 @@
         return str(answer.json()['key'])
 
     def runs(self, *names: str) -> Counter[str]:
-        """Returns how often targets ran each body."""
+        """Returns how often targets ran each body; lookups have none."""
         ports = [
             self.target_port
             if name == SOLO
@@ -163,6 +163,7 @@
             run['body']
             for port in ports
             for run in ask(port, 'GET', '/executions').json()
+            if run['body']
         )
 
     def arrivals(self, name: str) -> int:
--- /dev/null
+++ b/tests/test_shutdown.py
@@ -0,0 +1,104 @@
+"""Tests that planned stops cut no call in flight, with real processes."""
+
+import signal
+import time
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from http import client
+
+import pytest
+
+from standins.fleet import Answer
+from tests.callfleet import (
+    FRONT,
+    ORDERS,
+    PATIENT,
+    CallFleet,
+    Load,
+    is_whole,
+)
+
+BATCH_MS = 3_000
+STOP_BOUND_S = 10
+
+
+@pytest.fixture
+def calls() -> Iterator[CallFleet]:
+    fleet = CallFleet.start()
+    yield fleet
+    fleet.close()
+
+
+def run_batch(calls: CallFleet, front: str, service: str, body: str) -> Answer:
+    """Runs one long batch."""
+    return calls.member(front).call(
+        'POST',
+        f'/{service}/batch',
+        body.encode(),
+        x_service_ms=str(BATCH_MS),
+        x_answer_bytes='100000',
+    )
+
+
+def test_stopping_daemons_and_targets_cuts_no_call(calls: CallFleet) -> None:
+    load = Load(calls)
+    ingress = calls.member('front-1')
+    with ThreadPoolExecutor(8) as pool, load.running():
+        batches = [
+            pool.submit(run_batch, calls, front, 'orders', f'batch-{number}')
+            for number, front in enumerate((FRONT, FRONT, FRONT, 'front-1'))
+        ]
+        time.sleep(0.5)
+        stopped = [
+            ingress.daemon,
+            calls.member(ORDERS[1]).daemon,
+            calls.member(ORDERS[3]).target,
+        ]
+        for process in stopped:
+            assert process
+            process.send_signal(signal.SIGTERM)
+        answers = [future.result() for future in batches]
+        codes = [process.wait(STOP_BOUND_S) for process in stopped if process]
+        time.sleep(0.5)
+    for number, answer in enumerate(answers):
+        assert is_whole(answer, f'batch-{number}', 100_000), answer
+    assert codes == [0, 0, 0]
+    assert {answer.status for answer in load.answers} == {200}
+    runs = calls.runs(*ORDERS[:3])
+    assert max(runs.values()) == 1
+
+
+def test_a_draining_ingress_serves_until_its_callers_know(
+    calls: CallFleet,
+) -> None:
+    front = calls.member(FRONT)
+    port = front.settings['call_port']
+    kept = client.HTTPConnection('127.0.0.1', port, timeout=20)
+    kept.request('GET', '/solo/lookup')
+    first = kept.getresponse()
+    first.read()
+    assert front.daemon
+    front.daemon.send_signal(signal.SIGTERM)
+    time.sleep(0.3)
+    kept.request('GET', '/solo/lookup')
+    last = kept.getresponse()
+    assert (first.status, last.status) == (200, 200)
+    assert last.getheader('connection') == 'close'
+    assert front.daemon.wait(STOP_BOUND_S) == 0
+
+
+def test_a_call_for_a_stopping_owner_did_not_run(calls: CallFleet) -> None:
+    solo = calls.member('solo-0')
+    key = calls.issue_key()
+    with ThreadPoolExecutor(2) as pool:
+        batch = pool.submit(run_batch, calls, FRONT, 'solo', 'held')
+        time.sleep(0.3)
+        assert solo.daemon
+        solo.daemon.send_signal(signal.SIGTERM)
+        time.sleep(0.3)
+        plain = calls.order('plain', **PATIENT)
+        keyed = calls.order('keyed', idempotency_key=key, **PATIENT)
+        assert is_whole(batch.result(), 'held', 100_000)
+    assert (plain.ran, keyed.ran) == ('no', 'no')
+    assert solo.daemon.wait(STOP_BOUND_S) == 0
+    assert calls.runs() == {'held': 1}
