--- a/egretlanding/callreport.py
+++ b/egretlanding/callreport.py
@@ -62,10 +62,11 @@
     now = service.reactor.seconds()
     return {
         'draining': service.draining,
+        'callers': len(service.http.connections),
         'in_flight': len(ingress.runs),
         'at_target': len(egress.table.jobs),
         'slots': egress.admission.slots.limit.current,
-        'queued': len(egress.admission.waiting),
+        'queued': len(egress.admission.short) + len(egress.admission.long),
         'target_up': egress.health.up,
         'target_draining': egress.health.draining,
         'target_connections': egress.target.pool.opened,
