--- a/egretlanding/limits.py
+++ b/egretlanding/limits.py
@@ -1,105 +1,66 @@
-"""What a YAML document may contain, checked event by event."""
-
-from collections.abc import Callable, Iterable, Iterator
+"""The number of calls that a target is given at a time."""
 
 import attrs
-import yaml
-
-from egretlanding.findings import Finding
 
-MAX_NODES_PER_FILE = 32_768
-MAX_DEPTH = 8
-
-SPLIT_REMEDY = 'split the file'
-PLAIN_REMEDY = 'write each value out where it is used'
+SHED_FACTOR = 0.7
+SLOW_FACTOR = 0.9
+SLOW_RATIO = 3
+SLOW_FLOOR = 0.5
+DECREASE_PAUSE_S = 0.1
 
 
 @attrs.define
-class Usage:
-    """What the events of a document have used up so far.
+class ConcurrencyLimit:
+    """Grows by one per round of answers, shrinks on shed or slow ones.
 
     Attributes:
-        nodes: Scalars, lists and mappings.
-        depth: Lists and mappings open at this point.
-        documents: Documents started.
-    """
-
-    nodes: int = 0
-    depth: int = 0
-    documents: int = 0
-
-    def count(self, event: yaml.Event) -> None:
-        """Takes one event into account."""
-        self.nodes += isinstance(event, yaml.NodeEvent)
-        self.depth += isinstance(event, yaml.CollectionStartEvent)
-        self.depth -= isinstance(event, yaml.CollectionEndEvent)
-        self.documents += isinstance(event, yaml.DocumentStartEvent)
-
-
-Limit = Callable[[yaml.Event, Usage], bool]
-
-LIMITS: dict[Limit, tuple[str, str]] = {}
-
-
-def limit(problem: str, remedy: str) -> Callable[[Limit], Limit]:
-    """Registers a predicate that tells whether an event is refused.
-
-    Args:
-        problem: What the event is, in one clause.
-        remedy: What the operator can do about it.
-
-    Returns:
-        A decorator that records the predicate and returns it unchanged.
+        slots: The most calls, from the release.
+        level: The limit before rounding.
+        decreased: When it last shrank, seconds.
     """
 
-    def register(predicate: Limit) -> Limit:
-        LIMITS[predicate] = (problem, remedy)
-        return predicate
-
-    return register
-
-
-@limit(f'more than {MAX_NODES_PER_FILE} values', SPLIT_REMEDY)
-def too_many_nodes(event: yaml.Event, usage: Usage) -> bool:
-    """Tells whether the document has too many values."""
-    return usage.nodes > MAX_NODES_PER_FILE
-
-
-@limit(f'more than {MAX_DEPTH} levels of nesting', 'nest less deeply')
-def too_deep(event: yaml.Event, usage: Usage) -> bool:
-    """Tells whether the document is nested too deeply."""
-    return usage.depth > MAX_DEPTH
-
-
-@limit(
-    'more than one document in a file',
-    'write the objects as one list, or use a file each',
-)
-def second_document(event: yaml.Event, usage: Usage) -> bool:
-    """Tells whether a second document starts."""
-    return usage.documents > 1
-
-
-@limit('an anchor or alias is not allowed', PLAIN_REMEDY)
-def anchored(event: yaml.Event, usage: Usage) -> bool:
-    """Tells whether a value has an anchor or refers to one."""
-    return isinstance(event, yaml.NodeEvent) and event.anchor is not None
-
-
-@limit('a tag is not allowed', 'leave the tag out')
-def tagged(event: yaml.Event, usage: Usage) -> bool:
-    """Tells whether a value has an explicit tag."""
-    return getattr(event, 'tag', None) is not None
-
-
-def refusals(events: Iterable[yaml.Event]) -> Iterator[Finding]:
-    """Yields a finding for each event that a limit refuses."""
-    usage = Usage()
-    for event in events:
-        usage.count(event)
-        mark = event.start_mark
-        yield from (
-            Finding('', mark.line + 1 if mark else 0, '', problem, remedy)
-            for predicate, (problem, remedy) in LIMITS.items()
-            if predicate(event, usage)
-        )
+    slots: int
+    level: float
+    decreased: float = float('-inf')
+
+    @classmethod
+    def of(cls, slots: int) -> 'ConcurrencyLimit':
+        """Builds the limit of a target with a number of slots."""
+        return cls(slots, slots)
+
+    @property
+    def current(self) -> int:
+        """Calls that may run now, at least one."""
+        return max(1, int(self.level))
+
+    def record(
+        self,
+        elapsed: float,
+        usual: float,
+        running: int,
+        now: float,
+    ) -> None:
+        """Learns from an answer.
+
+        Args:
+            elapsed: Time that the call took, seconds.
+            usual: Time that such calls take, seconds.
+            running: Calls that ran when it ended.
+            now: Monotonic time, seconds.
+        """
+        floor = min(self.level, self.slots * SLOW_FLOOR)
+        if elapsed > SLOW_RATIO * usual and running >= self.current:
+            self._decrease(SLOW_FACTOR, floor, now)
+            return
+        self.level = min(self.slots, self.level + 1 / self.level)
+
+    def record_shed(self, now: float) -> None:
+        """Learns that the target refused to run a call."""
+        self._decrease(SHED_FACTOR, 1, now)
+
+    def _decrease(self, factor: float, floor: float, now: float) -> None:
+        # Answers of one round tell of one overload, which counts once.
+        if now - self.decreased < DECREASE_PAUSE_S:
+            return
+        self.level = max(floor, self.level * factor)
+        self.decreased = now
--- a/egretlanding/reactors.py
+++ b/egretlanding/reactors.py
@@ -4,8 +4,6 @@
 import importlib
 import sys
 
-import uvloop
-
 # Twisted goes without TLS where pyOpenSSL can't be imported. The system uses
 # none, and this keeps 12 MB out of every process.
 sys.modules['OpenSSL'] = None  # type: ignore[assignment]
@@ -22,7 +20,8 @@
         module: Full name of the module to import and run.
     """
     asyncioreactor = importlib.import_module('twisted.internet.asyncioreactor')
-    loop = uvloop.new_event_loop()
+    loop = asyncio.new_event_loop()
+    # Tasks that start before the reactor runs must find the same loop.
     asyncio.set_event_loop(loop)
     asyncioreactor.install(loop)
     importlib.import_module(module).main()
--- a/egretlanding/supervisor.py
+++ b/egretlanding/supervisor.py
@@ -11,7 +11,7 @@
 from egretlanding.calls import CallService
 from egretlanding.config import DaemonConfig
 from egretlanding.hosts import Host, HostList, HostState
-from egretlanding.ingress import View
+from egretlanding.views import View
 from egretlanding.ledger import FindFaults
 from egretlanding.life import Life, LifeCore, Phase, build_machine
 from egretlanding.release import Position
@@ -126,7 +126,7 @@
             self.life.synced()
         else:
             self.applied = None
-            self.calls.apply(None)
+            self.calls.suspend()
             self.life.lost_sync()
 
     def refresh_view(self) -> None:
@@ -142,7 +142,7 @@
         if release is not None and key != self.applied:
             self.applied = key
             marked = mark_leaving(hosts, leaving)
-            self.calls.apply(View(release, marked))
+            self.calls.apply(View.from_release(release, marked))
 
     def stop(self) -> None:
         """Starts a graceful stop."""
