--- a/egretlanding/partners.py
+++ b/egretlanding/partners.py
@@ -1,5 +1,6 @@
 """With whom a daemon exchanges summaries, and when."""
 
+import bisect
 import enum
 import itertools
 from collections.abc import Iterable
@@ -17,11 +18,12 @@
 )
 
 COMPARE_PERIOD_S = 2
+UNREADY_PERIOD_S = 0.5
 LINK_PERIOD_S = 5
 ROTATE_PERIOD_S = 60
 NOTIFY_GAP_S = 1
 NEAR_SHARE = 0.7
-LINK_PARTNERS = 2
+LINK_PARTNERS = 1
 JITTER = 0.5
 
 
@@ -33,7 +35,7 @@
 
 
 PARTNERS = {Place.NEAR: 6, Place.REGION: 4}
-FAN_OUT = {Place.NEAR: 3, Place.REGION: 1}
+FAN_OUT = {Place.NEAR: 3, Place.REGION: 2}
 
 
 @attrs.define
@@ -50,6 +52,8 @@
         domains: Failure domains in which there are other hosts.
         pools: Host ids to choose from by place.
         chosen: The partners by place.
+        successor: The next host of the failure domain, which is notified
+            always, so that each host is notified by at least one other.
         remote: Ranked host ids of each other region.
         urgent: Hosts to notify as soon as possible.
         compare_at: Time of the next exchange within the region, seconds.
@@ -63,6 +67,7 @@
     domains: frozenset[str] = frozenset()
     pools: dict[Place, tuple[str, ...]] = attrs.field(factory=dict)
     chosen: dict[Place, list[str]] = attrs.field(factory=dict)
+    successor: tuple[str, ...] = ()
     remote: tuple[tuple[str, ...], ...] = ()
     urgent: dict[str, None] = attrs.field(factory=dict)
     compare_at: float = 0
@@ -71,7 +76,7 @@
     notify_at: float = 0
 
     def choose_from(self, hosts: HostList) -> None:
-        """Takes a new host list into account."""
+        """Takes a new host list into account, keeping partners still in it."""
         others = [
             host
             for host in hosts.hosts.values()
@@ -86,6 +91,9 @@
         self.pools = {
             place: tuple(sorted(self._ids_in(place, others))) for place in Place
         }
+        near = self.pools[Place.NEAR]
+        place_in_ring = bisect.bisect(near, self.host.host_id)
+        self.successor = (near[place_in_ring:] + near)[:1]
         for place, pool in self.pools.items():
             kept = set(pool).intersection(self.chosen.get(place, ()))
             self.chosen[place] = sorted(kept)
@@ -96,7 +104,9 @@
         now: float,
         membership: Membership,
         duty: WatchDuty,
-        at_once: bool,
+        *,
+        at_once: bool = False,
+        across: bool = True,
     ) -> None:
         """Plans exchanges with several partners, to pass news on.
 
@@ -106,13 +116,15 @@
             duty: Whether this daemon has partners in other regions.
             at_once: Whether the news are urgent; others are passed on at
                 most once in `NOTIFY_GAP_S`.
+            across: Whether other regions may not know the news yet.
         """
         if not at_once and now < self.notify_at:
             return
         self.notify_at = now + NOTIFY_GAP_S
         for place, count in FAN_OUT.items():
             self._plan(self._sample(place, count, membership, now))
-        if duty.is_carrier(now):
+        self._plan(self._usable(self.successor, membership, now))
+        if across and duty.is_carrier(now):
             self._plan(self._across(membership, duty, now))
 
     def take_due(
@@ -120,14 +132,22 @@
         now: float,
         membership: Membership,
         duty: WatchDuty,
+        *,
+        ready: bool,
     ) -> tuple[str, ...]:
         """Takes the exchanges that are due off the schedule.
 
+        Args:
+            now: The time, seconds.
+            membership: Evidence on the hosts.
+            duty: Whether this daemon has partners in other regions.
+            ready: Whether the daemon serves; until then it asks more often.
+
         Returns:
             The ids of the hosts to exchange summaries with now.
         """
         self._rotate(now, membership)
-        self._compare(now, membership, duty)
+        self._compare(now, membership, duty, ready=ready)
         if duty.is_carrier(now) and now >= self.link_at:
             self.link_at = now + self._jittered(LINK_PERIOD_S)
             across = self._across(membership, duty, now)
@@ -147,10 +167,13 @@
         now: float,
         membership: Membership,
         duty: WatchDuty,
+        *,
+        ready: bool,
     ) -> None:
         if now < self.compare_at:
             return
-        self.compare_at = now + self._jittered(COMPARE_PERIOD_S)
+        period = COMPARE_PERIOD_S if ready else UNREADY_PERIOD_S
+        self.compare_at = now + self._jittered(period)
         near = self.random.random() < NEAR_SHARE
         places = (
             (Place.NEAR, Place.REGION) if near else (Place.REGION, Place.NEAR)
--- a/egretlanding/replica.py
+++ b/egretlanding/replica.py
@@ -155,8 +155,15 @@
 
         It should while it is on duty, and its budget allows an attempt.
         """
-        on_duty = self.duty.should_watch(now, self.freshness)
-        return on_duty and self.reads.may_attempt(now)
+        return self.reads.may_attempt(now) and self._is_on_duty(now)
+
+    def should_read_release(self, now: float) -> bool:
+        """Returns whether this daemon should read the release as well.
+
+        A daemon without a host list reads only that; with it, it knows
+        whether it is the one to read the release.
+        """
+        return bool(self.duty.ranking) and self._is_on_duty(now)
 
     def observe(
         self,
@@ -198,6 +205,7 @@
         release: Release,
         revision: int,
         now: float,
+        source: str = '',
     ) -> Outcome:
         """Decides on a release and puts it in force if it is later.
 
@@ -205,6 +213,7 @@
             release: A release whose digest was verified.
             revision: The store's revision of the head that announced it.
             now: The time, seconds.
+            source: Id of the host that it came from, or empty for the store.
         """
         conflicts = self.ledger.conflicts
         outcome = self.ledger.offer(release, revision)
@@ -215,7 +224,8 @@
             if conflict not in conflicts:
                 self._report(conflict_notice(conflict), now)
         if isinstance(outcome, Adopted):
-            self.partners.notify(now, self.membership, self.duty, True)
+            across = self._region_of(source) in {'', self.config.host.region}
+            self._notify(now, at_once=True, across=across)
             self._settle()
         return outcome
 
@@ -225,12 +235,16 @@
         Returns:
             Whether it was taken.
         """
+        first = not self.membership.hosts.revision
         if not self.membership.replace(hosts):
             return False
+        if first:
+            # Otherwise all hosts would keep the few seeds as partners.
+            self.partners.chosen.clear()
         self.claims.release(hosts.revision)
         self.duty.rank_among(hosts.live())
         self.partners.choose_from(hosts)
-        self.partners.notify(now, self.membership, self.duty, False)
+        self._notify(now)
         self._settle()
         return True
 
@@ -238,11 +252,17 @@
         self,
         update: ReleaseUpdate,
         now: float,
+        source: str = '',
     ) -> Result[Outcome, DeltaError | ReleaseError]:
         """Decides on a release that came from another daemon.
 
         Nothing changes unless the whole result is verified.
 
+        Args:
+            update: The update.
+            now: The time, seconds.
+            source: Id of the host that it came from.
+
         Returns:
             The outcome, or why the update can't be used; then the whole
             release should be asked for.
@@ -252,7 +272,8 @@
             release = apply_release_update(base, update)
         except (DeltaError, ReleaseError) as error:
             return Err(error)
-        return Ok(self.offer_release(release, update.revision, now))
+        outcome = self.offer_release(release, update.revision, now, source)
+        return Ok(outcome)
 
     def apply_hosts(
         self,
@@ -295,7 +316,12 @@
 
     def next_exchanges(self, now: float) -> tuple[Host, ...]:
         """Takes the exchanges that are due off the schedule."""
-        due = self.partners.take_due(now, self.membership, self.duty)
+        due = self.partners.take_due(
+            now,
+            self.membership,
+            self.duty,
+            ready=self.is_ready(now),
+        )
         known = self.membership.hosts.hosts
         return tuple(known[host_id] for host_id in due if host_id in known)
 
@@ -311,7 +337,7 @@
     def leave(self, now: float) -> None:
         """Announces that this daemon's host is leaving."""
         self.membership.leave(now)
-        self.partners.notify(now, self.membership, self.duty, True)
+        self._notify(now, at_once=True)
 
     def woke(self, now: float, gap: float) -> None:
         """Starts over after a pause: not ready until it has compared again.
@@ -326,13 +352,39 @@
         self.membership.forget_failures()
         self.claims.clear()
         self.partners.restart(now)
-        self.partners.notify(now, self.membership, self.duty, True)
+        self._notify(now, at_once=True)
+
+    def _is_on_duty(self, now: float) -> bool:
+        return self.duty.should_watch(
+            now,
+            self.freshness,
+            holds_release=self.ledger.release is not None,
+        )
+
+    def _notify(
+        self,
+        now: float,
+        *,
+        at_once: bool = False,
+        across: bool = True,
+    ) -> None:
+        self.partners.notify(
+            now,
+            self.membership,
+            self.duty,
+            at_once=at_once,
+            across=across,
+        )
 
     def _learn_ages(self, summary: Summary, asked_at: float) -> None:
         self.freshness.note_attempted(asked_at, summary.attempted_age)
         if summary.position == self.ledger.position:
             self.freshness.note_confirmed(asked_at, summary.confirmed_age)
 
+    def _region_of(self, host_id: str) -> str:
+        host = self.membership.hosts.hosts.get(host_id)
+        return host.region if host else ''
+
     def _note_peer(self, summary: Summary) -> None:
         host = self.membership.hosts.hosts.get(summary.host_id)
         if host is None:
@@ -354,7 +406,7 @@
         learned = [self.membership.learn(notice, now) for notice in notices]
         if any(learned):
             self._record_conflicts(now)
-            self.partners.notify(now, self.membership, self.duty, False)
+            self._notify(now)
 
     def _record_conflicts(self, now: float) -> None:
         notices = self.membership.notices.of_kind(NoticeKind.CONFLICT, now)
@@ -363,4 +415,4 @@
 
     def _report(self, notice: Notice, now: float) -> None:
         if self.membership.learn(notice, now):
-            self.partners.notify(now, self.membership, self.duty, False)
+            self._notify(now)
--- a/egretlanding/watchers.py
+++ b/egretlanding/watchers.py
@@ -14,6 +14,7 @@
 WATCHERS_PER_REGION = 3
 STANDBYS_PER_REGION = 6
 WATCH_POLL_S = 4
+FAR_WATCH_POLL_S = 30
 STARTUP_JITTER_S = 0.5
 
 # Standbys exchange with the watchers, so their ages are seconds old.
@@ -27,9 +28,13 @@
 FAR_TAKEOVER_STEP_S = 1
 
 # A daemon without a host list doesn't know its rank; seeds go first.
-UNRANKED_SPREAD_S = 20
+UNRANKED_SPREAD_S = 40
 SEED_SPREAD_S = 2
 
+# A daemon that holds nothing and hears nothing asks earlier.
+EMPTY_TAKEOVER_AGE_S = 20
+EMPTY_TAKEOVER_STEP_S = 0.2
+
 HEARD_S = 15
 ANSWERED_S = 10
 DUTY_S = 60
@@ -114,8 +119,29 @@
             return self.is_seed
         return self.rank is not None and self.rank < ranked_limit()
 
-    def should_watch(self, now: float, freshness: Freshness) -> bool:
-        """Returns whether this daemon should read the store."""
+    @property
+    def poll_s(self) -> float:
+        """Longest time that a read of the store waits for a change, seconds.
+
+        The ages that others depend on come from watchers and standbys; the
+        many other daemons spare the store if ever they have to read it.
+        """
+        return WATCH_POLL_S if self.is_near_front else FAR_WATCH_POLL_S
+
+    def should_watch(
+        self,
+        now: float,
+        freshness: Freshness,
+        *,
+        holds_release: bool,
+    ) -> bool:
+        """Returns whether this daemon should read the store.
+
+        Args:
+            now: The time, seconds.
+            freshness: The age of what is known of the store.
+            holds_release: Whether any release is in force.
+        """
         waited = now - self.started_at
         if not self.ranking:
             spread = SEED_SPREAD_S if self.is_seed else UNRANKED_SPREAD_S
@@ -123,7 +149,7 @@
         if self._is_watcher():
             return waited >= self.jitter * STARTUP_JITTER_S
         attempted = min(waited, freshness.attempted_age(now))
-        if attempted > self._takeover_age():
+        if attempted > self._takeover_age(holds_release=holds_release):
             return True
         confirmed = min(waited, freshness.confirmed_age(now))
         if self.is_standby and confirmed > self._unconfirmed_age():
@@ -175,9 +201,14 @@
         heard = sum(now - at < HEARD_S for at in self.heard.values())
         return heard >= WATCHERS_PER_REGION
 
-    def _takeover_age(self) -> float:
+    def _takeover_age(self, *, holds_release: bool) -> float:
         if self.is_standby:
             return TAKEOVER_AGE_S + TAKEOVER_STEP_S * self._delay_rank()
+        if not holds_release:
+            return (
+                EMPTY_TAKEOVER_AGE_S
+                + EMPTY_TAKEOVER_STEP_S * self._delay_rank()
+            )
         return FAR_TAKEOVER_AGE_S + FAR_TAKEOVER_STEP_S * self._delay_rank()
 
     def _unconfirmed_age(self) -> float:
--- a/lab/model.py
+++ b/lab/model.py
@@ -25,24 +25,32 @@
         self.parts_held.pop(replica.config.host.host_id, None)
         self._tick(replica)
 
-    def _tick(self, replica: Replica) -> None:
+    def exchange(self, replica: Replica) -> None:
+        """Sends the summaries that are due."""
         host_id = replica.config.host.host_id
-        self.at(TICK_S, replica, self._tick)
-        self.read_store(replica)
         for host in replica.next_exchanges(self.now):
-            target = host.host_id
             summary = replica.summary(self.now)
-            arguments = (summary, self.now)
-            size = _size_of(summary)
-            self.send(host_id, target, size, self._asked, *arguments)
+            self.send(
+                host_id,
+                host.host_id,
+                _size_of(summary),
+                self._asked,
+                summary,
+                self.now,
+            )
             self.at(
                 RPC_TIMEOUT_S,
                 replica,
                 self._timed_out,
-                target,
+                host.host_id,
                 self.now,
             )
 
+    def _tick(self, replica: Replica) -> None:
+        self.at(TICK_S, replica, self._tick)
+        self.read_store(replica)
+        self.exchange(replica)
+
     def _timed_out(
         self,
         replica: Replica,
@@ -126,7 +134,8 @@
             )
 
     def _release_came(self, replica: Replica, update: Any, source: str) -> None:
-        result = replica.apply_update(update, self.now)
+        result = replica.apply_update(update, self.now, source)
+        self.exchange(replica)
         if result.is_err() and update.base_digest:
             host_id = replica.config.host.host_id
             self.send(
--- a/lab/store.py
+++ b/lab/store.py
@@ -9,7 +9,6 @@
 from egretlanding.hosts import HostList
 from egretlanding.release import Release
 from egretlanding.replica import Replica
-from egretlanding.watchers import WATCH_POLL_S
 from lab.scheduler import Scheduler
 
 STORE = 'store'
@@ -104,9 +103,13 @@
         if self.store.down or not self.delays(host_id, STORE, 0):
             return
         self.waiting[host_id] = self.now
-        wait = 0 if self._has_news(replica) else WATCH_POLL_S
+        wait = 0 if self._has_news(replica) else replica.duty.poll_s
         self.at(wait, replica, self._answer, self.now)
 
+    def exchange(self, replica: Replica) -> None:
+        """Sends the summaries that are due."""
+        raise NotImplementedError
+
     def _has_news(self, replica: Replica) -> bool:
         head, hosts = self.store.answer()
         revision = head[1] if head else 0
@@ -136,7 +139,7 @@
         asked_at: float,
     ) -> None:
         replica.offer_hosts(hosts, self.now)
-        if head is None:
+        if head is None or not replica.should_read_release(self.now):
             return
         release, revision = head
         if replica.ledger.wants(release.position(revision)):
@@ -156,6 +159,7 @@
         if replica.ledger.wants(release.position(revision)):
             self._read_parts(replica, release)
             replica.offer_release(release, revision, self.now)
+            self.exchange(replica)
         replica.store_confirmed(asked_at, revision)
 
     def _read_parts(self, replica: Replica, release: Release) -> None:
--- a/tests/test_replica_machine.py
+++ b/tests/test_replica_machine.py
@@ -316,7 +316,7 @@
 class AppliedInPart(Replica):
     """Wrong: puts changes on whatever is in force, without verifying."""
 
-    def apply_update(self, update, now):
+    def apply_update(self, update, now, source=''):
         header = msgspec.json.decode(update.header, type=ReleaseHeader)
         payload = inflate(update.payload)
         changes = msgspec.json.decode(payload, type=ReleaseChanges)
