Know the age of the host list; relay notices to the call path; one demo release that passes the check

The call path takes callers' own keys only while the host list was confirmed of late, so exchanges now carry the age of the list as well (hosts_age_ms). Watchers far from the store ask it only for the list's revision, so that the list itself crosses the paid link as a delta.

--- a/egretlanding/calls.py
+++ b/egretlanding/calls.py
@@ -186,10 +186,6 @@
             self.egress.apply(own)
         self.announce()
 
-    def suspend(self) -> None:
-        """Refuses new calls until `apply`, because the view may be old."""
-        self.routes.view = None
-
     def confirm_hosts(self, age_s: float) -> None:
         """Takes the news that the host list is the store's newest.
 
--- a/egretlanding/freshness.py
+++ b/egretlanding/freshness.py
@@ -17,10 +17,12 @@
     Attributes:
         confirmed_at: Time of the last confirmation by any watcher, seconds.
         attempted_at: Time of the last attempt by any watcher, seconds.
+        hosts_at: Time since when any later host list was published, seconds.
     """
 
     confirmed_at: float = -math.inf
     attempted_at: float = -math.inf
+    hosts_at: float = -math.inf
 
     def confirmed_age(self, now: float) -> float:
         """Returns the time since the last confirmation, seconds."""
@@ -30,6 +32,14 @@
         """Returns the time since the last attempt, seconds."""
         return now - self.attempted_at
 
+    def hosts_age(self, now: float) -> float:
+        """Returns how long ago the host list held was the latest, seconds."""
+        return now - self.hosts_at
+
+    def note_hosts(self, now: float, age: float = 0) -> None:
+        """Takes a confirmation of the host list into account."""
+        self.hosts_at = max(self.hosts_at, now - age)
+
     def note_confirmed(self, now: float, age: float = 0) -> None:
         """Takes a confirmation of some age into account."""
         self.confirmed_at = max(self.confirmed_at, now - age)
--- a/egretlanding/messages.py
+++ b/egretlanding/messages.py
@@ -1,6 +1,7 @@
 """The typed messages of the control exchange between daemons."""
 
 import enum
+import math
 
 import attrs
 
@@ -53,6 +54,7 @@
         notices: Facts to pass on.
         ready: Whether the sender is ready to serve calls.
         watching: Whether the sender itself lately reached the store.
+        hosts_age: Time since the host list held was the latest, seconds.
     """
 
     host_id: str
@@ -64,6 +66,7 @@
     notices: tuple[Notice, ...] = ()
     ready: bool = False
     watching: bool = False
+    hosts_age: float = math.inf
 
 
 @attrs.frozen
--- a/egretlanding/modes.py
+++ b/egretlanding/modes.py
@@ -11,6 +11,7 @@
 MODES: dict[str, type['Mode']] = {}
 
 DEFAULT_MODE = 'exchange'
+LINK_SILENT_S = 60
 
 Registered = TypeVar('Registered', bound='type[Mode]')
 
@@ -37,11 +38,13 @@
     def should_watch(self, now: float) -> bool:
         """Returns whether to read the store's head now."""
 
-    def should_read_hosts(self, now: float, link_silent_s: float) -> bool:
-        """Returns whether to read the host list from the store now.
+    def should_read_hosts(self, now: float) -> bool:
+        """Returns whether to ask the store for the host list now."""
+
+    def wants_list(self, link_silent_s: float) -> bool:
+        """Returns whether a changed host list may be read as a whole.
 
         Args:
-            now: The time, seconds.
             link_silent_s: Time since an exchange with another region, s.
         """
 
@@ -56,8 +59,8 @@
 
     Outside the store's region even watchers get the host list from daemons
     of the other region, because a change of it is far smaller than the list
-    that the store would send. They read the list only when they have none or
-    when the exchange with the other region has been silent for long.
+    that the store would send. They ask the store only for its revision,
+    unless the exchange with the other region has been silent for long.
 
     Attributes:
         replica: The policy that decides.
@@ -73,16 +76,16 @@
         """Returns whether to read the store's head now."""
         return self.replica.should_watch(now)
 
-    def should_read_hosts(self, now: float, link_silent_s: float) -> bool:
-        """Returns whether to read the host list from the store now."""
+    def should_read_hosts(self, now: float) -> bool:
+        """Returns whether to ask the store for the host list now."""
         replica = self.replica
-        on_duty = replica.duty.should_watch(now, replica.freshness)
-        if not on_duty or not replica.reads.available(now):
-            return False
-        if not replica.config.fetch_delay:
-            return True
-        limit_s = LINK_SILENT_S if replica.membership.hosts.revision else 0
-        return link_silent_s > max(limit_s, FIRST_LIST_S)
+        on_duty = replica.should_read_release(now)
+        return on_duty and bool(replica.reads.available(now))
+
+    def wants_list(self, link_silent_s: float) -> bool:
+        """Returns whether a changed host list may be read as a whole."""
+        near = not self.replica.config.fetch_delay
+        return near or link_silent_s > LINK_SILENT_S
 
     def is_ready(self, now: float) -> bool:
         """Returns whether the daemon may serve calls."""
@@ -108,15 +111,15 @@
         """Returns whether the read budget allows a read."""
         return self.replica.reads.may_attempt(now)
 
-    def should_read_hosts(self, now: float, link_silent_s: float) -> bool:
+    def should_read_hosts(self, now: float) -> bool:
         """Returns whether the read budget allows a read."""
         return bool(self.replica.reads.available(now))
 
+    def wants_list(self, link_silent_s: float) -> bool:
+        """Returns that the list is always read as a whole."""
+        return True
+
     def is_ready(self, now: float) -> bool:
         """Returns whether a release and a host list are held."""
         held = self.replica.ledger.position.number
         return bool(held and self.replica.membership.hosts.revision)
-
-
-LINK_SILENT_S = 60
-FIRST_LIST_S = 3
--- a/egretlanding/peering.py
+++ b/egretlanding/peering.py
@@ -106,7 +106,11 @@
                 self.note_failed(host, update.err_value)
                 return
             self.journal.counters.pulls += 1
-            outcome = self.replica.apply_update(update.ok_value, self.clock())
+            outcome = self.replica.apply_update(
+                update.ok_value,
+                self.clock(),
+                host.host_id,
+            )
             if isinstance(outcome, Ok):
                 self.journal.note_release(outcome.ok_value, host.host_id)
                 return
--- a/egretlanding/replica.py
+++ b/egretlanding/replica.py
@@ -144,6 +144,7 @@
             notices=self.membership.notices.to_send(now),
             ready=self.is_ready(now),
             watching=self.duty.is_watching(now),
+            hosts_age=self.freshness.hosts_age(now),
         )
 
     def is_ready(self, now: float) -> bool:
@@ -314,6 +315,16 @@
         self.readiness.note_store(self.ledger.position)
         self._settle()
 
+    def hosts_confirmed(self, now: float, revision: int) -> None:
+        """Records what the store said of the host list.
+
+        Args:
+            now: When the store was asked, seconds.
+            revision: The store's revision of the list.
+        """
+        if revision == self.membership.hosts.revision:
+            self.freshness.note_hosts(now)
+
     def next_exchanges(self, now: float) -> tuple[Host, ...]:
         """Takes the exchanges that are due off the schedule."""
         due = self.partners.take_due(
@@ -380,6 +391,9 @@
         self.freshness.note_attempted(asked_at, summary.attempted_age)
         if summary.position == self.ledger.position:
             self.freshness.note_confirmed(asked_at, summary.confirmed_age)
+        # What is later than the list held is later than an earlier list too.
+        if summary.hosts_revision <= self.membership.hosts.revision:
+            self.freshness.note_hosts(asked_at, summary.hosts_age)
 
     def _region_of(self, host_id: str) -> str:
         host = self.membership.hosts.hosts.get(host_id)
--- a/egretlanding/serviceroutes.py
+++ b/egretlanding/serviceroutes.py
@@ -149,6 +149,10 @@
             hosts = view.hosts.of_service(name)
             known.balancer.targets.update_hosts(hosts, now)
 
+    def suspend(self) -> None:
+        """Has new calls refused until `apply`, because the view may be old."""
+        self.view = None
+
     def mark_unready(self, host_ids: Iterable[str], until: float) -> None:
         """Sends no new calls to some hosts.
 
--- a/egretlanding/statedump.py
+++ b/egretlanding/statedump.py
@@ -121,8 +121,9 @@
         'paused_for_s': replica.paused_for,
         'attempted_age_s': finite(replica.freshness.attempted_age(now)),
         'confirmed_age_s': finite(replica.freshness.confirmed_age(now)),
+        'hosts_age_s': finite(replica.freshness.hosts_age(now)),
         'rank': replica.duty.rank,
-        'on_duty': replica.duty.should_watch(now, replica.freshness),
+        'on_duty': replica.should_read_release(now),
         'watching': replica.duty.is_watching(now),
         'reads_available': replica.reads.available(now),
         'hosts': {
--- a/egretlanding/storewatch.py
+++ b/egretlanding/storewatch.py
@@ -25,10 +25,12 @@
 )
 from egretlanding.replica import Replica
 from egretlanding.storeclient import StoreClient, StoreValue
-from egretlanding.watchers import WATCH_POLL_S
 
 MS_PER_S = 1_000
+HOSTS_POLL_S = 2
 HOSTS_RETRY_S = 5
+# Later than any revision, so that the store answers with its revision only.
+NO_BODY = 9_000_000_000_000_000_000
 UNUSABLE_TTL_S = 30
 MAX_REASON_LENGTH = 200
 
@@ -64,6 +66,20 @@
     hosts_retry_at: float = 0
     reachable: bool = True
 
+    async def watch_store(self) -> None:
+        """Asks the store once for what this daemon should know of it.
+
+        Without a host list a daemon doesn't know whether it is one of those
+        that read the release, so it reads the list first.
+        """
+        if self.replica.duty.ranking:
+            await self.watch_head()
+            return
+        asked_at = self.clock()
+        self.replica.store_attempted(asked_at)
+        if await self.read_hosts(asked_at, 0, 0):
+            self.replica.reads.succeed(self.clock())
+
     async def watch_head(self) -> None:
         """Asks once for a head that is newer than the last one."""
         asked_at = self.clock()
@@ -81,22 +97,42 @@
         self.head_revision = max(self.head_revision, found.revision)
         self.note_confirmed(asked_at, found.revision)
 
-    async def watch_hosts(self) -> None:
-        """Asks once for a host list that is newer than the one held."""
-        now = self.clock()
-        self.hosts_retry_at = now + self.random.uniform(1, HOSTS_RETRY_S)
-        self.replica.reads.spend(1, now)
-        held = self.replica.membership.hosts.revision
-        wait_ms = WATCH_POLL_S * MS_PER_S if held else 0
+    async def watch_hosts(self, whole: bool) -> None:
+        """Asks once whether there is a later host list.
+
+        Args:
+            whole: Whether a later list is read as a whole; otherwise it is
+                only noticed, since other daemons send the changes.
+        """
+        asked_at = self.clock()
+        self.hosts_retry_at = asked_at + self.random.uniform(1, HOSTS_RETRY_S)
+        self.replica.reads.spend(1, asked_at)
+        if whole:
+            held = self.replica.membership.hosts.revision
+            wait_ms = HOSTS_POLL_S * MS_PER_S if held else 0
+            if await self.read_hosts(asked_at, held, wait_ms):
+                self.hosts_retry_at = self.clock()
+        elif await self.read_hosts(asked_at, NO_BODY, 0):
+            self.hosts_retry_at = asked_at + HOSTS_POLL_S
+
+    async def read_hosts(
+        self,
+        asked_at: float,
+        after: int,
+        wait_ms: int,
+    ) -> bool:
+        """Reads the host list and returns whether the store has one."""
         try:
-            found = await self.read(HOSTS_KEY, held, wait_ms)
-        except PlatformError:
-            # The watch of the head reports outages.
-            return
+            found = await self.read(HOSTS_KEY, after, wait_ms)
+        except PlatformError as error:
+            self.note_unreachable(error)
+            return False
+        self.note_reachable()
         if found.body is not None:
             self.decode_hosts(found.revision, found.body)
-        if found.revision:
-            self.hosts_retry_at = self.clock()
+        if asked_at >= self.replica.readiness.started_at:
+            self.replica.hosts_confirmed(asked_at, found.revision)
+        return bool(found.revision)
 
     def after(self) -> int:
         """Returns the revision that a new head must exceed."""
@@ -106,7 +142,7 @@
         """Returns how long the store may wait for a new head, ms."""
         started_at = self.replica.readiness.started_at
         confirmed = self.replica.duty.confirmed_at >= started_at
-        return WATCH_POLL_S * MS_PER_S if confirmed else 0
+        return int(self.replica.duty.poll_s * MS_PER_S) if confirmed else 0
 
     async def take_head(self, found: StoreValue) -> None:
         """Takes the release that a head announces, if it is wanted.
--- a/egretlanding/subscriber.py
+++ b/egretlanding/subscriber.py
@@ -23,7 +23,7 @@
 from egretlanding.traffic import Traffic
 
 TICK_S = 0.2
-PAUSE_S = 3
+PAUSE_S = 2
 
 
 @attrs.define(eq=False)
@@ -167,15 +167,14 @@
         self.ticked_at = now
         self.pass_on()
         if self.mode.should_watch(now):
-            self.background.start('head', self.watch.watch_head)
-        if now >= self.watch.hosts_retry_at:
-            silent_s = now - self.peering.link_heard_at
-            self.read_hosts(self.mode.should_read_hosts(now, silent_s))
-
-    def read_hosts(self, due: bool) -> None:
-        """Starts a read of the host list if it is due."""
-        if due:
-            self.background.start('hosts', self.watch.watch_hosts)
+            self.background.start('head', self.watch.watch_store)
+        retry_due = now >= self.watch.hosts_retry_at
+        if retry_due and self.mode.should_read_hosts(now):
+            whole = self.mode.wants_list(now - self.peering.link_heard_at)
+            self.background.start(
+                'hosts',
+                lambda: self.watch.watch_hosts(whole),
+            )
 
     def pass_on(self) -> None:
         """Applies what is in force and starts the exchanges that are due."""
@@ -221,6 +220,8 @@
 
 def _seed_host(config: DaemonConfig, seed: str) -> Host:
     address, _, port = seed.rpartition(':')
+    if (address, int(port)) == (config.address, config.exchange_port):
+        return own_host(config)
     return attrs.evolve(
         own_host(config),
         host_id=seed,
--- a/egretlanding/supervisor.py
+++ b/egretlanding/supervisor.py
@@ -11,9 +11,9 @@
 from egretlanding.calls import CallService
 from egretlanding.config import DaemonConfig
 from egretlanding.hosts import Host, HostList, HostState
-from egretlanding.views import View
 from egretlanding.ledger import FindFaults
 from egretlanding.life import Life, LifeCore, Phase, build_machine
+from egretlanding.messages import NoticeKind
 from egretlanding.release import Position
 from egretlanding.statedump import (
     describe_counters,
@@ -22,12 +22,22 @@
 )
 from egretlanding.status import StatusReport
 from egretlanding.subscriber import Subscriber
+from egretlanding.views import View
 
 # Time in which other daemons hear of a leaving one before its sockets close.
 LEAVE_S = 1.5
 
 # What a view was built from: the release, the host list, who is leaving.
 ViewKey = tuple[Position, int, frozenset[str]]
+NoticeKey = tuple[NoticeKind, str, int, tuple[str, ...]]
+
+# Facts that matter to the call path.
+RELAYED = (
+    NoticeKind.LEAVING,
+    NoticeKind.RETURNED,
+    NoticeKind.SUSPECT,
+    NoticeKind.QUARANTINED,
+)
 
 
 @attrs.define(eq=False)
@@ -42,6 +52,7 @@
         core: Where the daemon is in its life.
         life: The machine that leads it there.
         applied: What the view in force was built from, if there is one.
+        relayed: The facts that the call path was told.
         background: The tasks that run.
     """
 
@@ -52,6 +63,7 @@
     core: LifeCore = attrs.field(init=False)
     life: Life = attrs.field(init=False)
     applied: ViewKey | None = None
+    relayed: frozenset[NoticeKey] = frozenset()
     background: Background = attrs.field(factory=Background)
 
     @classmethod
@@ -82,6 +94,8 @@
             find_faults,
             supervisor.apply,
         )
+        # After a pause, calls may arrive before anything else runs.
+        calls.lateness.on_wake.append(supervisor.check_pause)
         return supervisor
 
     def status(self) -> StatusReport:
@@ -117,18 +131,51 @@
         self.background.start('subscriber', self.subscriber.run)
         self.life.opened()
 
+    def check_pause(self, _now: float) -> None:
+        """Notices a pause before the calls that waited through it."""
+        self.subscriber.checked_time()
+
     def apply(self) -> None:
         """Serves calls with what is in force, or refuses them until then."""
         if self.core.phase in {Phase.DRAINING, Phase.STOPPED}:
             return
-        if self.subscriber.is_ready(time.monotonic()):
+        now = time.monotonic()
+        if self.subscriber.is_ready(now):
             self.refresh_view()
             self.life.synced()
+            self.calls.confirm_hosts(
+                self.subscriber.replica.freshness.hosts_age(now),
+            )
+            self.relay_notices(now)
         else:
             self.applied = None
-            self.calls.suspend()
+            self.calls.routes.suspend()
             self.life.lost_sync()
 
+    def relay_notices(self, now: float) -> None:
+        """Carries short-lived facts between the call path and the exchange.
+
+        Each fact is handed on once; a change of its evidence makes it a new
+        one.
+        """
+        membership = self.subscriber.replica.membership
+        for own in self.calls.notices():
+            membership.learn(own, now)
+        held = {
+            (
+                notice.kind,
+                notice.subject,
+                notice.incarnation,
+                notice.evidence,
+            ): notice
+            for kind in RELAYED
+            for notice in membership.notices.of_kind(kind, now)
+        }
+        self.calls.take_notices(
+            notice for key, notice in held.items() if key not in self.relayed
+        )
+        self.relayed = frozenset(held)
+
     def refresh_view(self) -> None:
         """Swaps the view if what it was built from has changed."""
         replica = self.subscriber.replica
--- a/egretlanding/wire.py
+++ b/egretlanding/wire.py
@@ -41,6 +41,7 @@
         notices=[_notice_to_wire(notice) for notice in summary.notices],
         ready=summary.ready,
         watching=summary.watching,
+        hosts_age_ms=_age_to_wire(summary.hosts_age),
     )
     message.checksum = _checksum_of(message)
     return message
@@ -84,6 +85,7 @@
         ),
         ready=message.ready,
         watching=message.watching,
+        hosts_age=_age_from_wire(message.hosts_age_ms),
     )
 
 
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -3,7 +3,7 @@
 import pathlib
 import sys
 
-from egretlanding.objects import ConfigObject, Policy, Route, Service
+from egretlanding.objects import ConfigObject, Policy, Region, Route, Service
 from egretlanding.release import Release
 from standins.fleet import Answer, Fleet, Placement
 
@@ -18,15 +18,23 @@
         ),
     )
 )
+REGIONS = {
+    'casa-nord': ('ain-sebaa', 'sidi-maarouf'),
+    'souss-sud': ('inezgane',),
+}
 EXAMPLES = pathlib.Path('examples')
 
 
 def example_release(number: int, parent: str, timeout_ms: int) -> Release:
     """Returns a small release."""
     objects = [
+        *(
+            ConfigObject('Region', name, Region(failure_domains=domains))
+            for name, domains in REGIONS.items()
+        ),
         ConfigObject('Policy', 'default', Policy(timeout_ms=timeout_ms)),
         *(
-            ConfigObject('Service', name, Service(regions=()))
+            ConfigObject('Service', name, Service(regions=tuple(REGIONS)))
             for name in ('catalogue', 'commandes')
         ),
         *(
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -282,14 +282,13 @@
         return member
 
     def set_seeds(self) -> None:
-        """Tells each daemon the exchange addresses of a few others."""
+        """Tells all daemons the exchange addresses of the same few."""
+        seeds = [
+            f'{member.host().address}:{member.host().exchange_port}'
+            for member in self.members.values()
+        ]
         for member in self.members.values():
-            others = [
-                f'{LOOPBACK}:{other.host().exchange_port}'
-                for other in self.members.values()
-                if other is not member
-            ]
-            member.settings['seeds'] = others[:SEED_COUNT]
+            member.settings['seeds'] = seeds[:SEED_COUNT]
 
     def start(self) -> None:
         """Starts every target and daemon and publishes the host list."""
