--- a/egretlanding/daemon.py
+++ b/egretlanding/daemon.py
@@ -7,6 +7,7 @@
 import defopt
 from absl import logging
 from twisted.internet import reactor as default_reactor
+from twisted.internet.error import CannotListenError
 
 from egretlanding.admin import AdminFactory
 from egretlanding.check import find_faults
@@ -35,11 +36,13 @@
         reactor.stop,
     )
     metrics = MetricReader(control_metrics(supervisor))
-    reactor.listenTCP(
-        config.admin_port,
-        AdminFactory(supervisor, metrics),
-        interface=config.address,
-    )
+    try:
+        open_ports(reactor, supervisor, AdminFactory(supervisor, metrics))
+    except CannotListenError as error:
+        raise SettingsError(
+            f'a port can not be opened ({error})',
+            'stop what uses it, or choose another port or address',
+        ) from error
 
     def stop(*_args: Any) -> None:
         reactor.callFromThread(supervisor.stop)
@@ -50,6 +53,21 @@
     reactor.run(installSignalHandlers=False)
 
 
+def open_ports(
+    reactor: Any,
+    supervisor: Supervisor,
+    admin: AdminFactory,
+) -> None:
+    """Opens the ports for callers, other daemons and operators.
+
+    Raises:
+        CannotListenError: A port is in use or the address isn't the host's.
+    """
+    config = supervisor.config
+    supervisor.calls.listen()
+    reactor.listenTCP(config.admin_port, admin, interface=config.address)
+
+
 def main() -> None:
     """Runs the command line of the daemon."""
     logging.set_verbosity(logging.INFO)
--- a/egretlanding/subscriber.py
+++ b/egretlanding/subscriber.py
@@ -10,6 +10,7 @@
 
 from egretlanding.background import Background
 from egretlanding.config import DaemonConfig
+from egretlanding.events import Event, Severity, log_event
 from egretlanding.exchange import ExchangeClient, ExchangeService
 from egretlanding.hosts import Host, HostList
 from egretlanding.journal import Journal
@@ -24,6 +25,7 @@
 
 TICK_S = 0.2
 PAUSE_S = 2
+LISTEN_RETRY_S = 1
 
 
 @attrs.define(eq=False)
@@ -127,14 +129,30 @@
 
     async def run(self) -> None:
         """Serves other daemons and ticks until it is stopped."""
-        await self.service.start(
-            self.config.address,
-            self.config.exchange_port,
-        )
+        await self.listen()
         while not self.stopped:
             self.tick(time.monotonic())
             await asyncio.sleep(TICK_S)
 
+    async def listen(self) -> None:
+        """Opens the port of the exchange, as soon as it is free."""
+        while True:
+            try:
+                await self.service.start(
+                    self.config.address,
+                    self.config.exchange_port,
+                )
+            except OSError as error:
+                log_event(
+                    Event.EXCHANGE_PORT_TAKEN,
+                    'the port of the exchange can not be opened',
+                    Severity.ERROR,
+                    error=error,
+                )
+                await asyncio.sleep(LISTEN_RETRY_S)
+            else:
+                return
+
     async def stop(self) -> None:
         """Ends all work and closes the sockets."""
         self.stopped = True
--- a/egretlanding/supervisor.py
+++ b/egretlanding/supervisor.py
@@ -126,8 +126,7 @@
         }
 
     def start(self) -> None:
-        """Opens the sockets and starts the tasks."""
-        self.calls.listen()
+        """Starts the tasks."""
         self.background.start('subscriber', self.subscriber.run)
         self.life.opened()
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -4,6 +4,7 @@
 import functools
 import json
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -26,6 +27,7 @@
 STOP_TIMEOUT_S = 20
 POLL_S = 0.05
 SEED_COUNT = 3
+FREE_PORTS = range(10_000, 32_000)
 
 
 @attrs.frozen
@@ -59,6 +61,7 @@
     body: bytes = b'',
     headers: Mapping[str, str] | None = None,
     timeout_s: float = 10,
+    address: str = LOOPBACK,
 ) -> Answer:
     """Sends one HTTP request to a port of this machine.
 
@@ -66,7 +69,7 @@
         OSError: The port can't be reached or the answer was cut.
         HTTPException: The answer isn't whole.
     """
-    connection = client.HTTPConnection(LOOPBACK, port, timeout=timeout_s)
+    connection = client.HTTPConnection(address, port, timeout=timeout_s)
     with contextlib.closing(connection):
         connection.request(method, path, body, dict(headers or {}))
         response = connection.getresponse()
@@ -75,10 +78,16 @@
 
 
 def free_port() -> int:
-    """Returns a TCP port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return int(probe.getsockname()[1])
+    """Returns a TCP port that is free now.
+
+    It is below the range from which the kernel takes the ports of outgoing
+    connections, which could take it before the process listens on it.
+    """
+    for port in random.sample(FREE_PORTS, len(FREE_PORTS)):
+        with contextlib.suppress(OSError), socket.socket() as probe:
+            probe.bind((LOOPBACK, port))
+            return port
+    raise OSError('no TCP port is free')
 
 
 def wait_until(
@@ -120,14 +129,14 @@
         folder: Folder for the settings file.
         daemon: The daemon's process, None before it starts.
         target: The target's process, None before it starts.
-        advertised: Ports to publish instead of the daemon's own, by name.
+        advertised: Settings to publish instead of the daemon's own.
     """
 
     settings: dict[str, Any]
     folder: pathlib.Path
     daemon: subprocess.Popen[bytes] | None = None
     target: subprocess.Popen[bytes] | None = None
-    advertised: dict[str, int] = attrs.field(factory=dict)
+    advertised: dict[str, Any] = attrs.field(factory=dict)
 
     @property
     def host_id(self) -> str:
@@ -139,7 +148,7 @@
         ports = {**self.settings, **self.advertised}
         return Host(
             host_id=self.host_id,
-            address=LOOPBACK,
+            address=ports['address'],
             call_port=ports['call_port'],
             peer_port=ports['peer_port'],
             exchange_port=ports['exchange_port'],
@@ -179,11 +188,29 @@
         names = {
             name.replace('_', '-'): value for name, value in headers.items()
         }
-        return ask(self.settings['call_port'], method, path, body, names)
+        return ask(
+            self.settings['call_port'],
+            method,
+            path,
+            body,
+            names,
+            address=self.settings['address'],
+        )
 
     def status(self) -> Any:
         """Returns the daemon's status."""
-        return ask(self.settings['admin_port'], 'GET', '/status').json()
+        return self.admin('/status')
+
+    def signal_daemon(self, number: int) -> None:
+        """Sends a signal to the daemon."""
+        if self.daemon:
+            self.daemon.send_signal(number)
+
+    def admin(self, path: str) -> Any:
+        """Returns what the daemon answers on its admin port."""
+        port = self.settings['admin_port']
+        address = self.settings['address']
+        return ask(port, 'GET', path, address=address).json()
 
     def executions(self) -> list[Any]:
         """Returns what the target ran."""
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -35,7 +35,8 @@
 
     Attributes:
         outage: Whether every read fails.
-        stale: Whether reads see the values from when staleness began.
+        stale: Whether reads see the values that were last frozen, or those
+            from when staleness began.
         truncate: Whether replies carry only half of a value.
         corrupt: Whether replies carry a value with bytes changed.
     """
@@ -88,10 +89,14 @@
 
     def change_faults(self, changes: dict[str, bool]) -> None:
         """Changes the faults in force."""
-        if changes.get('stale') and not self.faults.stale:
-            self.frozen = dict(self.current)
+        if changes.get('stale') and not self.frozen:
+            self.freeze()
         self.faults = attrs.evolve(self.faults, **changes)
 
+    def freeze(self) -> None:
+        """Keeps what a stale store will show."""
+        self.frozen = dict(self.current)
+
     def count_read(self) -> bool:
         """Counts a read and tells whether the rate limit allows it."""
         second = int(time.monotonic())
@@ -183,6 +188,11 @@
         platform.change_faults(json.load(request.content))
         return b'ok'
 
+    @app.route('/freeze', methods=['POST'])
+    def freeze(_request: Any) -> bytes:
+        platform.freeze()
+        return b'ok'
+
     @app.route('/counters', methods=['GET'])
     def counters(_request: Any) -> bytes:
         return json.dumps(
--- /dev/null
+++ b/tests/controlfleet.py
@@ -0,0 +1,220 @@
+"""Fleets and releases for the tests of distribution."""
+
+import contextlib
+import itertools
+import threading
+import time
+from collections import defaultdict
+from collections.abc import Iterable, Iterator
+from http import client
+from typing import Any
+
+from egretlanding.objects import ConfigObject, Policy, Region, Route, Service
+from egretlanding.release import HEAD_KEY, PART_PREFIX, Release
+from standins.fleet import Fleet, Member, Placement, ask, wait_until
+from standins.splits import SplitFleet
+
+CONVERGENCE_S = 13
+NEAR, FAR = 'casa-nord', 'souss-sud'
+DOMAINS = {
+    NEAR: ('ain-sebaa', 'sidi-maarouf'),
+    FAR: ('inezgane', 'ait-melloul'),
+}
+SERVICE = 'catalogue'
+
+
+def placements(near: int, far: int) -> list[Placement]:
+    """Returns hosts of both regions, spread over the failure domains."""
+    return [
+        Placement(
+            f'{region[:4]}-{index}',
+            region,
+            DOMAINS[region][index % 2],
+            SERVICE,
+        )
+        for region, count in ((NEAR, near), (FAR, far))
+        for index in range(count)
+    ]
+
+
+def build_release(
+    number: int,
+    parent: str = '',
+    *,
+    timeout_ms: int = 1_000,
+    routed: bool = True,
+    service: str = SERVICE,
+) -> Release:
+    """Returns a small release.
+
+    Args:
+        number: Its number.
+        parent: Digest of the release that it was made from.
+        timeout_ms: What tells releases of one number apart.
+        routed: Whether there is a route at all.
+        service: The service that the route names.
+    """
+    objects = [
+        ConfigObject('Policy', 'default', Policy(timeout_ms=timeout_ms)),
+        ConfigObject('Service', SERVICE, Service(regions=(NEAR, FAR))),
+        *(
+            ConfigObject('Region', name, Region(failure_domains=domains))
+            for name, domains in DOMAINS.items()
+        ),
+    ]
+    if routed:
+        route = Route(path_prefix='/kits', service=service, policy='default')
+        objects.append(ConfigObject('Route', 'kits', route))
+    return Release.from_objects(number, parent, objects)
+
+
+def publish_damaged(fleet: Fleet, release: Release, kind: str) -> None:
+    """Publishes a release with a part or the head damaged."""
+    head, parts = release.to_parts()
+    for digest, part in parts.items():
+        damaged = {
+            'corrupt part': bytes(octet ^ 0x55 for octet in part),
+            'truncated part': part[: len(part) // 2],
+        }
+        fleet.put(f'{PART_PREFIX}{digest}', damaged.get(kind, part))
+    encoded = head.to_bytes()
+    if kind == 'wrong digest':
+        encoded = encoded.replace(release.digest.encode(), b'0' * 64)
+    fleet.put(HEAD_KEY, encoded)
+
+
+def kill(members: Iterable[Member]) -> None:
+    """Kills daemons without a chance to say so."""
+    for member in members:
+        assert member.daemon
+        member.daemon.kill()
+        member.daemon.wait()
+
+
+def statuses(fleet: Fleet) -> dict[str, Any]:
+    """Returns the status of each daemon that answers."""
+    found = {}
+    for name, member in fleet.members.items():
+        with contextlib.suppress(OSError, client.HTTPException):
+            found[name] = member.status()
+    return found
+
+
+def wait_everywhere(
+    fleet: Fleet,
+    digest: str,
+    timeout_s: float = CONVERGENCE_S,
+) -> float:
+    """Waits until all daemons are ready with a release; returns seconds."""
+    began = time.monotonic()
+
+    def in_force() -> bool:
+        found = statuses(fleet)
+        return len(found) == len(fleet.members) and all(
+            status['ready'] and status['digest'] == digest
+            for status in found.values()
+        )
+
+    try:
+        wait_until(in_force, timeout_s, f'release {digest[:12]} everywhere')
+    except TimeoutError as error:
+        raise TimeoutError(f'{error}: {statuses(fleet)}') from error
+    return time.monotonic() - began
+
+
+def wait_refused(fleet: Fleet, digest: str) -> None:
+    """Waits until every daemon reports a release as refused."""
+
+    def is_reported() -> bool:
+        return all(
+            digest in {refused['digest'] for refused in status['refused']}
+            for status in statuses(fleet).values()
+        )
+
+    wait_until(is_reported, CONVERGENCE_S, f'{digest[:12]} shown as refused')
+
+
+class Witness:
+    """Records what daemons have in force, for as long as a block runs.
+
+    Attributes:
+        seen: The positions seen by host and process, in order.
+    """
+
+    def __init__(self, fleet: Fleet) -> None:
+        """Prepares to watch a fleet."""
+        self.fleet = fleet
+        self.seen: dict[tuple[str, int], list[Any]] = defaultdict(list)
+        self.done = threading.Event()
+        self.thread = threading.Thread(target=self.run, daemon=True)
+
+    def __enter__(self) -> 'Witness':
+        self.thread.start()
+        return self
+
+    def __exit__(self, *_error: object) -> None:
+        self.done.set()
+        self.thread.join()
+
+    def run(self) -> None:
+        """Asks all daemons again and again."""
+        while not self.done.wait(0.05):
+            for name, status in statuses(self.fleet).items():
+                position = (status['number'], status['revision'])
+                key = (name, status['incarnation'])
+                self.seen[key].append((position, status['digest']))
+
+    def digests(self) -> set[str]:
+        """Returns every digest that was in force anywhere."""
+        return {digest for rows in self.seen.values() for _, digest in rows}
+
+    def went_back(self) -> list[Any]:
+        """Returns the pairs of positions by which a daemon went back."""
+        return [
+            (key, earlier, later)
+            for key, rows in self.seen.items()
+            for (earlier, _), (later, _) in itertools.pairwise(rows)
+            if later < earlier
+        ]
+
+
+@contextlib.contextmanager
+def running(near: int, far: int) -> Iterator[tuple[Fleet, Release]]:
+    """Runs a fleet with the first release in force."""
+    fleet = Fleet.from_placements(placements(near, far), NEAR)
+    try:
+        yield fleet, start(fleet)
+    finally:
+        fleet.close()
+
+
+@contextlib.contextmanager
+def running_split(
+    near: int,
+    far: int,
+) -> Iterator[tuple[SplitFleet, Release]]:
+    """Runs a fleet behind a fault proxy."""
+    split = SplitFleet.from_placements(placements(near, far), NEAR)
+    try:
+        yield split, start(split.fleet)
+    finally:
+        split.close()
+
+
+def start(fleet: Fleet) -> Release:
+    """Starts everything and waits for the first release."""
+    first = build_release(1)
+    fleet.publish(first)
+    fleet.start()
+    wait_everywhere(fleet, first.digest, timeout_s=40)
+    return first
+
+
+def reads(fleet: Fleet) -> int:
+    """Returns the reads of the store so far."""
+    return int(fleet.counters()['reads'])
+
+
+def freeze_store(fleet: Fleet) -> None:
+    """Keeps what a stale store will show."""
+    ask(fleet.operator_port, 'POST', '/freeze')
