Call a key's outcome unknown also when the owner was refused just before

Cause: a call that fails before it is sent was marked as sent, because the mark was set after the sending. The owner's silence then passed for its word that the call did not run.

A daemon owns no caller's key before its host list is confirmed; the test waits for that. Tests of one file run in one worker, so that a fleet starts once per file.

--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 	$(BIN)/ruff check --fix $(CODE)
 
 unit: $(VENV)/.installed
-	$(BIN)/python -m pytest -n $(WORKERS)
+	$(BIN)/python -m pytest -n $(WORKERS) --dist loadfile
 
 demo: $(VENV)/.installed
 	$(BIN)/python -m standins.demo
--- a/egretlanding/ingress.py
+++ b/egretlanding/ingress.py
@@ -24,7 +24,12 @@
 from egretlanding.objects import WorkClass
 from egretlanding.outcomes import Reason, Refusal
 from egretlanding.ownership import locate_owner
-from egretlanding.peerlinks import BULK_BYTES, PeerLinks, lane_for
+from egretlanding.peerlinks import (
+    BULK_BYTES,
+    PeerLinks,
+    PendingCall,
+    lane_for,
+)
 from egretlanding.quarantine import signature_of
 from egretlanding.retries import CallContext
 from egretlanding.routing import Match
@@ -175,9 +180,10 @@
         is_long = call.work is WorkClass.LONG
         bulky = BULK_BYTES + 1 if call.route in self.bulk_routes else 0
         lane = lane_for(len(call.body) + bulky, is_long)
-        pending = self.links.send(attempt.host, lane, call, on_reply)
+        pending = PendingCall(call, on_reply)
         attempt.cancel = pending.cancel
         attempt.is_sent = pending.is_sent
+        self.links.send(attempt.host, lane, pending)
 
     def quarantine_refusal(
         self,
--- a/egretlanding/peerlinks.py
+++ b/egretlanding/peerlinks.py
@@ -150,22 +150,14 @@
             if lane.is_open()
         )
 
-    def send(
-        self,
-        host: Host,
-        lane_of: Lane,
-        request: CallRequest,
-        on_reply: OnReply,
-    ) -> PendingCall:
+    def send(self, host: Host, lane_of: Lane, pending: PendingCall) -> None:
         """Sends a call now or as soon as a connection is open.
 
         Args:
             host: The host of the target.
             lane_of: The lane to use.
-            request: The call.
-            on_reply: Called once with the reply.
+            pending: The call; it may fail before this returns.
         """
-        pending = PendingCall(request, on_reply)
         lane = self.connect(host, lane_of)
         lane.used = self.reactor.seconds()
         if lane.connection and lane.is_open():
@@ -174,7 +166,6 @@
             lane.queued.append(pending)
         else:
             pending.fail('the daemon refused connections a moment ago')
-        return pending
 
     def connect(self, host: Host, lane_of: Lane) -> PeerLane:
         """Begins to open a connection unless it is open or backed off."""
--- a/tests/test_idempotency_processes.py
+++ b/tests/test_idempotency_processes.py
@@ -10,7 +10,7 @@
 import pytest
 
 from standins.faults import Flow, Rule
-from standins.fleet import Answer
+from standins.fleet import Answer, wait_until
 from tests.callfleet import (
     FRONT,
     OTHER_FRONT,
@@ -137,6 +137,8 @@
 
 def test_keys_that_can_not_be_honoured_are_refused(calls: CallFleet) -> None:
     issued = calls.issue_key()
+    # Until its host list is confirmed, a daemon owns no key of a caller.
+    wait_until(lambda: fresh_key_reason(calls) == 'key-unsettled', 5)
     made = {
         'nonsense': 'key-malformed',
         str(uuid.uuid4()): 'key-malformed',
@@ -215,6 +217,11 @@
     )
 
 
+def fresh_key_reason(calls: CallFleet) -> str:
+    """Returns why a key that a caller has just made is refused."""
+    return reason(send(calls, new_uuid7(), 'refused'))
+
+
 def new_uuid7() -> str:
     """Returns a caller's own key."""
     stamp = int(time.time() * 1_000) << 80
