Send at once what a socket takes, without a turn of the event loop

Cause: Twisted's write asks the loop when a socket takes bytes: two epoll_ctl and one epoll_wait more for each message.

--- /dev/null
+++ b/egretlanding/eagerwrites.py
@@ -0,0 +1,33 @@
+"""Writes to a connection without a turn of the event loop."""
+
+from typing import Any
+
+# Where Twisted keeps what it has not tried to send yet.
+UNTRIED = '_tempDataBuffer'
+
+
+def write_now(transport: Any, encoded: bytes) -> None:
+    """Sends bytes at once if none wait before them.
+
+    Twisted's `write` asks the event loop when the socket takes bytes, which
+    costs three system calls more. What can't be sent at once goes that way.
+
+    Args:
+        transport: A TCP transport, or one that only knows `write`.
+        encoded: The bytes.
+    """
+    sent = 0
+    if may_send(transport):
+        taken = transport.writeSomeData(encoded)
+        # Anything but a count tells of an error, which `write` reports.
+        sent = taken if isinstance(taken, int) else 0
+    if sent < len(encoded):
+        transport.write(encoded[sent:])
+
+
+def may_send(transport: Any) -> bool:
+    """Tells whether bytes can be sent past Twisted's own buffers."""
+    if not hasattr(transport, 'writeSomeData') or transport.disconnecting:
+        return False
+    waiting = transport.dataBuffer or getattr(transport, UNTRIED)
+    return transport.connected and not waiting
--- a/egretlanding/httpclient.py
+++ b/egretlanding/httpclient.py
@@ -8,6 +8,7 @@
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
+from egretlanding.eagerwrites import write_now
 from egretlanding.frames import MAX_FRAME_BYTES, Headers
 from egretlanding.httpheaders import drop_hop_headers, has_one_length
 from egretlanding.httpserver import HttpRequest, HttpResponse
@@ -101,8 +102,7 @@
         self.reset()
         self.on_response = on_response
         self.is_head = is_head
-        transport: Any = self.transport
-        transport.write(encoded)
+        write_now(self.transport, encoded)
 
     def close(self) -> None:
         """Closes the connection at once."""
--- a/egretlanding/httpserver.py
+++ b/egretlanding/httpserver.py
@@ -11,6 +11,7 @@
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
+from egretlanding.eagerwrites import write_now
 from egretlanding.frames import Headers
 from egretlanding.httpheaders import LENGTH, drop_hop_headers, has_safe_framing
 
@@ -228,7 +229,7 @@
     def write(self, encoded: bytes, *, last: bool = False) -> None:
         """Writes to the caller and closes after the last answer."""
         transport: Any = self.transport
-        transport.write(encoded)
+        write_now(transport, encoded)
         if last:
             transport.loseConnection()
 
--- a/egretlanding/peers.py
+++ b/egretlanding/peers.py
@@ -9,6 +9,7 @@
 from twisted.protocols.basic import Int32StringReceiver
 from twisted.python.failure import Failure
 
+from egretlanding.eagerwrites import write_now
 from egretlanding.exceptions import FrameError
 from egretlanding.frames import (
     MAX_FRAME_BYTES,
@@ -92,7 +93,9 @@
     def send(self, frame: AnyFrame) -> None:
         """Writes a frame, or drops it if the connection is gone."""
         if self.is_open():
-            self.sendString(encode_frame(frame))
+            encoded = encode_frame(frame)
+            prefix = len(encoded).to_bytes(self.prefixLength, 'big')
+            write_now(self.transport, b'%s%s' % (prefix, encoded))
 
     def call(self, request: CallRequest, on_reply: OnReply) -> int:
         """Sends a call and returns its number on this connection.
--- a/tests/test_idempotency_processes.py
+++ b/tests/test_idempotency_processes.py
@@ -199,12 +199,14 @@
 def test_an_owner_that_refuses_connections_may_have_run_the_call(
     calls: CallFleet,
 ) -> None:
-    owner = calls.member(OTHER_FRONT)
-    key = calls.issue_key('front', OTHER_FRONT)
-    assert OTHER_FRONT in key
+    key = calls.issue_key('front')
+    names = (FRONT, OTHER_FRONT)
+    owner_name = next(name for name in names if f':{name}:' in key)
+    other_name = next(name for name in names if name != owner_name)
+    owner = calls.member(owner_name)
 
     def resend() -> Answer:
-        return calls.order('gone', 'front', FRONT, idempotency_key=key)
+        return calls.order('gone', 'front', other_name, idempotency_key=key)
 
     ran = resend()
     assert owner.daemon
