Tell callers of keyed calls only what rules out every run of the key

Cause: a call to a daemon in connection back-off was answered before the attempt knew its pending call, so it counted as denied by the other daemon and the caller of a keyed call was told 'no' after the key had run. Seen as a failure of test_an_owner_that_refuses_connections_may_have_run_the_call in a run of the whole check under load; ruled out: the owner's own refusal (its process was gone). test_peerlinks shows it without timing; it failed before the change ('assert not replies') and passes after it.

Refusals before any attempt (late, no route, not ready, quarantined) said 'no' of keyed calls as well, though an earlier attempt by way of another daemon may have run. They say 'unknown' now, but for malformed keys.

Paths in findings are no longer cut at 80 characters, which made test_every_fault_is_listed fail in long temporary folders.

--- a/egretlanding/attempts.py
+++ b/egretlanding/attempts.py
@@ -101,7 +101,8 @@
             or self.ingress.quarantine_refusal(self.match, self.entry.request)
         )
         if refusal:
-            self.answer(refusal_reply(0, refusal))
+            told = refusal.of_keyed_call() if self.key else refusal
+            self.answer(refusal_reply(0, told))
             return
         self.known.budget.record_first_attempt(self.match.policy, self.now)
         self.arm_timers()
--- a/egretlanding/documents.py
+++ b/egretlanding/documents.py
@@ -11,7 +11,7 @@
 
 from egretlanding.bounds import MAX_NODES_PER_FILE, SPLIT_REMEDY, Usage
 from egretlanding.findings import Finding
-from egretlanding.texts import show
+from egretlanding.texts import show, show_path
 
 MAX_FILES = 4_096
 MAX_FILE_BYTES = 262_144
@@ -93,7 +93,7 @@
     Returns:
         The document, or a finding that says what was refused.
     """
-    shown = show(name)
+    shown = show_path(name)
     outcome = _read_bytes(path, allowance).and_then(
         lambda content: _compose_bytes(shown, content, allowance.nodes),
     )
@@ -187,7 +187,7 @@
 
 def _without_files(directory: Path) -> Finding:
     return Finding(
-        show(str(directory)),
+        show_path(directory),
         0,
         '',
         'no YAML files found',
@@ -197,7 +197,7 @@
 
 def _surplus(directory: Path, first: Path) -> Finding:
     return Finding(
-        show(str(first.relative_to(directory))),
+        show_path(first.relative_to(directory)),
         0,
         '',
         f'more than {MAX_FILES} files; this one and later ones were not read',
--- a/egretlanding/ingress.py
+++ b/egretlanding/ingress.py
@@ -26,7 +26,7 @@
 from egretlanding.ownership import locate_owner
 from egretlanding.peerlinks import BULK_BYTES, PeerLinks, lane_for
 from egretlanding.quarantine import signature_of
-from egretlanding.retries import CallContext
+from egretlanding.retries import KEY_HEADER, CallContext
 from egretlanding.routing import Match
 from egretlanding.serviceroutes import ServiceRoutes
 from egretlanding.views import View
@@ -203,6 +203,8 @@
 
     def refuse(self, entry: Exchange, refusal: Refusal) -> None:
         """Answers a call that is refused before any attempt."""
+        if entry.request.header(KEY_HEADER):
+            refusal = refusal.of_keyed_call()
         reply = refusal_reply(0, refusal)
         self.count(reply)
         entry.respond(response_of(reply))
--- a/egretlanding/outcomes.py
+++ b/egretlanding/outcomes.py
@@ -145,6 +145,8 @@
     ),
 }
 
+NEVER_ACCEPTED = frozenset((Reason.KEY_MALFORMED, Reason.HEADER_MALFORMED))
+
 
 @attrs.frozen
 class Refusal:
@@ -170,6 +172,17 @@
         """Refuses a call that may have run."""
         return cls(reason, Execution.UNKNOWN, detail)
 
+    def of_keyed_call(self) -> 'Refusal':
+        """Returns the refusal as it is told of a call that carries a key.
+
+        That this daemon did not run the call says nothing of an earlier
+        attempt with the same key by way of another one. Only a key that no
+        daemon accepts can't have run.
+        """
+        if self.reason in NEVER_ACCEPTED:
+            return self
+        return Refusal.unknown(self.reason, self.detail)
+
     @property
     def status(self) -> HTTPStatus:
         """The HTTP status that the caller gets."""
--- a/egretlanding/peerlinks.py
+++ b/egretlanding/peerlinks.py
@@ -173,7 +173,10 @@
         elif lane.connecting:
             lane.queued.append(pending)
         else:
-            pending.fail('the daemon refused connections a moment ago')
+            # The reply comes later, because the sender needs the pending
+            # call to tell that no byte of it was sent.
+            detail = 'the daemon refused connections a moment ago'
+            self.reactor.callLater(0, pending.fail, detail)
         return pending
 
     def connect(self, host: Host, lane_of: Lane) -> PeerLane:
