--- a/egretlanding/documents.py
+++ b/egretlanding/documents.py
@@ -11,7 +11,7 @@
 
 from egretlanding.bounds import MAX_NODES_PER_FILE, SPLIT_REMEDY, Usage
 from egretlanding.findings import Finding
-from egretlanding.texts import show
+from egretlanding.texts import show, show_path
 
 MAX_FILES = 4_096
 MAX_FILE_BYTES = 262_144
@@ -65,7 +65,8 @@
         return (), (_without_files(directory),)
     allowance = Allowance()
     outcomes = [
-        _read_file(directory, path, allowance) for path in files[:MAX_FILES]
+        read_document(path, str(path.relative_to(directory)), allowance)
+        for path in files[:MAX_FILES]
     ]
     surplus = [_surplus(directory, path) for path in files[MAX_FILES:]]
     return (
@@ -77,18 +78,28 @@
     )
 
 
-def _read_file(
-    directory: Path,
+def read_document(
     path: Path,
+    name: str,
     allowance: Allowance,
 ) -> Result[Document, Finding]:
-    name = show(str(path.relative_to(directory)))
+    """Reads one file in bounded time and memory.
+
+    Args:
+        path: The file.
+        name: The name to show in findings.
+        allowance: What the file may use; its use is taken off.
+
+    Returns:
+        The document, or a finding that says what was refused.
+    """
+    shown = show_path(name)
     outcome = _read_bytes(path, allowance).and_then(
-        lambda content: _compose_bytes(name, content, allowance.nodes),
+        lambda content: _compose_bytes(shown, content, allowance.nodes),
     )
     if is_ok(outcome):
         allowance.nodes -= outcome.ok_value.nodes
-    return outcome.map_err(lambda found: attrs.evolve(found, file=name))
+    return outcome.map_err(lambda found: attrs.evolve(found, file=shown))
 
 
 def _compose_bytes(
@@ -176,7 +187,7 @@
 
 def _without_files(directory: Path) -> Finding:
     return Finding(
-        show(str(directory)),
+        show_path(directory),
         0,
         '',
         'no YAML files found',
@@ -186,7 +197,7 @@
 
 def _surplus(directory: Path, first: Path) -> Finding:
     return Finding(
-        show(str(first.relative_to(directory))),
+        show_path(first.relative_to(directory)),
         0,
         '',
         f'more than {MAX_FILES} files; this one and later ones were not read',
--- a/egretlanding/ingress.py
+++ b/egretlanding/ingress.py
@@ -31,7 +31,7 @@
     lane_for,
 )
 from egretlanding.quarantine import signature_of
-from egretlanding.retries import CallContext
+from egretlanding.retries import KEY_HEADER, CallContext
 from egretlanding.routing import Match
 from egretlanding.serviceroutes import ServiceRoutes
 from egretlanding.views import View
@@ -209,6 +209,8 @@
 
     def refuse(self, entry: Exchange, refusal: Refusal) -> None:
         """Answers a call that is refused before any attempt."""
+        if entry.request.header(KEY_HEADER):
+            refusal = refusal.of_keyed_call()
         reply = refusal_reply(0, refusal)
         self.count(reply)
         entry.respond(response_of(reply))
--- a/egretlanding/peerlinks.py
+++ b/egretlanding/peerlinks.py
@@ -156,7 +156,7 @@
         Args:
             host: The host of the target.
             lane_of: The lane to use.
-            pending: The call; it may fail before this returns.
+            pending: The call, which knows whether it was sent.
         """
         lane = self.connect(host, lane_of)
         lane.used = self.reactor.seconds()
@@ -165,7 +165,9 @@
         elif lane.connecting:
             lane.queued.append(pending)
         else:
-            pending.fail('the daemon refused connections a moment ago')
+            # The reply comes later, as it does when a connection is tried.
+            detail = 'the daemon refused connections a moment ago'
+            self.reactor.callLater(0, pending.fail, detail)
 
     def connect(self, host: Host, lane_of: Lane) -> PeerLane:
         """Begins to open a connection unless it is open or backed off."""
