Test a modelled fleet: take-over, outage, split, leaving, waking

Cause: the state machine can't see how many daemons read the store. The tests found that a standby that had stepped in flapped (a relief was forgotten when one watcher wasn't heard for 15 s), and that watchers, woken together by each change, asked at the same moments, so that standbys saw ages above 6 s and read as well. Being relieved now ends the duty, and each read waits for a different time.

--- a/egretlanding/watchers.py
+++ b/egretlanding/watchers.py
@@ -15,6 +15,7 @@
 STANDBYS_PER_REGION = 6
 WATCH_POLL_S = 4
 FAR_WATCH_POLL_S = 30
+MIN_POLL_SHARE = 0.5
 STARTUP_JITTER_S = 0.5
 
 # Standbys exchange with the watchers, so their ages are seconds old.
@@ -85,6 +86,7 @@
         ranking: The region's hosts in order, empty without a host list.
         rank: This host's place in it, or none if it isn't listed.
         jitter: Share of the random delays that this process takes, 0 to 1.
+        poll_s: Longest time that the next read waits for a change, seconds.
         attempted_at: When this daemon last asked the store on duty, seconds.
         confirmed_at: When the store last answered this daemon, seconds.
         heard: When hosts of better rank were heard to reach the store.
@@ -97,6 +99,7 @@
     ranking: tuple[str, ...] = ()
     rank: int | None = None
     jitter: float = 0
+    poll_s: float = WATCH_POLL_S
     attempted_at: float = -math.inf
     confirmed_at: float = -math.inf
     heard: dict[str, float] = attrs.field(factory=dict)
@@ -119,15 +122,6 @@
             return self.is_seed
         return self.rank is not None and self.rank < ranked_limit()
 
-    @property
-    def poll_s(self) -> float:
-        """Longest time that a read of the store waits for a change, seconds.
-
-        The ages that others depend on come from watchers and standbys; the
-        many other daemons spare the store if ever they have to read it.
-        """
-        return WATCH_POLL_S if self.is_near_front else FAR_WATCH_POLL_S
-
     def should_watch(
         self,
         now: float,
@@ -154,7 +148,7 @@
         confirmed = min(waited, freshness.confirmed_age(now))
         if self.is_standby and confirmed > self._unconfirmed_age():
             return True
-        return now - self.attempted_at < DUTY_S and not self._is_relieved(now)
+        return now - self.attempted_at < DUTY_S
 
     def is_carrier(self, now: float) -> bool:
         """Returns whether this daemon exchanges with other regions."""
@@ -181,9 +175,18 @@
         limit = len(self.ranking) if self.rank is None else self.rank
         if host_id in self.ranking[: min(limit, ranked_limit())]:
             self.heard[host_id] = now
+        if self._is_relieved(now):
+            self.attempted_at = -math.inf
 
     def note_attempt(self, now: float) -> None:
-        """Records that this daemon asks the store."""
+        """Records that this daemon asks the store.
+
+        The ages that others depend on come from watchers and standbys, at
+        different times; the many other daemons spare the store if ever they
+        have to read it.
+        """
+        longest = WATCH_POLL_S if self.is_near_front else FAR_WATCH_POLL_S
+        self.poll_s = longest * self.random.uniform(MIN_POLL_SHARE, 1)
         if self.ranking:
             self.attempted_at = now
 
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,179 @@
+"""Tests of a modelled fleet: take-over, outages, splits, leaving, waking."""
+
+from collections import Counter
+
+import pytest
+
+from egretlanding.membership import HostStatus
+from egretlanding.watchers import WATCHERS_PER_REGION, ranked_limit
+from lab.fleet import Fleet
+from lab.model import Model
+from lab.store import STORE
+
+SIZE = 48
+SETTLED_S = 40
+NOBODY: list[str] = []
+CONVERGENCE_S = 13
+LEAVING_KNOWN_S = 3
+
+
+@pytest.fixture(params=[1, 2, 3])
+def fleet(request: pytest.FixtureRequest) -> Fleet:
+    """Returns a fleet that has settled on a first release."""
+    fleet = Fleet.from_size(SIZE, request.param)
+    fleet.model.publish_hosts(fleet.hosts)
+    fleet.change()
+    fleet.start_all()
+    fleet.model.advance(SETTLED_S + request.param)
+    assert fleet.count_behind() == 0
+    return fleet
+
+
+def watchers(fleet: Fleet, region: str) -> tuple[str, ...]:
+    rankings = {
+        replica.duty.ranking
+        for replica in fleet.model.replicas.values()
+        if replica.config.host.region == region
+    }
+    assert len(rankings) == 1
+    return rankings.pop()[:WATCHERS_PER_REGION]
+
+
+def behind(fleet: Fleet) -> list[str]:
+    return [
+        host_id
+        for host_id, replica in fleet.model.replicas.items()
+        if host_id not in fleet.model.paused
+        and replica.ledger.position.number < fleet.number
+    ]
+
+
+def test_watchers_are_in_different_failure_domains(fleet: Fleet) -> None:
+    for region in ('west', 'east'):
+        domains = {
+            fleet.network.hosts[host_id].failure_domain
+            for host_id in watchers(fleet, region)
+        }
+        assert len(domains) == WATCHERS_PER_REGION
+
+
+@pytest.mark.parametrize('regions', [('west',), ('east',), ('west', 'east')])
+def test_silent_watchers_are_bypassed(
+    fleet: Fleet,
+    regions: tuple[str, ...],
+) -> None:
+    for region in regions:
+        for host_id in watchers(fleet, region):
+            fleet.model.pause(host_id)
+    fleet.change()
+    fleet.model.advance(CONVERGENCE_S)
+    assert behind(fleet) == NOBODY
+
+
+def test_whoever_stepped_in_steps_down_again(fleet: Fleet) -> None:
+    silent = watchers(fleet, 'west') + watchers(fleet, 'east')
+    for host_id in silent:
+        fleet.model.pause(host_id)
+    fleet.model.advance(60)
+    for host_id in silent:
+        fleet.model.wake(host_id)
+    fleet.model.advance(60)
+    fleet.model.sent.clear()
+    fleet.model.advance(60)
+    readers = {target for source, target in fleet.model.sent if source == STORE}
+    assert readers == set(silent)
+
+
+def test_an_outage_adds_few_watchers(fleet: Fleet) -> None:
+    fleet.model.store.down = True
+    fleet.model.store.reads.clear()
+    fleet.model.advance(600)
+    readers = sum(
+        replica.duty.attempted_at > fleet.model.now - 60
+        for replica in fleet.model.replicas.values()
+    )
+    assert 2 * WATCHERS_PER_REGION <= readers <= 2 * ranked_limit()
+    assert max(fleet.model.store.reads.values()) <= readers
+    fleet.model.store.down = False
+    fleet.change()
+    fleet.model.advance(CONVERGENCE_S)
+    assert behind(fleet) == NOBODY
+
+
+def test_a_region_split_heals_in_time(fleet: Fleet) -> None:
+    network_delays = fleet.network.delays
+    fleet.model.delays = lambda source, target, size: (
+        []
+        if fleet.network.is_link(source, target)
+        else network_delays(source, target, size)
+    )
+    fleet.change()
+    fleet.model.advance(120)
+    east = [host.host_id for host in fleet.hosts if host.region == 'east']
+    assert sorted(behind(fleet)) == sorted(east)
+    fleet.model.delays = network_delays
+    fleet.model.advance(CONVERGENCE_S)
+    assert behind(fleet) == NOBODY
+
+
+def test_leaving_is_known_though_the_list_lags(fleet: Fleet) -> None:
+    leaving = fleet.hosts[7].host_id
+    replicas = fleet.model.replicas
+    replicas[leaving].leave(fleet.model.now)
+    fleet.model.advance(LEAVING_KNOWN_S)
+    statuses = {
+        replica.membership.status(leaving, fleet.model.now)
+        for replica in replicas.values()
+    }
+    assert statuses == {HostStatus.LEAVING}
+    fleet.model.start(leaving)
+    fleet.model.advance(30)
+    assert not any(
+        replica.membership.is_leaving(leaving, fleet.model.now)
+        for replica in replicas.values()
+    )
+
+
+def test_a_daemon_that_wakes_asks_before_it_serves(fleet: Fleet) -> None:
+    host_id = fleet.hosts[9].host_id
+    replica = fleet.model.replicas[host_id]
+    fleet.model.pause(host_id)
+    fleet.change()
+    fleet.model.advance(300)
+    age = replica.freshness.confirmed_age(fleet.model.now)
+    assert age >= 300
+    fleet.model.wake(host_id)
+    assert not replica.is_ready(fleet.model.now)
+    while not replica.is_ready(fleet.model.now):
+        fleet.model.advance(0.05)
+    assert replica.ledger.position.number == fleet.number
+
+
+def test_one_daemon_restarts_within_seconds(fleet: Fleet) -> None:
+    host_id = fleet.hosts[9].host_id
+    fleet.model.store.down = True
+    fleet.model.start(host_id)
+    fleet.model.advance(5)
+    replica = fleet.model.replicas[host_id]
+    assert replica.is_ready(fleet.model.now)
+    assert replica.ledger.position.number == fleet.number
+
+
+def test_each_change_crosses_the_link_few_times(
+    fleet: Fleet,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    crossed = Counter()
+    arrive = Model._release_came
+
+    def count(model, replica, update, source):
+        host_id = replica.config.host.host_id
+        crossed[update.revision] += fleet.network.is_link(source, host_id)
+        arrive(model, replica, update, source)
+
+    monkeypatch.setattr(Model, '_release_came', count)
+    for _ in range(10):
+        fleet.change()
+        fleet.model.advance(2)
+    assert behind(fleet) == NOBODY
+    assert max(crossed.values()) <= WATCHERS_PER_REGION
