Refuse every damaged object, head and endless release with a typed error

Found by fuzzing: deeply nested JSON ended decode_object and Head.from_bytes with RecursionError, and a name that was a number passed as canonical and broke the ordering of objects later. 1,024 parts could inflate to 4 GB; a release is now bounded to 32 MB while it is unpacked.

--- a/egretlanding/release.py
+++ b/egretlanding/release.py
@@ -2,7 +2,7 @@
 
 import hashlib
 import zlib
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from typing import Any
 
 import attrs
@@ -19,13 +19,20 @@
 MAX_PART_BYTES = 4_194_304
 MAX_VALUE_BYTES = 1_000_000
 MAX_PARTS = 1_024
+MAX_RELEASE_BYTES = 33_554_432
 SHORT_DIGEST_LENGTH = 12
 BUCKET_DIGITS = 8
 HEX_BASE = 16
 
 ObjectKey = tuple[str, str]
 
-MALFORMED = (msgspec.MsgspecError, LookupError, TypeError, ValueError)
+MALFORMED = (
+    msgspec.MsgspecError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 
 
 @attrs.frozen(order=True)
@@ -84,7 +91,7 @@
         """
         try:
             head = msgspec.json.decode(encoded, type=cls)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except MALFORMED as error:
             raise ReleaseError(
                 f'the release head is malformed ({error})',
                 'publish the files that "egretlanding compile" wrote',
@@ -156,15 +163,10 @@
             ReleaseError: A part is missing or corrupt, or the whole
                 doesn't have the announced digest.
         """
-        encoded = [
-            line
-            for reference in head.parts
-            for line in _unpack(reference, parts).splitlines()
-        ]
         release = cls.from_objects(
             head.number,
             head.parent,
-            [decode_object(line) for line in encoded],
+            map(decode_object, _unpack_lines(head, parts)),
         )
         return release.verified(head.digest)
 
@@ -274,10 +276,17 @@
     return plain
 
 
+@attrs.frozen
+class _EncodedObject:
+    kind: str
+    name: str
+    spec: dict[str, Any]
+
+
 def _decode(encoded: bytes) -> ConfigObject:
-    plain: dict[str, Any] = msgspec.json.decode(encoded, type=dict[str, Any])
-    spec: Any = msgspec.convert(plain['spec'], KINDS[plain['kind']])
-    return ConfigObject(plain['kind'], plain['name'], spec)
+    plain = msgspec.json.decode(encoded, type=_EncodedObject)
+    spec: Any = msgspec.convert(plain.spec, KINDS[plain.kind])
+    return ConfigObject(plain.kind, plain.name, spec)
 
 
 def _encode_index(
@@ -299,6 +308,23 @@
     )
 
 
+def _unpack_lines(
+    head: Head,
+    parts: Mapping[str, bytes],
+) -> Iterator[bytes]:
+    # Small parts may inflate to far more than the store holds.
+    room = MAX_RELEASE_BYTES
+    for reference in head.parts:
+        plain = _unpack(reference, parts)
+        room -= len(plain)
+        if room < 0:
+            raise ReleaseError(
+                f'the release exceeds {MAX_RELEASE_BYTES} bytes',
+                'publish fewer or smaller objects',
+            )
+        yield from plain.splitlines()
+
+
 def _unpack(reference: PartReference, parts: Mapping[str, bytes]) -> bytes:
     packed = parts.get(reference.digest)
     if packed is None or digest_of(packed) != reference.digest:
--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -1,12 +1,23 @@
 """Tests of releases: canonical form, digests and parts."""
 
+import zlib
+
 import pytest
-from hypothesis import given
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from egretlanding.exceptions import ReleaseError
 from egretlanding.objects import ConfigObject, Region, Service
-from egretlanding.release import Head, Release
+from egretlanding.release import (
+    MAX_PART_BYTES,
+    MAX_RELEASE_BYTES,
+    Head,
+    PartReference,
+    Release,
+    decode_object,
+    digest_of,
+    encode_object,
+)
 
 NAMES = st.text('abcdefgh-', min_size=1, max_size=8)
 
@@ -48,3 +59,55 @@
 def test_malformed_head_is_refused(encoded: bytes) -> None:
     with pytest.raises(ReleaseError):
         Head.from_bytes(encoded)
+
+
+ENCODED = encode_object(
+    ConfigObject('Service', 'stock', Service(regions=('north', 'south'))),
+)
+HEAD, _ = Release.from_objects(3, 'a' * 64, [decode_object(ENCODED)]).to_parts()
+FRAGMENTS = [b'{', b'[', b'null', b'1', b'-1', b'"', b'1e999', b'\xff', b',']
+NESTED = b'[' * 100_000
+
+
+@st.composite
+def mutations(draw: st.DrawFn, encoded: bytes) -> bytes:
+    """Draws bytes near to well-formed ones."""
+    start = draw(st.integers(0, len(encoded)))
+    end = draw(st.integers(start, min(start + 12, len(encoded))))
+    fragment = draw(st.one_of(st.sampled_from(FRAGMENTS), st.binary()))
+    return encoded[:start] + fragment + encoded[end:]
+
+
+@settings(max_examples=500)
+@given(mutations(ENCODED))
+@example(ENCODED.replace(b'"stock"', b'1'))
+@example(ENCODED.replace(b'"Service"', b'[]'))
+@example(ENCODED.replace(b'["north","south"]', NESTED))
+def test_mutated_object_is_refused_or_canonical(encoded: bytes) -> None:
+    try:
+        entry = decode_object(encoded)
+    except ReleaseError:
+        return
+    assert encode_object(entry) == encoded
+    assert isinstance(entry.name, str)
+
+
+@settings(max_examples=500)
+@given(mutations(HEAD.to_bytes()))
+@example(b'{"unknown":' * 100_000)
+def test_mutated_head_is_refused_or_read(encoded: bytes) -> None:
+    try:
+        head = Head.from_bytes(encoded)
+    except ReleaseError:
+        return
+    assert Head.from_bytes(head.to_bytes()) == head
+
+
+def test_release_that_inflates_without_end_is_refused() -> None:
+    lines = MAX_PART_BYTES // (len(ENCODED) + 1)
+    bomb = zlib.compress(b'\n'.join([ENCODED] * lines))
+    reference = PartReference(digest_of(bomb), len(bomb))
+    count = MAX_RELEASE_BYTES // MAX_PART_BYTES + 2
+    head = Head(1, '', '', (reference,) * count)
+    with pytest.raises(ReleaseError, match='exceeds'):
+        Release.from_parts(head, {reference.digest: bomb})
