--- a/egretlanding/agreement.py
+++ b/egretlanding/agreement.py
@@ -45,7 +45,7 @@
     def unready(self) -> list[str]:
         """Returns the hosts that don't take calls."""
         return [
-            f'{report.host_id} ({_readiness(report)})'
+            report.host_id
             for report in self.reports.values()
             if not report.ready or report.draining
         ]
@@ -98,8 +98,9 @@
     place = f'{report.region}/{report.failure_domain}'
     return [
         f'{report.host_id} at {daemon} in {place}, {report.service}',
-        f'    {_readiness(report)}, {describe(position_of(report))}, '
-        f'revision {report.revision}, {_freshness(report)}',
+        f'    ready: {_readiness(report)}, number: {report.number}, '
+        f'revision: {report.revision}, confirmed: {_freshness(report)}',
+        f'    digest: {report.digest or "none"}',
         *(
             f'    refused: release {refused.number} '
             f'({shorten(refused.digest)}): {refused.reason}'
@@ -116,11 +117,11 @@
 
 def _readiness(report: StatusReport) -> str:
     if report.draining:
-        return 'draining'
-    return 'ready' if report.ready else 'starting'
+        return 'no (draining)'
+    return 'yes' if report.ready else 'no (starting)'
 
 
 def _freshness(report: StatusReport) -> str:
     if report.confirmed_age_s is None:
-        return 'never confirmed by the store'
-    return f'confirmed by the store {report.confirmed_age_s:.1f} s ago'
+        return 'never'
+    return f'{report.confirmed_age_s:.1f} s ago'
--- a/egretlanding/control.py
+++ b/egretlanding/control.py
@@ -35,7 +35,6 @@
 from egretlanding.faults import CHECKS
 from egretlanding.objects import KINDS
 from egretlanding.reference import describe_fields
-from egretlanding.release import shorten
 from egretlanding.status import StatusReport
 
 LIBRARIES = ('attrs', 'grpclib', 'klein', 'msgspec', 'PyYAML', 'Twisted')
@@ -93,8 +92,9 @@
         release = declared.compile(number, before.digest)
         head = write_archive(release, out)
         lines = [
-            f'release {number} ({shorten(release.digest)}) of '
-            f'{len(release.objects)} objects, parts: {len(head.parts)}',
+            f'release {number} of {len(release.objects)} objects, '
+            f'parts: {len(head.parts)}',
+            f'digest: {release.digest}',
             f'written to {out}; publish the parts first, the head last',
         ]
         return Reply.from_lines(lines, _plain(head))
