Match path prefixes by whole segments

A route of /catalogue also took /catalogue-orders: an idempotent lookup rule could have covered calls that must not run twice. Ruled out: prefixes that end in a slash, which would miss the bare path.

--- a/egretlanding/routing.py
+++ b/egretlanding/routing.py
@@ -13,6 +13,8 @@
 )
 from egretlanding.release import Release
 
+ROOT = '/'
+
 PolicyResolver = Callable[[Release, str], Policy]
 
 
@@ -164,7 +166,7 @@
         candidates = (
             name
             for length in self.prefix_lengths
-            if len(path) >= length
+            if _ends_segment(path, length)
             for name in self._by_method(method, path[:length])
         )
         return next(candidates, None)
@@ -228,6 +230,14 @@
         return sorted(taking, key=lambda name: not self.routes[name].methods)
 
 
+def _ends_segment(path: str, length: int) -> bool:
+    # "/stock" takes "/stock" and "/stock/7", but not "/stocks".
+    rest = path[length:]
+    return len(path) >= length and (
+        length == len(ROOT) or not rest or rest.startswith(ROOT)
+    )
+
+
 def _specs(release: Release, kind: str) -> dict[str, Any]:
     return {
         name: entry.spec
