--- a/egretlanding/archive.py
+++ b/egretlanding/archive.py
@@ -15,6 +15,7 @@
     Head,
     Release,
 )
+from egretlanding.texts import show_path
 
 # A key of the store is the path of its file below the output directory.
 KEY_ROOT = 'release/'
@@ -121,7 +122,7 @@
             return stream.read(MAX_VALUE_BYTES)
     except OSError as error:
         raise SourceError(
-            f'{path} can not be read ({error.strerror})',
+            f'{show_path(path)} can not be read ({error.strerror})',
             'name a directory that "egretlanding compile" wrote, or its head',
         ) from error
 
@@ -135,6 +136,6 @@
         os.replace(draft, path)
     except OSError as error:
         raise SourceError(
-            f'{path} can not be written ({error.strerror})',
+            f'{show_path(path)} can not be written ({error.strerror})',
             'name a directory that you may write to',
         ) from error
