--- a/egretlanding/balancing.py
+++ b/egretlanding/balancing.py
@@ -14,6 +14,7 @@
 from egretlanding.tokens import TokenBucket
 
 NEAR_PREFERENCE = 1.5
+TIE_RATIO = 1.1
 LINK_BURST_S = 30
 MIN_LINK_BURST_BYTES = 16_384
 BYTES_PER_KBYTE = 1_000
@@ -198,8 +199,8 @@
                 rng.random() ** (1 / known.share(cold_start_ms, now))
             ),
         )
-        return min(
-            picked,
-            key=lambda known: self.targets.score(known, now),
-            default=None,
-        )
+        if len(picked) < 2:
+            return next(iter(picked), None)
+        first, second = picked
+        bound = TIE_RATIO * self.targets.score(second, now)
+        return second if self.targets.score(first, now) > bound else first
--- a/egretlanding/targets.py
+++ b/egretlanding/targets.py
@@ -1,5 +1,6 @@
 """What an ingress knows of the targets of one service."""
 
+import math
 from collections.abc import Collection, Iterable
 
 import attrs
@@ -26,7 +27,7 @@
         order: The targets in the order in which the ingress connects.
         evidence: Own evidence by host id.
         leaving: Ids of hosts that notices report as leaving.
-        awake_since: Answers to calls sent before this time teach nothing.
+        awake_since: Answers to calls sent up to this time teach nothing.
     """
 
     locality: Locality
@@ -35,7 +36,7 @@
     order: list[Host] = attrs.field(factory=list)
     evidence: dict[str, TargetEvidence] = attrs.field(factory=dict)
     leaving: frozenset[str] = frozenset()
-    awake_since: float = 0
+    awake_since: float = -math.inf
 
     def group(
         self,
@@ -131,7 +132,7 @@
     def _land(self, host_id: str, attempt: int) -> Flight | None:
         known = self.evidence.get(host_id)
         flight = None if known is None else known.flights.pop(attempt, None)
-        if flight is None or flight.started < self.awake_since:
+        if flight is None or flight.started <= self.awake_since:
             return None
         return flight
 
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -233,6 +233,13 @@
         self.entries.clear()
 
 
+class AnyTime(KeyTable):
+    """A key runs however old it is, or however far in the future."""
+
+    def _untimely(self, key, moment):
+        """Finds no fault."""
+
+
 @pytest.mark.parametrize(
     'variant',
     [
@@ -277,9 +284,9 @@
             machine.read(host, 0)
 
 
-def key_moved_from_a_to_b(machine):
+def key_moved_from_a_to_b(machine, ahead=0):
     while True:
-        key = make_uuid7(machine.time, machine.rng)
+        key = make_uuid7(machine.time + ahead, machine.rng)
         if (owner_id(key, ('a', 'c')), owner_id(key, HOSTS)) == ('a', 'b'):
             return key
 
@@ -313,9 +320,33 @@
     machine.offer(key, 'a', DIGEST)
 
 
+def key_is_from_the_future(machine):
+    add_b(machine)
+    machine.pass_time(8)
+    key = key_moved_from_a_to_b(machine, ahead=20)
+    machine.offer(key, 'a', DIGEST)
+    machine.offer(key, 'b', DIGEST)
+
+
+def key_is_forgotten(machine):
+    key = issue_key('orders', 'a', 1, machine.time, machine.rng)
+    machine.offer(key, 'a', DIGEST)
+    assert key.text in machine.executions
+    machine.end('a', 'answer')
+    machine.pass_time(95)
+    machine.expire('a')
+    machine.offer(key, 'a', DIGEST)
+    # The wall clock steps back.
+    machine.time -= 95
+    machine.expire('a')
+    machine.offer(key, 'a', DIGEST)
+
+
 @pytest.mark.parametrize(
     ('scenario', 'variant'),
     [
+        (key_is_from_the_future, {'table_class': AnyTime}),
+        (key_is_forgotten, {'table_class': AnyTime}),
         (old_owner_has_old_list, {'bounds': ClockHoldOff(2, 10, 90)}),
         (old_owner_is_cut_off, {'ownership_class': AnyAge}),
         (
@@ -342,6 +373,17 @@
     assert table.decide(key, b'else', now).reason is Reason.KEY_REUSED
 
 
+def test_call_that_outlives_the_retention_keeps_its_key():
+    table = KeyTable.for_daemon('orders', 'a', 7)
+    key = issue_key('orders', 'a', 7, START, random.Random(1))
+    table.begin(key, DIGEST)
+    later = Moment(9_000, START + 9_000)
+    table.expire(later)
+    assert table.decide(key, DIGEST, later) == Join()
+    table.record_answer(key, Answer(200))
+    assert table.decide(key, DIGEST, later) == Replay(Answer(200))
+
+
 def test_settled_owner_runs_new_keys_and_only_one_host_owns_them():
     tables = [KeyTable.for_daemon('orders', host, 1) for host in HOSTS]
     for table in tables:
--- /dev/null
+++ b/tests/test_retries.py
@@ -0,0 +1,171 @@
+"""Retries, hedges and the truth of refusals."""
+
+import random
+
+import attrs
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from egretlanding.objects import Policy
+from egretlanding.outcomes import (
+    TRAITS,
+    Execution,
+    FailedAttempt,
+    Progress,
+    Reason,
+)
+from egretlanding.pauses import PAUSE_S, PauseDetector
+from egretlanding.retries import (
+    MAX_DEPTH,
+    RETRY_HEADER,
+    CallContext,
+    HedgeTimer,
+    Retry,
+    RetryBudget,
+    decide_retry,
+    losers,
+)
+
+POLICY = Policy(max_attempts=3, retry_percent=10)
+attempts = st.builds(
+    FailedAttempt,
+    st.sampled_from(list(Reason)),
+    st.sampled_from(list(Progress)),
+    denied=st.booleans(),
+    keyed=st.booleans(),
+    retried_below=st.booleans(),
+)
+contexts = st.builds(
+    CallContext,
+    st.sampled_from([5, 50]),
+    st.booleans(),
+    st.sampled_from(['', 'owner']),
+    st.integers(0, MAX_DEPTH),
+    st.booleans(),
+)
+
+
+def may_have_run(failed):
+    return any(
+        not attempt.denied
+        and (attempt.keyed or attempt.progress is not Progress.UNSENT)
+        for attempt in failed
+    )
+
+
+class Careless(FailedAttempt):
+    """An attempt of which it is guessed that it did not run."""
+
+    execution = Execution.NOT_RUN
+
+
+def check_retry(context, failed):
+    budget = RetryBudget.fresh(0)
+    decision = decide_retry(context, POLICY, failed, budget, 10)
+    if not isinstance(decision, Retry):
+        ran = decision.refusal.execution is Execution.UNKNOWN
+        assert ran == may_have_run(failed)
+        return
+    assert context.idempotent or context.key_owner or not may_have_run(failed)
+    assert decision == Retry(context.key_owner)
+    assert len(failed) < POLICY.max_attempts
+    assert context.deadline > 10
+    assert not context.is_retry
+    assert not any(attempt.retried_below for attempt in failed)
+
+
+@given(contexts, st.lists(attempts, min_size=1, max_size=4))
+def test_only_idempotent_or_unrun_or_owned_calls_are_retried(context, failed):
+    check_retry(context, failed)
+
+
+@pytest.mark.parametrize('deadline', [5, 50])
+def test_guess_that_a_lost_call_did_not_run_is_seen(deadline):
+    lost = Careless(Reason.CONNECTION_LOST, Progress.SENT)
+    with pytest.raises(AssertionError):
+        check_retry(CallContext(deadline, idempotent=False), [lost])
+
+
+@given(st.integers(0, 100), st.integers(1, 2_000))
+def test_retries_stay_within_the_percentage(percent, calls):
+    policy = Policy(retry_percent=percent)
+    budget = RetryBudget.fresh(0)
+    retries = 0
+    for _ in range(calls):
+        budget.record_first_attempt(policy, 0)
+        retries += budget.take(policy, 0)
+    assert retries <= 3 + calls * percent / 100 + 1e-6
+
+
+def attempts_at_the_bottom(depth, use_header):
+    """Counts the runs of the last of some levels when it always fails."""
+    policy = Policy(max_attempts=3, retry_percent=100)
+    failure = FailedAttempt(Reason.CONNECTION_LOST, Progress.SENT)
+
+    def call(level, is_retry):
+        if level == depth:
+            return 1, False
+        budget = RetryBudget.fresh(0)
+        context = CallContext(9, True, depth=level, is_retry=is_retry)
+        runs, failed, decision = 0, [], Retry()
+        while isinstance(decision, Retry):
+            headers = context.headers(len(failed), 0)
+            flagged = use_header and headers[RETRY_HEADER] == '1'
+            below, retried = call(level + 1, flagged)
+            runs += below
+            flag = use_header and retried
+            failed.append(attrs.evolve(failure, retried_below=flag))
+            decision = decide_retry(context, policy, failed, budget, 0)
+            budget.take(policy, 0)
+        return runs, retried or len(failed) > 1
+
+    return call(0, False)[0]
+
+
+@pytest.mark.parametrize('depth', range(1, 8))
+def test_retries_do_not_multiply_in_depth(depth):
+    assert attempts_at_the_bottom(depth, use_header=True) <= 3
+    if depth > 1:
+        assert attempts_at_the_bottom(depth, use_header=False) == 3**depth
+
+
+def test_calls_that_are_too_deep_are_refused():
+    assert CallContext(9, True, depth=MAX_DEPTH).check_depth() is None
+    refusal = CallContext(9, True, depth=MAX_DEPTH + 1).check_depth()
+    assert refusal.reason is Reason.TOO_DEEP
+
+
+def test_hedges_are_late_and_for_idempotent_calls_only():
+    timer = HedgeTimer()
+    rng = random.Random(1)
+    for _ in range(5_000):
+        timer.observe(rng.uniform(0, 0.1))
+    policy = Policy(hedge_ms=20)
+    context = CallContext(9, idempotent=True)
+    late = pytest.approx(0.095, rel=0.2)
+    assert timer.delay(context, policy) == late
+    assert timer.delay(context, Policy(hedge_ms=500)) == pytest.approx(0.5)
+    assert timer.delay(context, Policy()) is None
+    for unfit in (
+        attrs.evolve(context, idempotent=False),
+        attrs.evolve(context, is_retry=True),
+        attrs.evolve(context, key_owner='owner'),
+    ):
+        assert timer.delay(unfit, policy) is None
+    assert losers({1: 'a', 2: 'b'}, 2) == {1: 'a'}
+
+
+def test_every_reason_has_a_status_and_a_remedy():
+    assert TRAITS.keys() == set(Reason)
+    assert all(
+        traits.status >= 400 and traits.remedy for traits in TRAITS.values()
+    )
+
+
+def test_pause_is_seen_once():
+    detector = PauseDetector(0)
+    assert not detector.gap(PAUSE_S / 2)
+    assert detector.gap(30) == 30
+    detector.beat(30)
+    assert not detector.gap(30.1)
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,262 @@
+"""Matching of calls and the choice of targets."""
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from egretlanding.balancing import Balancer, Choice, Wanted, link_bucket
+from egretlanding.evidence import TargetEvidence
+from egretlanding.hosts import Host, HostState
+from egretlanding.objects import (
+    ConfigObject,
+    IdempotencyRule,
+    Policy,
+    Region,
+    Route,
+    Service,
+)
+from egretlanding.outcomes import Execution, Reason
+from egretlanding.release import Release
+from egretlanding.routing import RouteTable
+from egretlanding.shunning import review
+from egretlanding.subsets import Distance, Locality, subset_order
+
+HERE = Locality('ingress', 'north', 'n1')
+SERVICE = Service(regions=('north', 'south'), cold_start_ms=5_000)
+DOMAINS = {'n1': 'north', 'n2': 'north', 's1': 'south', 's2': 'south'}
+USUAL_S = 0.01
+
+
+def make_host(number, domain, state=HostState.LIVE):
+    name = f'{domain}-{number}'
+    ports = (1, 2, 3)
+    return Host(
+        name, '127.0.0.1', *ports, DOMAINS[domain], domain, 'stock', state
+    )
+
+
+def make_balancer(counts, service=SERVICE, link_kbytes_per_s=1_000):
+    region = Region(
+        failure_domains=('n1', 'n2'),
+        link_kbytes_per_s=link_kbytes_per_s,
+    )
+    balancer = Balancer.for_service(HERE, service, link_bucket(region, 1, 0))
+    balancer.targets.update_hosts(
+        [
+            make_host(number, domain)
+            for domain, count in counts.items()
+            for number in range(count)
+        ],
+        -10,
+    )
+    return balancer
+
+
+def run_calls(balancer, times, count, start=0, seed=1):
+    """Makes calls one after another; returns how many each host got."""
+    rng = random.Random(seed)
+    now = start
+    chosen = []
+    for attempt in range(count):
+        wanted = Wanted(attempt, 'lookup', now + 1)
+        choice = balancer.choose(wanted, now, rng)
+        balancer.begin(choice, wanted, now)
+        now += times.get(choice.host.host_id, USUAL_S)
+        balancer.targets.record_answer(choice.host.host_id, attempt, now)
+        chosen.append(choice.host.host_id)
+    return chosen, now
+
+
+def make_release(*entries):
+    objects = [
+        ConfigObject(type(spec).__name__, name, spec) for name, spec in entries
+    ]
+    return Release.from_objects(3, '', objects)
+
+
+def make_table(*entries):
+    release = make_release(('stock', SERVICE), ('slow', Policy()), *entries)
+    return RouteTable.from_release(
+        release,
+        lambda held, name: held.objects['Policy', name].spec,
+    )
+
+
+def make_route(prefix, methods=()):
+    return Route(
+        path_prefix=prefix,
+        service='stock',
+        policy='slow',
+        methods=methods,
+    )
+
+
+@given(st.data())
+def test_longest_prefix_that_takes_the_method_wins(draw):
+    prefixes = st.text('ab/', max_size=4).map('/{}'.format)
+    methods = st.sampled_from([(), ('GET',), ('POST',), ('GET', 'POST')])
+    routes = draw.draw(st.lists(st.builds(make_route, prefixes, methods)))
+    table = make_table(*((str(at), route) for at, route in enumerate(routes)))
+    path = draw.draw(st.text('ab/', max_size=6).map('/{}'.format))
+    taking = [
+        route
+        for route in routes
+        if path.startswith(route.path_prefix)
+        and (not route.methods or 'GET' in route.methods)
+    ]
+    match = table.match('GET', f'{path}?q=1')
+    if not taking:
+        assert match is None
+        return
+    best = max(len(route.path_prefix) for route in taking)
+    assert match.route in taking
+    assert len(match.route.path_prefix) == best
+    assert table.explain('GET', path).route == match.route_name
+
+
+def test_calls_without_a_rule_are_non_idempotent():
+    rules = [
+        ('all', IdempotencyRule(route='stock', idempotent=True)),
+        (
+            'post',
+            IdempotencyRule(route='stock', idempotent=False, methods=('POST',)),
+        ),
+    ]
+    routes = [('stock', make_route('/stock')), ('other', make_route('/'))]
+    table = make_table(*routes, *rules)
+    assert table.match('GET', '/stock/1').idempotent
+    assert not table.match('POST', '/stock/1').idempotent
+    assert not table.match('GET', '/else').idempotent
+    assert 'no rule' in table.explain('GET', '/else').reasons[-1]
+
+
+@given(st.permutations(range(40)), st.integers(0, 39))
+def test_subset_is_near_spread_and_hardly_moves(order, gone):
+    domains = list(DOMAINS)
+    hosts = [make_host(number, domains[number % 4]) for number in order]
+    chosen = subset_order(HERE, hosts)
+    near = chosen[:20]
+    assert {host.region for host in near} == {'north'}
+    assert sum(host.failure_domain == 'n1' for host in near[:8]) == 4
+    left = [
+        host for host in hosts if host != make_host(gone, domains[gone % 4])
+    ]
+    rest = subset_order(HERE, left)
+    assert [host for host in chosen if host in rest[:8]] == sorted(
+        rest[:8],
+        key=chosen.index,
+    )
+    assert len(set(chosen[:8]) - set(rest[:8])) <= 1
+
+
+def test_own_failure_domain_comes_first_and_leaving_targets_get_nothing():
+    balancer = make_balancer({'n1': 2, 'n2': 2, 's1': 2})
+    chosen, now = run_calls(balancer, {}, 100)
+    assert {name.partition('-')[0] for name in chosen} == {'n1'}
+    balancer.targets.leaving = frozenset(('n1-0',))
+    chosen, now = run_calls(balancer, {}, 100, now)
+    assert set(chosen) == {'n1-1'}
+    hosts = [make_host(1, 'n1', HostState.LEAVING), make_host(0, 'n2')]
+    balancer.targets.update_hosts(hosts, now)
+    assert set(run_calls(balancer, {}, 20, now)[0]) == {'n2-0'}
+
+
+def test_unreachable_target_is_left_out_and_tried_again():
+    balancer = make_balancer({'n1': 2})
+    balancer.targets.record_unreachable('n1-0', 0)
+    assert set(run_calls(balancer, {}, 20, 0)[0]) == {'n1-1'}
+    assert 'n1-0' in run_calls(balancer, {}, 50, 1)[0]
+    for host in ('n1-0', 'n1-1'):
+        balancer.targets.record_unreachable(host, 2)
+    choice = balancer.choose(Wanted(1, 'lookup', 9), 2, random.Random(1))
+    assert isinstance(choice, Choice)
+
+
+def test_slow_targets_are_shunned_and_come_back():
+    balancer = make_balancer({'n1': 6})
+    names = ('n1-2', 'n1-5')
+    slow = dict.fromkeys(names, USUAL_S * 20)
+    _, now = run_calls(balancer, {}, 100)
+    chosen, now = run_calls(balancer, slow, 2_000, now)
+    evidence = [balancer.targets.evidence[name] for name in names]
+    assert any(known.probation for known in evidence)
+    assert 2 <= sum(map(chosen.count, names)) <= 40
+    chosen, now = run_calls(balancer, {}, 4_000, now)
+    assert not any(known.probation for known in evidence)
+    assert min(map(chosen[-600:].count, names)) > 60
+
+
+@given(
+    st.lists(st.sampled_from([0.5, 1, 2, 50]), min_size=3, max_size=20),
+    st.integers(1, 5),
+)
+def test_at_most_a_third_is_shunned(slowness, rounds):
+    group = [
+        TargetEvidence(make_host(at, 'n1'), 0, ratio, 0, samples=9)
+        for at, ratio in enumerate(slowness)
+    ]
+    for now in range(rounds):
+        review(group, now)
+    shunned = [known for known in group if known.probation is not None]
+    assert len(shunned) <= len(group) / 3
+
+
+def test_frozen_target_is_avoided_before_any_answer():
+    balancer = make_balancer({'n1': 3})
+    _, now = run_calls(balancer, {}, 60)
+    stuck = balancer.targets.evidence['n1-0'].host
+    wanted = Wanted(1_000, 'lookup', now + 9)
+    balancer.begin(Choice(stuck, Distance.FAILURE_DOMAIN), wanted, now)
+    for attempt, name in enumerate(('n1-1', 'n1-2'), start=2_000):
+        balancer.targets.begin(name, attempt, 'lookup', now + 0.5)
+    chosen, _ = run_calls(balancer, {}, 20, now + 0.5)
+    assert 'n1-0' not in chosen
+
+
+def test_load_report_counts_less_as_it_ages():
+    balancer = make_balancer({'n1': 2})
+    balancer.targets.record_load('n1-0', 60, 0)
+    assert 'n1-0' not in run_calls(balancer, {}, 40, 0)[0]
+    known = balancer.targets.evidence['n1-0']
+    assert round(known.load(20)) == 0
+
+
+def test_cold_target_ramps_up():
+    balancer = make_balancer({'n1': 4})
+    hosts = [make_host(number, 'n1') for number in range(5)]
+    balancer.targets.update_hosts(hosts, 0)
+    chosen, _ = run_calls(balancer, {}, 100)
+    assert chosen.count('n1-4') <= 10
+    chosen, _ = run_calls(balancer, {}, 500, 6)
+    assert 60 < chosen.count('n1-4') < 200
+
+
+def test_link_is_used_only_without_a_near_target_in_time_and_in_budget():
+    balancer = make_balancer({'n1': 1, 's1': 1}, link_kbytes_per_s=1)
+    rng = random.Random(1)
+    wanted = Wanted(1, 'lookup', 1, size=10_000)
+    assert balancer.choose(wanted, 0, rng).host.host_id == 'n1-0'
+    without = Wanted(2, 'lookup', 9, size=10_000, excluded=frozenset(('n1-0',)))
+    remote = [balancer.choose(without, 0, rng) for _ in range(3)]
+    assert remote[0].distance is Distance.REMOTE
+    for at in range(3):
+        balancer.begin(remote[at], without, 0)
+    refusal = balancer.choose(without, 0, rng)
+    assert refusal.reason is Reason.LINK_BUDGET
+    assert refusal.execution is Execution.NOT_RUN
+    assert isinstance(balancer.choose(without, 60, rng), Choice)
+
+
+def test_wake_drops_old_beliefs():
+    balancer = make_balancer({'n1': 2})
+    known = balancer.targets.evidence['n1-0']
+    wanted = Wanted(1, 'lookup', 99)
+    balancer.begin(Choice(known.host, Distance.FAILURE_DOMAIN), wanted, 0)
+    balancer.targets.record_unreachable('n1-1', 0.1)
+    balancer.targets.wake(30)
+    balancer.targets.record_answer('n1-0', 1, 30.1)
+    assert known.samples == 0
+    assert known.believed_slowness(30.1) == pytest.approx(1)
+    assert not balancer.targets.evidence['n1-1'].is_barred(30.1)
