--- a/egretlanding/admission.py
+++ b/egretlanding/admission.py
@@ -97,7 +97,11 @@
     def next_wake(self, now: float) -> float | None:
         """Returns when `advance` must run at the latest, seconds."""
         firsts = [self.short.first(), self.long.first()]
-        times = [queued.call.deadline for queued in firsts if queued]
+        times = [
+            self.times.latest_start(queued.call.route, queued.call.deadline)
+            for queued in firsts
+            if queued
+        ]
         impatient = self.short.first_bound()
         if impatient is not None and self.slots.holds_up(impatient):
             times.append(now + self._patience(impatient, now))
@@ -126,10 +130,11 @@
         if self.slots.may_start(queued.is_long) and not queue:
             self.slots.occupy(queued, now)
             return Start(call)
-        if len(self.short) + len(self.long) >= self.queue_limit:
+        waiting = len(self.short) + len(self.long)
+        if call.is_hedge or waiting >= self.queue_limit:
             return Refuse(
                 call,
-                Refusal.not_run(Reason.QUEUE_FULL, 'the queue is full'),
+                Refusal.not_run(Reason.QUEUE_FULL, 'no slot is free'),
             )
         queue.add(queued)
         return Wait(call)
@@ -178,9 +183,8 @@
         if now >= call.deadline:
             return Refusal.not_run(Reason.DEADLINE, 'the deadline has passed')
         wait = self.predicted_wait(queued.is_long)
-        if (
-            wait
-            and now + wait + self.times.expected(call.route) > call.deadline
+        if wait and now + wait >= self.times.latest_start(
+            call.route, call.deadline
         ):
             return Refusal.not_run(
                 Reason.DEADLINE,
@@ -217,7 +221,9 @@
     def _drop_late(self, now: float) -> Iterator[Refuse]:
         for queue in (self.short, self.long):
             while (queued := queue.first()) is not None:
-                if now < queued.call.deadline:
+                if now < self.times.latest_start(
+                    queued.call.route, queued.call.deadline
+                ):
                     break
                 yield self._drop(queued, Reason.DEADLINE)
 
--- a/egretlanding/balancing.py
+++ b/egretlanding/balancing.py
@@ -56,6 +56,19 @@
     is_probe: bool = False
 
 
+@attrs.frozen
+class Scored:
+    """A target with its predicted latency, relative to the usual.
+
+    Attributes:
+        known: The evidence on the target.
+        score: The prediction at the time of the choice.
+    """
+
+    known: TargetEvidence
+    score: float
+
+
 def link_bucket(region: Region, hosts: int, now: float) -> TokenBucket:
     """Builds a daemon's share of its region's byte budget for the link.
 
@@ -110,16 +123,16 @@
         group = self.targets.group(now, wanted.excluded)
         probe = self._due_probe(group, wanted, now)
         if probe is not None:
-            return self._choice(probe, is_probe=True)
+            return _choice(probe, is_probe=True)
         healthy = [known for known in group if known.probation is None] or group
         near = self._choose_near(healthy, now, rng)
         if near is not None and self._is_in_time(near, wanted, now):
-            return self._choice(near)
+            return _choice(near)
         remote = self._best_at(Distance.REMOTE, healthy, now, rng)
         if remote is not None and self.link.available(now) >= wanted.size:
-            return self._choice(remote)
+            return _choice(remote)
         if near is not None:
-            return self._choice(near)
+            return _choice(near)
         if remote is not None:
             return Refusal.not_run(Reason.LINK_BUDGET, 'no bytes are left')
         return Refusal.not_run(Reason.NO_TARGET, 'no target can be reached')
@@ -131,53 +144,42 @@
         if choice.distance is Distance.REMOTE:
             self.link.charge(wanted.size, now)
 
-    def _choice(
-        self,
-        known: TargetEvidence,
-        *,
-        is_probe: bool = False,
-    ) -> Choice:
-        return Choice(known.host, self.targets.distance(known), is_probe)
-
     def _due_probe(
         self,
         group: list[TargetEvidence],
         wanted: Wanted,
         now: float,
-    ) -> TargetEvidence | None:
-        due = [
-            known
+    ) -> Scored | None:
+        due = (
+            self._scored(known, now)
             for known in group
             if known.probation is not None
             and known.probation.next_probe <= now
             and not known.flights
-            and self._is_in_time(known, wanted, now)
-        ]
-        return next(iter(due), None)
+        )
+        in_time = (
+            scored for scored in due if self._is_in_time(scored, wanted, now)
+        )
+        return next(in_time, None)
 
-    def _is_in_time(
-        self,
-        known: TargetEvidence,
-        wanted: Wanted,
-        now: float,
-    ) -> bool:
+    def _scored(self, known: TargetEvidence, now: float) -> Scored:
+        return Scored(known, self.targets.score(known, now))
+
+    def _is_in_time(self, scored: Scored, wanted: Wanted, now: float) -> bool:
         expected = self.targets.times.expected(wanted.route)
-        return (
-            now + self.targets.score(known, now) * expected <= wanted.deadline
-        )
+        return now + scored.score * expected <= wanted.deadline
 
     def _choose_near(
         self,
         group: list[TargetEvidence],
         now: float,
         rng: random.Random,
-    ) -> TargetEvidence | None:
+    ) -> Scored | None:
         own = self._best_at(Distance.FAILURE_DOMAIN, group, now, rng)
         other = self._best_at(Distance.REGION, group, now, rng)
         if own is None or other is None:
             return own or other
-        bound = NEAR_PREFERENCE * self.targets.score(other, now)
-        return own if self.targets.score(own, now) <= bound else other
+        return own if own.score <= NEAR_PREFERENCE * other.score else other
 
     def _best_at(
         self,
@@ -185,22 +187,22 @@
         group: list[TargetEvidence],
         now: float,
         rng: random.Random,
-    ) -> TargetEvidence | None:
+    ) -> Scored | None:
         # Sampling without replacement, by share: the greatest of u^(1/share).
         cold_start_ms = self.targets.service.cold_start_ms
         picked = heapq.nlargest(
             2,
-            (
-                known
-                for known in group
-                if self.targets.distance(known) is distance
-            ),
+            (known for known in group if known.distance is distance),
             key=lambda known: (
                 rng.random() ** (1 / known.share(cold_start_ms, now))
             ),
         )
-        if len(picked) < 2:
-            return next(iter(picked), None)
-        first, second = picked
-        bound = TIE_RATIO * self.targets.score(second, now)
-        return second if self.targets.score(first, now) > bound else first
+        scored = [self._scored(known, now) for known in picked]
+        if len(scored) < 2:
+            return next(iter(scored), None)
+        first, second = scored
+        return second if first.score > TIE_RATIO * second.score else first
+
+
+def _choice(scored: Scored, *, is_probe: bool = False) -> Choice:
+    return Choice(scored.known.host, scored.known.distance, is_probe)
--- a/egretlanding/evidence.py
+++ b/egretlanding/evidence.py
@@ -5,6 +5,7 @@
 import attrs
 
 from egretlanding.hosts import Host
+from egretlanding.subsets import Distance
 
 RISE = 0.3
 FALL_S = 2
@@ -67,7 +68,8 @@
 
     Attributes:
         host: The target's host.
-        known_since: When it became known or reachable, seconds.
+        distance: How far it is from the ingress.
+        known_since: When it became known or was restored, seconds.
         slowness: Its latency relative to its peers, peak-sensitive; 1 is
             neutral.
         updated: When `slowness` last changed, seconds.
@@ -80,6 +82,7 @@
     """
 
     host: Host
+    distance: Distance
     known_since: float
     slowness: float = 1
     updated: float = -math.inf
--- a/egretlanding/retries.py
+++ b/egretlanding/retries.py
@@ -114,6 +114,10 @@
         """
         return policy.retry_percent > 0 and self.tokens.take(1, now)
 
+    def refund(self, now: float) -> None:
+        """Returns a retry that made no work, such as a refused hedge."""
+        self.tokens.put(1, now)
+
     def allows(self, policy: Policy, now: float) -> bool:
         """Returns whether a retry could be taken now."""
         return policy.retry_percent > 0 and self.tokens.available(now) >= 1
--- a/egretlanding/servicetimes.py
+++ b/egretlanding/servicetimes.py
@@ -42,6 +42,10 @@
         known = self.routes.get(route)
         return PRIOR_S if known is None else max(LEAST_S, known.mean)
 
+    def latest_start(self, route: str, deadline: float) -> float:
+        """Returns when a call must start to meet its deadline, seconds."""
+        return deadline - self.expected(route)
+
     def classify(self, route: str, declared: WorkClass) -> WorkClass:
         """Returns whether a route's calls are short or long work.
 
--- a/egretlanding/slots.py
+++ b/egretlanding/slots.py
@@ -21,6 +21,7 @@
         deadline: When its answer has no more use, seconds.
         short_wait_s: Longest wait behind long work if it is short, seconds.
         arrived: When it arrived, seconds.
+        is_hedge: Whether another attempt of the call is under way.
     """
 
     call_id: int
@@ -29,6 +30,7 @@
     deadline: float
     short_wait_s: float
     arrived: float
+    is_hedge: bool = False
 
 
 @attrs.frozen
--- a/egretlanding/targets.py
+++ b/egretlanding/targets.py
@@ -14,6 +14,7 @@
 
 NEAR_TARGETS = 8
 REMOTE_TARGETS = 2
+REVIEW_SLOWNESS = 1.5
 
 
 @attrs.define
@@ -70,10 +71,6 @@
         share = known.share(self.service.cold_start_ms, now)
         return max(slowness, *longest, 0) * load / share
 
-    def distance(self, known: TargetEvidence) -> Distance:
-        """Returns how far a target is from the ingress."""
-        return self.locality.distance(known.host)
-
     def update_hosts(self, hosts: Iterable[Host], now: float) -> None:
         """Takes over the service's hosts from a new host list."""
         self.order = subset_order(self.locality, hosts)
@@ -137,9 +134,11 @@
         return flight
 
     def _learn(self, known: TargetEvidence, ratio: float, now: float) -> None:
+        known.record_latency(ratio, now)
+        if known.slowness < REVIEW_SLOWNESS and known.probation is None:
+            return
         peers = self._peers(known, now)
         record_probe(known, ratio, usual_slowness(peers, now), now)
-        known.record_latency(ratio, now)
         review(peers, now)
 
     def _peers(
@@ -147,27 +146,24 @@
         known: TargetEvidence,
         now: float,
     ) -> list[TargetEvidence]:
-        is_remote = self.distance(known) is Distance.REMOTE
+        is_remote = known.distance is Distance.REMOTE
         return [
             peer
             for peer in self.group(now)
-            if (self.distance(peer) is Distance.REMOTE) == is_remote
+            if (peer.distance is Distance.REMOTE) == is_remote
         ]
 
     def _known(self, host: Host, now: float) -> TargetEvidence:
         known = self.evidence.get(host.host_id)
         if known is None:
-            return TargetEvidence(host, now)
+            return TargetEvidence(host, self.locality.distance(host), now)
         known.host = host
+        known.distance = self.locality.distance(host)
         return known
 
     def _bounded(self, group: list[TargetEvidence]) -> list[TargetEvidence]:
         near = [
-            known
-            for known in group
-            if self.distance(known) is not Distance.REMOTE
-        ]
-        remote = [
-            known for known in group if self.distance(known) is Distance.REMOTE
+            known for known in group if known.distance is not Distance.REMOTE
         ]
+        remote = [known for known in group if known.distance is Distance.REMOTE]
         return [*near[:NEAR_TARGETS], *remote[:REMOTE_TARGETS]]
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -11,6 +11,7 @@
 from egretlanding.admission import Admission, Refuse, Start, Wait
 from egretlanding.objects import Service, WorkClass
 from egretlanding.outcomes import Execution, Reason
+from egretlanding.servicetimes import ServiceTimes
 from egretlanding.slots import QueuedCall, Slots
 
 SERVICE = Service(regions=('x',), slots=6, queue_limit=20)
@@ -141,10 +142,22 @@
         return 0
 
 
-def admission_of(slots_class=Slots, admission_class=Admission, limit=20):
+class TrustingTimes(ServiceTimes):
+    """Calls are started until their deadline."""
+
+    def latest_start(self, route, deadline):
+        return deadline
+
+
+def admission_of(
+    slots_class=Slots,
+    admission_class=Admission,
+    limit=20,
+    times_class=ServiceTimes,
+):
     correct = Admission.from_service(SERVICE)
     slots = slots_class(correct.slots.limit)
-    return admission_class(limit, slots)
+    return admission_class(limit, slots, times_class())
 
 
 def test_long_work_leaves_slots_to_short_work():
@@ -173,7 +186,7 @@
     capacity = SERVICE.slots / SHORT_S
     right = drive(admission_of(limit=1_000), 3 * capacity, 3, 0)
     wrong = drive(
-        admission_of(admission_class=Trusting, limit=1_000),
+        admission_of(Slots, Trusting, 1_000, TrustingTimes),
         3 * capacity,
         3,
         0,
@@ -194,6 +207,16 @@
     assert admission.advance(0.02) == (Start(calls[6]),)
 
 
+def test_hedge_does_not_wait():
+    admission = admission_of()
+    for call_id in range(6):
+        admission.offer(make_call(call_id, WorkClass.SHORT, 0), 0)
+    hedge = attrs.evolve(make_call(7, WorkClass.SHORT, 0), is_hedge=True)
+    assert isinstance(admission.offer(hedge, 0), Refuse)
+    admission.release(0, 0.01)
+    assert admission.offer(hedge, 0.01) == Start(hedge)
+
+
 def test_long_work_is_not_starved():
     admission = admission_of()
     for call_id in range(6):
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -194,7 +194,9 @@
 )
 def test_at_most_a_third_is_shunned(slowness, rounds):
     group = [
-        TargetEvidence(make_host(at, 'n1'), 0, ratio, 0, samples=9)
+        TargetEvidence(
+            make_host(at, 'n1'), Distance.REGION, 0, ratio, 0, samples=9
+        )
         for at, ratio in enumerate(slowness)
     ]
     for now in range(rounds):
