--- /dev/null
+++ b/egretlanding/config.py
@@ -0,0 +1,171 @@
+"""The checked settings of a daemon."""
+
+from collections.abc import Iterator
+from itertools import chain
+from pathlib import Path
+from typing import Any
+
+import attrs
+from result import is_err
+
+from egretlanding.documents import Allowance, Document, read_document
+from egretlanding.exceptions import SettingsError
+from egretlanding.faults import Fault, ObjectSet
+from egretlanding.fieldchecks import check_bounds, check_choices, check_forms
+from egretlanding.fields import Fields, read_fields
+from egretlanding.findings import Finding
+from egretlanding.objects import ConfigObject
+from egretlanding.schema import (
+    NAME_FORM,
+    NAME_PATTERN,
+    bounded,
+    choice,
+    form,
+)
+
+OCTET = r'(25[0-5]|2[0-4]\d|1\d\d|[1-9]?\d)'
+ADDRESS_PATTERN = rf'{OCTET}(\.{OCTET}){{3}}'
+ADDRESS_FORM = 'an IPv4 address such as 10.0.0.7'
+SEED_PATTERN = rf'{ADDRESS_PATTERN}:[1-9]\d{{0,4}}'
+SEED_FORM = 'address:port, such as 10.0.0.7:7103'
+HOST_PATTERN = '[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?'
+HOST_FORM = 'lower-case letters, digits, dots and inner hyphens, at most 63'
+URL_PATTERN = 'https?://[^/?# ]+(/[^?# ]*)?'
+URL_FORM = 'a URL such as http://10.0.0.1:7000'
+
+PORT_FIELDS = ('call_port', 'peer_port', 'exchange_port', 'admin_port')
+
+
+def required_name() -> Any:
+    """Declares a required name."""
+    return form(NAME_PATTERN, NAME_FORM)
+
+
+def tcp_port() -> Any:
+    """Declares a required TCP port."""
+    return bounded(1, 65_535, 'TCP port')
+
+
+def ip_address() -> Any:
+    """Declares a required IP address."""
+    return form(ADDRESS_PATTERN, ADDRESS_FORM)
+
+
+@attrs.frozen(kw_only=True)
+class DaemonConfig:
+    """The settings of one daemon.
+
+    The fields of this class are the table of settings: its metadata holds
+    bounds, units and forms, and docs/SETTINGS.md is generated from it.
+
+    Attributes:
+        host_id: The name of the host, unique in the mesh.
+        address: The IP address that the daemon listens on.
+        call_port: TCP port for calls from callers.
+        peer_port: TCP port for calls from other daemons.
+        exchange_port: TCP port for control exchanges.
+        admin_port: TCP port for status, dump and metrics.
+        target_address: IP address of the target beside the daemon.
+        target_port: TCP port of the target beside the daemon.
+        region: The region that the host is in.
+        failure_domain: The failure domain that the host is in.
+        service: The service that the target runs.
+        store_url: Base URL of the platform's store.
+        store_region: The region that the store is in.
+        seeds: Exchange addresses of daemons to ask at start.
+        distribution: How releases reach the daemon; "direct" is a baseline
+            for measurements only.
+        balancing: How targets are chosen; "random" is a baseline for
+            measurements only.
+    """
+
+    host_id: str = form(HOST_PATTERN, HOST_FORM)
+    address: str = ip_address()
+    call_port: int = tcp_port()
+    peer_port: int = tcp_port()
+    exchange_port: int = tcp_port()
+    admin_port: int = tcp_port()
+    target_address: str = ip_address()
+    target_port: int = tcp_port()
+    region: str = required_name()
+    failure_domain: str = required_name()
+    service: str = required_name()
+    store_url: str = form(URL_PATTERN, URL_FORM)
+    store_region: str = required_name()
+    seeds: tuple[str, ...] = form(SEED_PATTERN, SEED_FORM, default=())
+    distribution: str = choice(('exchange', 'direct'), default='exchange')
+    balancing: str = choice(('p2c', 'random'), default='p2c')
+
+    @classmethod
+    def from_file(cls, path: str) -> 'DaemonConfig':
+        """Reads and checks a settings file.
+
+        Args:
+            path: A YAML file that holds one mapping.
+
+        Raises:
+            SettingsError: The file has faults; the error lists each.
+        """
+        outcome = read_document(Path(path), path, Allowance())
+        if is_err(outcome):
+            raise _error([outcome.err_value])
+        return cls._from_document(outcome.unwrap())
+
+    @classmethod
+    def _from_document(cls, document: Document) -> 'DaemonConfig':
+        fields = read_fields(document.root, cls)
+        read = _build(cls, fields)
+        findings = [
+            attrs.evolve(finding, file=document.file)
+            for finding in chain(fields.findings, _check(read, fields))
+        ]
+        if findings:
+            raise _error(sorted(findings))
+        return read
+
+
+def _build(config_class: type, fields: Fields) -> Any:
+    # None stands for what couldn't be read; the checks pass over it.
+    names = (
+        field.name
+        for field in attrs.fields(config_class)
+        if field.name in fields.lines or field.default is attrs.NOTHING
+    )
+    return config_class(**{each: fields.values.get(each) for each in names})
+
+
+def _check(read: DaemonConfig, fields: Fields) -> Iterator[Finding]:
+    settings = ObjectSet.from_objects([ConfigObject('', '', read)])
+    faults = chain(
+        check_bounds(settings),
+        check_forms(settings),
+        check_choices(settings),
+        _shared_ports(settings),
+    )
+    return (
+        Finding(
+            '',
+            fields.lines.get(fault.field, 1),
+            '',
+            fault.problem,
+            fault.remedy,
+        )
+        for fault in faults
+    )
+
+
+def _shared_ports(settings: ObjectSet) -> Iterator[Fault]:
+    owners: dict[int, str] = {}
+    for listener in settings.values():
+        if listener.field.name in PORT_FIELDS:
+            owner = owners.setdefault(listener.value, listener.field.name)
+            if owner != listener.field.name:
+                problem = f'is the same as {owner}'
+                yield listener.fault(problem, 'give each its own port')
+
+
+def _error(findings: list[Finding]) -> SettingsError:
+    return SettingsError(
+        '\n'.join(map(str, findings)),
+        'see docs/SETTINGS.md for each setting',
+    )
--- a/egretlanding/objects.py
+++ b/egretlanding/objects.py
@@ -6,8 +6,21 @@
 
 import attrs
 
+from egretlanding.schema import (
+    NAME_FORM,
+    NAME_PATTERN,
+    bounded,
+    form,
+    link,
+    method_list,
+)
+from egretlanding.texts import show
+
 KINDS: dict[str, type] = {}
 
+PATH_PATTERN = r'/|(/[A-Za-z0-9._~%@:+-]{1,63}){1,8}'
+PATH_FORM = 'segments that each start with a slash, without a slash at the end'
+
 Spec = TypeVar('Spec')
 
 
@@ -36,37 +49,6 @@
     LEARNED = 'learned'
 
 
-def link(target_kind: str, **options: Any) -> Any:
-    """Declares a field that names another object.
-
-    Args:
-        target_kind: The kind of the object that the field names.
-        options: Further options of `attrs.field`.
-
-    Returns:
-        The attrs field, with the link recorded in its metadata.
-    """
-    return attrs.field(metadata={'link': target_kind}, **options)
-
-
-def bounded(low: float, high: float, unit: str, **options: Any) -> Any:
-    """Declares a numeric field with its bounds and unit.
-
-    Args:
-        low: The least value allowed.
-        high: The greatest value allowed.
-        unit: The unit, as written in error messages.
-        options: Further options of `attrs.field`.
-
-    Returns:
-        The attrs field, with the bounds recorded in its metadata.
-    """
-    return attrs.field(
-        metadata={'low': low, 'high': high, 'unit': unit},
-        **options,
-    )
-
-
 @kind('Region')
 @attrs.frozen(kw_only=True)
 class Region:
@@ -77,7 +59,7 @@
         link_kbytes_per_s: Budget of calls sent to other regions, kB/s.
     """
 
-    failure_domains: tuple[str, ...]
+    failure_domains: tuple[str, ...] = form(NAME_PATTERN, NAME_FORM)
     link_kbytes_per_s: int = bounded(0, 1_000_000, 'kB/s', default=1_000)
 
 
@@ -107,7 +89,9 @@
     """How calls of a route are timed, retried and hedged.
 
     Attributes:
-        extends: Name of the policy whose fields this one starts from.
+        extends: Name of the policy whose fields this one starts from. A
+            compiled release has the inherited values written out, and
+            empty names here.
         timeout_ms: Longest time a call may take when it names none, ms.
         max_attempts: Attempts in all for an idempotent call.
         retry_percent: Retries allowed per hundred first attempts, percent.
@@ -129,6 +113,10 @@
 class Route:
     """Sends calls whose path starts with a prefix to a service.
 
+    A prefix covers whole segments: `/stock` covers `/stock/7`, but not
+    `/stocks`. Of the routes that take a call's method, the one with the
+    longest prefix gets the call.
+
     Attributes:
         path_prefix: The prefix, starting with a slash.
         service: Name of the service that runs the calls.
@@ -137,10 +125,10 @@
         work: The class of work that the calls are.
     """
 
-    path_prefix: str
+    path_prefix: str = form(PATH_PATTERN, PATH_FORM)
     service: str = link('Service')
     policy: str = link('Policy')
-    methods: tuple[str, ...] = ()
+    methods: tuple[str, ...] = method_list()
     work: WorkClass = WorkClass.LEARNED
 
 
@@ -159,7 +147,7 @@
 
     route: str = link('Route')
     idempotent: bool
-    methods: tuple[str, ...] = ()
+    methods: tuple[str, ...] = method_list()
 
 
 @attrs.frozen
@@ -175,3 +163,7 @@
     kind: str
     name: str
     spec: Any
+
+    def label(self) -> str:
+        """Returns kind and name as error messages show them."""
+        return f'{self.kind} {show(self.name)}'
--- a/egretlanding/outcomes.py
+++ b/egretlanding/outcomes.py
@@ -38,6 +38,8 @@
     CONNECTION_LOST = 'connection-lost'
     TRUNCATED = 'truncated'
     CANCELLED = 'cancelled'
+    NOT_READY = 'not-ready'
+    HEADER_MALFORMED = 'header-malformed'
     KEY_MALFORMED = 'key-malformed'
     KEY_REUSED = 'key-reused'
     KEY_EXPIRED = 'key-expired'
@@ -101,6 +103,14 @@
     Reason.CONNECTION_LOST: ReasonTraits(HTTPStatus.BAD_GATEWAY, _CHECK_FIRST),
     Reason.TRUNCATED: ReasonTraits(HTTPStatus.BAD_GATEWAY, _CHECK_FIRST),
     Reason.CANCELLED: ReasonTraits(HTTPStatus.REQUEST_TIMEOUT, _CHECK_FIRST),
+    Reason.NOT_READY: ReasonTraits(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'send the call to another host',
+    ),
+    Reason.HEADER_MALFORMED: ReasonTraits(
+        HTTPStatus.BAD_REQUEST,
+        'send each header once, with a value in its bounds',
+    ),
     Reason.KEY_MALFORMED: ReasonTraits(
         HTTPStatus.BAD_REQUEST,
         'send a UUIDv7 or a key issued by a daemon',
@@ -135,6 +145,8 @@
     ),
 }
 
+NEVER_ACCEPTED = frozenset((Reason.KEY_MALFORMED, Reason.HEADER_MALFORMED))
+
 
 @attrs.frozen
 class Refusal:
@@ -160,6 +172,17 @@
         """Refuses a call that may have run."""
         return cls(reason, Execution.UNKNOWN, detail)
 
+    def of_keyed_call(self) -> 'Refusal':
+        """Returns the refusal as it is told of a call that carries a key.
+
+        That this daemon did not run the call says nothing of an earlier
+        attempt with the same key by way of another one. Only a key that no
+        daemon accepts can't have run.
+        """
+        if self.reason in NEVER_ACCEPTED:
+            return self
+        return Refusal.unknown(self.reason, self.detail)
+
     @property
     def status(self) -> HTTPStatus:
         """The HTTP status that the caller gets."""
