--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -2,7 +2,9 @@
 
 import contextlib
 import functools
+import itertools
 import json
+import os
 import pathlib
 import signal
 import socket
@@ -26,6 +28,10 @@
 STOP_TIMEOUT_S = 20
 POLL_S = 0.05
 SEED_COUNT = 3
+FIRST_PORT = 10_000
+PORT_COUNT = 22_000
+PORTS_OF_PROCESS = 200
+PORT_NUMBERS = itertools.count(os.getpid() * PORTS_OF_PROCESS)
 
 
 @attrs.frozen
@@ -75,10 +81,17 @@
 
 
 def free_port() -> int:
-    """Returns a TCP port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return int(probe.getsockname()[1])
+    """Returns a TCP port that is free now, another one each time.
+
+    It lies below the range from which systems number the outgoing side of
+    connections, since one of those could take it before it is listened on.
+    Processes begin at different ports.
+    """
+    while True:
+        port = FIRST_PORT + next(PORT_NUMBERS) % PORT_COUNT
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((LOOPBACK, port))
+            return port
 
 
 def wait_until(
