Shorten notices per hop, stay unready while behind, split the replica

Cause: a test let two daemons pass a notice to and fro with half a second under way: each took the other's copy after its own had ended, without end. Each hop now costs 2 s of the lifetime, more than a request may take; shown failing without that. Not extending a held notice was not enough, since the copy that comes back meets no held notice.

A daemon that has heard of a later release stays unready for up to 60 s. Nothing is pulled from hosts that aren't on the list, since their address isn't known. State and queries of the replica are apart from its commands.

--- a/egretlanding/membership.py
+++ b/egretlanding/membership.py
@@ -12,6 +12,8 @@
 
 LEAVING_TTL_S = 300
 RETURNED_TTL_S = 300
+# More than a request is under way, so that copies can't prolong each other.
+HOP_COST_S = 2
 BACKOFF_FIRST_S = 0.5
 BACKOFF_CAP_S = 6
 MAX_DOUBLINGS = 8
@@ -124,15 +126,17 @@
         self._announce(NoticeKind.LEAVING, LEAVING_TTL_S, now)
 
     def learn(self, notice: Notice, now: float) -> bool:
-        """Takes a notice in.
+        """Takes a notice in that came from another daemon.
 
-        A notice of leaving from an older incarnation than was heard from
-        the host itself is ignored; one about this host from an earlier
-        process is answered by a notice of return.
+        Each hop shortens its life by `HOP_COST_S`. A notice of leaving from
+        an older incarnation than was heard from the host itself is ignored;
+        one about this host from an earlier process is answered by a notice
+        of return.
 
         Returns:
             Whether it said anything new.
         """
+        notice = attrs.evolve(notice, ttl=notice.ttl - HOP_COST_S)
         if notice.kind is not NoticeKind.LEAVING:
             return self.notices.add(notice, now)
         if notice.subject == self.host.host_id:
--- a/egretlanding/notices.py
+++ b/egretlanding/notices.py
@@ -35,8 +35,7 @@
     """The facts that this daemon holds, at most `MAX_NOTICES`.
 
     A greater incarnation replaces a lesser one. Of one incarnation, a
-    notice that adds nothing leaves the end as it is, so that copies that go
-    round can't prolong each other.
+    notice that adds nothing leaves the end as it is.
 
     Attributes:
         held: The notices by kind and subject.
--- a/egretlanding/partners.py
+++ b/egretlanding/partners.py
@@ -10,10 +10,10 @@
 
 from egretlanding.hosts import Host, HostList
 from egretlanding.membership import Membership
+from egretlanding.ranking import rank_hosts
 from egretlanding.watchers import (
     WATCHERS_PER_REGION,
     WatchDuty,
-    rank_hosts,
     ranked_limit,
 )
 
--- a/egretlanding/readiness.py
+++ b/egretlanding/readiness.py
@@ -7,6 +7,7 @@
 REQUIRED_DOMAINS = 2
 FRESH_NEWS_S = 30
 START_LIMIT_S = 20
+BEHIND_LIMIT_S = 60
 
 
 @attrs.define
@@ -28,12 +29,16 @@
     def is_ready(self, now: float, position: Position) -> bool:
         """Returns whether the daemon may serve calls.
 
-        A daemon that got no answer for `START_LIMIT_S` starts on the release
-        that it holds, so that an outage of the store keeps nobody out.
+        A daemon that got too few answers for `START_LIMIT_S` starts on the
+        release that it holds, so that an outage of the store keeps nobody
+        out; one that has heard of a later release tries to get that for
+        `BEHIND_LIMIT_S`.
         """
         if not position.number:
             return False
-        return self.ready or now - self.started_at >= START_LIMIT_S
+        behind = any(seen > position for seen in self.domains.values())
+        limit = BEHIND_LIMIT_S if behind else START_LIMIT_S
+        return self.ready or now - self.started_at >= limit
 
     def settle(self, position: Position, known_domains: int) -> None:
         """Becomes ready once store and peers were asked and followed.
--- a/egretlanding/replica.py
+++ b/egretlanding/replica.py
@@ -6,13 +6,11 @@
 from result import Err, Ok, Result
 
 from egretlanding.budget import ReadBudget
-from egretlanding.claims import Claims
 from egretlanding.delta import (
     apply_hosts_update,
     apply_release_update,
 )
 from egretlanding.exceptions import DeltaError, ReleaseError
-from egretlanding.freshness import Freshness
 from egretlanding.hosts import Host, HostList
 from egretlanding.ledger import (
     Adopted,
@@ -33,6 +31,7 @@
 from egretlanding.partners import Partners
 from egretlanding.readiness import FRESH_NEWS_S, Readiness
 from egretlanding.release import Release
+from egretlanding.replicastate import ReplicaConfig, ReplicaState
 from egretlanding.reports import (
     conflict_notice,
     conflict_of,
@@ -40,65 +39,10 @@
 )
 from egretlanding.watchers import WatchDuty
 
-FETCH_GRACE_S = 1
-
-
-@attrs.frozen
-class ReplicaConfig:
-    """What a replica must know before it has heard from anybody.
-
-    Attributes:
-        host: This daemon's own host.
-        incarnation: Start time of the process, ns since the epoch.
-        seeds: Hosts to ask before there is a host list, the same for all.
-        store_region: Region that the store is in, or empty if unknown.
-    """
-
-    host: Host
-    incarnation: int
-    seeds: tuple[Host, ...] = ()
-    store_region: str = ''
-
-    @property
-    def fetch_delay(self) -> float:
-        """How long to wait for a delta before reading parts, seconds.
-
-        Outside the store's region a delta from the watchers there costs
-        less of the link between regions than the parts do.
-        """
-        near = self.store_region in {'', self.host.region}
-        return 0 if near else FETCH_GRACE_S
-
 
 @attrs.define
-class Replica:
-    """The policy of one daemon; its tasks feed it and do what it says.
-
-    Attributes:
-        config: What the daemon knows from its settings.
-        ledger: The release in force and what is remembered of others.
-        membership: The host list and evidence over it.
-        duty: Whether this daemon reads the store.
-        reads: How often it may do so.
-        partners: With whom it exchanges summaries.
-        readiness: What it has asked since it started.
-        freshness: The age of what it knows of the store.
-        stale: Whether the store last answered with an older head.
-        claims: Which pulls are under way.
-        paused_for: Length of the last pause that was noticed, seconds.
-    """
-
-    config: ReplicaConfig
-    ledger: Ledger
-    membership: Membership
-    duty: WatchDuty
-    reads: ReadBudget
-    partners: Partners
-    readiness: Readiness
-    freshness: Freshness = attrs.field(factory=Freshness)
-    stale: bool = False
-    claims: Claims = attrs.field(factory=Claims)
-    paused_for: float = 0
+class Replica(ReplicaState):
+    """The policy of one daemon; its tasks feed it and do what it says."""
 
     @classmethod
     def from_config(
@@ -132,39 +76,6 @@
         replica.woke(now, 0)
         return replica
 
-    def summary(self, now: float) -> Summary:
-        """Returns what this daemon tells others."""
-        return Summary(
-            host_id=self.config.host.host_id,
-            incarnation=self.config.incarnation,
-            position=self.ledger.position,
-            hosts_revision=self.membership.hosts.revision,
-            confirmed_age=self.freshness.confirmed_age(now),
-            attempted_age=self.freshness.attempted_age(now),
-            notices=self.membership.notices.to_send(now),
-            ready=self.is_ready(now),
-            watching=self.duty.is_watching(now),
-        )
-
-    def is_ready(self, now: float) -> bool:
-        """Returns whether the daemon may serve calls."""
-        return self.readiness.is_ready(now, self.ledger.position)
-
-    def should_watch(self, now: float) -> bool:
-        """Returns whether this daemon should read the store now.
-
-        It should while it is on duty, and its budget allows an attempt.
-        """
-        return self.reads.may_attempt(now) and self._is_on_duty(now)
-
-    def should_read_release(self, now: float) -> bool:
-        """Returns whether this daemon should read the release as well.
-
-        A daemon without a host list reads only that; with it, it knows
-        whether it is the one to read the release.
-        """
-        return bool(self.duty.ranking) and self._is_on_duty(now)
-
     def observe(
         self,
         summary: Summary,
@@ -182,7 +93,8 @@
                 tell how long a request was under way.
 
         Returns:
-            What to pull from the sender.
+            What to pull from the sender; nothing from a host that isn't on
+            the list, since its address isn't known.
         """
         self.membership.heard_from(summary.host_id, summary.incarnation, now)
         if summary.watching:
@@ -191,6 +103,8 @@
         if elapsed is not None:
             self._learn_ages(summary, now - elapsed)
             self._note_peer(summary)
+        if summary.host_id not in self.membership.hosts.hosts:
+            return Comparison(pull_release=False, pull_hosts=False)
         position = summary.position
         revision = summary.hosts_revision
         return Comparison(
@@ -224,7 +138,7 @@
             if conflict not in conflicts:
                 self._report(conflict_notice(conflict), now)
         if isinstance(outcome, Adopted):
-            across = self._region_of(source) in {'', self.config.host.region}
+            across = self.region_of(source) in {'', self.config.host.region}
             self._notify(now, at_once=True, across=across)
             self._settle()
         return outcome
@@ -354,13 +268,6 @@
         self.partners.restart(now)
         self._notify(now, at_once=True)
 
-    def _is_on_duty(self, now: float) -> bool:
-        return self.duty.should_watch(
-            now,
-            self.freshness,
-            holds_release=self.ledger.release is not None,
-        )
-
     def _notify(
         self,
         now: float,
@@ -381,10 +288,6 @@
         if summary.position == self.ledger.position:
             self.freshness.note_confirmed(asked_at, summary.confirmed_age)
 
-    def _region_of(self, host_id: str) -> str:
-        host = self.membership.hosts.hosts.get(host_id)
-        return host.region if host else ''
-
     def _note_peer(self, summary: Summary) -> None:
         host = self.membership.hosts.hosts.get(summary.host_id)
         if host is None:
@@ -414,5 +317,5 @@
         self.ledger.add_conflicts(filter(None, found))
 
     def _report(self, notice: Notice, now: float) -> None:
-        if self.membership.learn(notice, now):
+        if self.membership.notices.add(notice, now):
             self._notify(now)
--- /dev/null
+++ b/egretlanding/replicastate.py
@@ -0,0 +1,120 @@
+"""What one daemon holds of releases, hosts and the store's freshness."""
+
+import attrs
+
+from egretlanding.budget import ReadBudget
+from egretlanding.claims import Claims
+from egretlanding.freshness import Freshness
+from egretlanding.hosts import Host
+from egretlanding.ledger import Ledger
+from egretlanding.membership import Membership
+from egretlanding.messages import Summary
+from egretlanding.partners import Partners
+from egretlanding.readiness import Readiness
+from egretlanding.watchers import WatchDuty
+
+FETCH_GRACE_S = 1
+
+
+@attrs.frozen
+class ReplicaConfig:
+    """What a replica must know before it has heard from anybody.
+
+    Attributes:
+        host: This daemon's own host.
+        incarnation: Start time of the process, ns since the epoch.
+        seeds: Hosts to ask before there is a host list, the same for all.
+        store_region: Region that the store is in, or empty if unknown.
+    """
+
+    host: Host
+    incarnation: int
+    seeds: tuple[Host, ...] = ()
+    store_region: str = ''
+
+    @property
+    def fetch_delay(self) -> float:
+        """How long to wait for a delta before reading parts, seconds.
+
+        Outside the store's region a delta from the watchers there costs
+        less of the link between regions than the parts do.
+        """
+        near = self.store_region in {'', self.host.region}
+        return 0 if near else FETCH_GRACE_S
+
+
+@attrs.define
+class ReplicaState:
+    """The state of one daemon's replica, and what can be asked of it.
+
+    Attributes:
+        config: What the daemon knows from its settings.
+        ledger: The release in force and what is remembered of others.
+        membership: The host list and evidence over it.
+        duty: Whether this daemon reads the store.
+        reads: How often it may do so.
+        partners: With whom it exchanges summaries.
+        readiness: What it has asked since it started.
+        freshness: The age of what it knows of the store.
+        stale: Whether the store last answered with an older head.
+        claims: Which pulls are under way.
+        paused_for: Length of the last pause that was noticed, seconds.
+    """
+
+    config: ReplicaConfig
+    ledger: Ledger
+    membership: Membership
+    duty: WatchDuty
+    reads: ReadBudget
+    partners: Partners
+    readiness: Readiness
+    freshness: Freshness = attrs.field(factory=Freshness)
+    stale: bool = False
+    claims: Claims = attrs.field(factory=Claims)
+    paused_for: float = 0
+
+    def summary(self, now: float) -> Summary:
+        """Returns what this daemon tells others."""
+        return Summary(
+            host_id=self.config.host.host_id,
+            incarnation=self.config.incarnation,
+            position=self.ledger.position,
+            hosts_revision=self.membership.hosts.revision,
+            confirmed_age=self.freshness.confirmed_age(now),
+            attempted_age=self.freshness.attempted_age(now),
+            notices=self.membership.notices.to_send(now),
+            ready=self.is_ready(now),
+            watching=self.duty.is_watching(now),
+        )
+
+    def is_ready(self, now: float) -> bool:
+        """Returns whether the daemon may serve calls."""
+        return self.readiness.is_ready(now, self.ledger.position)
+
+    def should_watch(self, now: float) -> bool:
+        """Returns whether this daemon should read the store now.
+
+        It should while it is on duty, and its budget allows an attempt.
+        """
+        return self.reads.may_attempt(now) and self.is_on_duty(now)
+
+    def should_read_release(self, now: float) -> bool:
+        """Returns whether this daemon should read the release as well.
+
+        A daemon without a host list reads only that; with it, it knows
+        whether it is the one to read the release.
+        """
+        return bool(self.duty.ranking) and self.is_on_duty(now)
+
+    def is_on_duty(self, now: float) -> bool:
+        """Returns whether this daemon is one of those that read the store."""
+        return self.duty.should_watch(
+            now,
+            self.freshness,
+            holds_release=self.ledger.release is not None,
+        )
+
+    def region_of(self, host_id: str) -> str:
+        """Returns the region of a host, or empty if it isn't known."""
+        host = self.membership.hosts.hosts.get(host_id)
+        return host.region if host else ''
--- a/egretlanding/watchers.py
+++ b/egretlanding/watchers.py
@@ -1,7 +1,5 @@
 """Which daemons read the store, chosen without coordination."""
 
-import hashlib
-import itertools
 import math
 from collections.abc import Iterable
 from random import Random
@@ -10,6 +8,7 @@
 
 from egretlanding.freshness import Freshness
 from egretlanding.hosts import Host
+from egretlanding.ranking import rank_hosts
 
 WATCHERS_PER_REGION = 3
 STANDBYS_PER_REGION = 6
@@ -39,33 +38,6 @@
 HEARD_S = 15
 ANSWERED_S = 10
 DUTY_S = 60
-WEIGHT_BYTES = 8
-
-
-def rank_hosts(hosts: Iterable[Host], region: str) -> tuple[str, ...]:
-    """Orders the hosts of a region by their claim to read the store.
-
-    The claim is the rendezvous weight, with the failure domains taking
-    turns, so that the first ranks are spread over all of them.
-
-    Args:
-        hosts: Hosts of any region.
-        region: The region to rank.
-
-    Returns:
-        Host ids, the first watcher first.
-    """
-    inside = sorted(
-        (host for host in hosts if host.region == region),
-        key=_weigh,
-    )
-    turns: dict[str, itertools.count[int]] = {}
-    placed = [
-        (next(turns.setdefault(host.failure_domain, itertools.count())), host)
-        for host in inside
-    ]
-    placed.sort(key=_turn)
-    return tuple(host.host_id for _, host in placed)
 
 
 @attrs.define
@@ -225,15 +197,3 @@
 def ranked_limit() -> int:
     """Returns how many ranks of a region may watch side by side."""
     return WATCHERS_PER_REGION + STANDBYS_PER_REGION
-
-
-def _weigh(host: Host) -> bytes:
-    return hashlib.blake2b(
-        host.host_id.encode(),
-        digest_size=WEIGHT_BYTES,
-        person=b'egretlanding',
-    ).digest()
-
-
-def _turn(placed: tuple[int, Host]) -> int:
-    return placed[0]
--- /dev/null
+++ b/tests/test_distribution.py
@@ -0,0 +1,290 @@
+"""Property tests of deltas, notices, ages, the read budget and the wire."""
+
+import itertools
+import math
+from operator import itemgetter
+from random import Random
+from typing import Any
+
+import attrs
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from egretlanding import wire
+from egretlanding.budget import ReadBudget
+from egretlanding.delta import (
+    apply_hosts_update,
+    apply_release_update,
+    hosts_update,
+    release_update,
+)
+from egretlanding.exceptions import DeltaError, FrameError, ReleaseError
+from egretlanding.freshness import Freshness
+from egretlanding.hosts import Host, HostList, HostState
+from egretlanding.ledger import MAX_REFUSED, Conflict, Ledger, Refused
+from egretlanding.membership import Membership
+from egretlanding.messages import Notice, NoticeKind, Summary
+from egretlanding.notices import MAX_NOTICES, NoticeTable
+from egretlanding.objects import ConfigObject, Region
+from egretlanding.release import Position, Release
+from egretlanding.watchers import WatchDuty
+
+MAX_TRANSIT_S = 2
+HERD_SIZE = 1_300
+HERD_S = 400
+HERD_STEP_S = 0.5
+STORE_READS_PER_S = 2_000
+HERD_SHARE = 0.05
+
+NUMBERS = st.integers(1, 9)
+OFFERS = st.lists(
+    st.tuples(
+        NUMBERS,
+        st.integers(1, 20),
+        st.dictionaries(st.sampled_from('ab'), st.sampled_from('xy')),
+    ),
+    unique_by=itemgetter(1),
+)
+FACTS = st.lists(
+    st.tuples(
+        st.sampled_from((NoticeKind.LEAVING, NoticeKind.RETURNED)),
+        st.integers(1, 3),
+        st.floats(1, 100),
+    ),
+    min_size=1,
+)
+ZONES = st.dictionaries(st.sampled_from('abcdef'), st.sampled_from('xyz'))
+
+
+def make_release(zones: dict[str, str], number: int) -> Release:
+    return Release.from_objects(
+        number,
+        '',
+        [
+            ConfigObject('Region', name, Region(failure_domains=(zone,)))
+            for name, zone in zones.items()
+        ],
+    )
+
+
+def make_host(host_id: str, port: int = 1) -> Host:
+    return Host(host_id, '127.0.0.1', port, 2, 3, 'west', 'zone', 'catalogue')
+
+
+def make_hosts(ports: dict[str, int], revision: int) -> HostList:
+    hosts = {name: make_host(name, port) for name, port in ports.items()}
+    return HostList(revision, hosts)
+
+
+@given(ZONES, ZONES, NUMBERS)
+def test_a_delta_leads_to_the_same_release(
+    before: dict[str, str],
+    after: dict[str, str],
+    number: int,
+) -> None:
+    base, release = (
+        make_release(before, number),
+        make_release(after, number + 1),
+    )
+    for known in (base, None):
+        update = release_update(known, release, 7)
+        assert apply_release_update(known, update) == release
+
+
+@given(ZONES, ZONES, st.data())
+def test_a_damaged_or_misapplied_delta_changes_nothing(
+    before: dict[str, str],
+    after: dict[str, str],
+    data: st.DataObject,
+) -> None:
+    base, release = make_release(before, 1), make_release(after, 2)
+    update = release_update(base, release, 7)
+    place = data.draw(st.integers(0, len(update.payload) - 1))
+    flipped = bytearray(update.payload)
+    flipped[place] ^= data.draw(st.integers(1, 255))
+    damaged = [
+        attrs.evolve(update, payload=bytes(flipped)),
+        attrs.evolve(update, payload=update.payload[:place]),
+        attrs.evolve(update, revision=8),
+        attrs.evolve(update, header=update.header[:-1]),
+        attrs.evolve(update, header=update.header.replace(b':2,', b':3,')),
+        attrs.evolve(update, base_digest='ab'),
+    ]
+    for wrong in damaged:
+        with pytest.raises((DeltaError, ReleaseError)):
+            apply_release_update(base, wrong)
+
+
+@given(
+    st.dictionaries(st.sampled_from('abcd'), NUMBERS),
+    st.dictionaries(st.sampled_from('abcd'), NUMBERS),
+)
+def test_a_host_delta_leads_to_the_same_list(
+    before: dict[str, int],
+    after: dict[str, int],
+) -> None:
+    base, hosts = make_hosts(before, 1), make_hosts(after, 2)
+    update = hosts_update(base, hosts)
+    assert apply_hosts_update(base, update) == hosts
+    other = make_hosts({**before, 'e': 1}, 1)
+    with pytest.raises(DeltaError):
+        apply_hosts_update(other, update)
+    with pytest.raises(DeltaError):
+        apply_hosts_update(make_hosts(before, 3), update)
+
+
+@given(OFFERS)
+def test_order_of_arrival_makes_no_difference(offers: Any) -> None:
+    forward, backward = Ledger(lambda _: ()), Ledger(lambda _: ())
+    for ledger, order in ((forward, 1), (backward, -1)):
+        for number, revision, zones in offers[::order]:
+            ledger.offer(make_release(zones, number), revision)
+    assert forward.position == backward.position
+    assert forward.conflicts == backward.conflicts
+
+
+def test_refused_releases_take_bounded_memory() -> None:
+    ledger = Ledger(lambda _: ['the set has a dangling link'])
+    for number in range(1, 2 * MAX_REFUSED):
+        assert isinstance(ledger.offer(make_release({}, number), 1), Refused)
+    assert len(ledger.refused) == MAX_REFUSED
+    assert ledger.position == Position()
+
+
+@given(st.text(max_size=9), st.tuples(st.text(max_size=9)))
+def test_any_conflict_notice_is_read_or_left_out(
+    subject: str,
+    evidence: tuple[str, ...],
+) -> None:
+    assert Conflict.from_text(subject, evidence) is None
+
+
+@given(FACTS)
+def test_the_latest_incarnation_decides(facts: Any) -> None:
+    notices = [Notice(kind, 'h', number, ttl) for kind, number, ttl in facts]
+    tables = NoticeTable(), NoticeTable()
+    for table, order in zip(tables, (1, -1), strict=True):
+        for notice in notices[::order]:
+            table.add(notice, 0)
+    latest = max(notice.incarnation for notice in notices)
+    expected = (NoticeKind.LEAVING, 'h', latest) in {
+        (notice.kind, notice.subject, notice.incarnation) for notice in notices
+    }
+    for table in tables:
+        found = table.find(NoticeKind.LEAVING, 'h', 0.5)
+        assert (found is not None) is expected
+
+
+@given(st.lists(st.floats(0.1, MAX_TRANSIT_S), min_size=40, max_size=40))
+def test_copies_of_a_notice_do_not_prolong_it(transits: list[float]) -> None:
+    hosts = make_hosts({'a': 1, 'b': 1, 'c': 1}, 1)
+    holders = [
+        Membership(hosts.hosts[name], 1, Random(0), hosts) for name in 'ab'
+    ]
+    now: float = 0
+    holders[0].notices.add(Notice(NoticeKind.LEAVING, 'c', 1, 10), now)
+    for transit, sender in zip(transits, itertools.cycle((0, 1)), strict=False):
+        notices = holders[sender].notices.to_send(now)
+        now += transit
+        for notice in notices:
+            holders[1 - sender].learn(notice, now)
+        assert now <= 10 or not any(
+            holder.is_leaving('c', now) for holder in holders
+        )
+
+
+def test_notices_take_bounded_memory() -> None:
+    table = NoticeTable()
+    for number in range(2 * MAX_NOTICES):
+        table.add(Notice(NoticeKind.SUSPECT, str(number), 0, 1 + number), 0)
+    assert len(table.held) == MAX_NOTICES
+
+
+def test_an_old_leaving_notice_is_ignored_and_answered() -> None:
+    hosts = make_hosts({'a': 1, 'b': 1}, 1)
+    own = Membership(hosts.hosts['a'], 5, Random(0), hosts)
+    other = Membership(hosts.hosts['b'], 1, Random(0), hosts)
+    old = Notice(NoticeKind.LEAVING, 'a', 4, 100)
+    other.learn(old, 0)
+    assert other.is_leaving('a', 0)
+    own.learn(old, 0)
+    for answer in own.notices.to_send(0):
+        other.learn(answer, 0)
+    assert not other.is_leaving('a', 0)
+    other.heard_from('a', 5, 0)
+    assert not other.learn(attrs.evolve(old, ttl=200), 0)
+
+
+@settings(max_examples=5, deadline=None)
+@given(st.integers(0, 1_000))
+def test_a_herd_with_the_store_down_reads_little(seed: int) -> None:
+    randoms = [Random(seed * HERD_SIZE + number) for number in range(HERD_SIZE)]
+    herd = [
+        (WatchDuty(make_host('h'), random, 0), ReadBudget(random, 0))
+        for random in randoms
+    ]
+    news = Freshness()
+    reads = [
+        sum(
+            attempt(duty, budget, news, step * HERD_STEP_S)
+            for duty, budget in herd
+        )
+        for step in range(int(HERD_S / HERD_STEP_S))
+    ]
+    per_s = [first + second for first, second in itertools.pairwise(reads)]
+    assert max(per_s) <= HERD_SHARE * STORE_READS_PER_S
+    assert sum(reads) > HERD_SIZE
+
+
+def attempt(
+    duty: WatchDuty,
+    budget: ReadBudget,
+    news: Freshness,
+    now: float,
+) -> bool:
+    wanted = duty.should_watch(now, news, holds_release=False)
+    asks = wanted and budget.may_attempt(now)
+    if asks:
+        budget.attempt(now, duty.is_near_front)
+    return asks
+
+
+NOTICES = st.builds(
+    Notice,
+    st.sampled_from(NoticeKind),
+    st.text(min_size=1, max_size=20),
+    st.integers(0, 2**63),
+    st.integers(0, 3_600).map(float),
+    st.lists(st.text(max_size=9), max_size=3).map(tuple),
+)
+SUMMARIES = st.builds(
+    Summary,
+    st.text(min_size=1, max_size=20),
+    st.integers(0, 2**63),
+    st.builds(Position, NUMBERS, NUMBERS, st.binary().map(bytes.hex)),
+    NUMBERS,
+    st.integers(0, 900).map(float) | st.just(math.inf),
+    st.integers(0, 900).map(float) | st.just(math.inf),
+    st.lists(NOTICES, max_size=3).map(tuple),
+    st.booleans(),
+    st.booleans(),
+)
+
+
+@given(SUMMARIES)
+def test_a_summary_survives_the_wire(summary: Summary) -> None:
+    encoded = wire.summary_to_wire(summary).SerializeToString()
+    message = wire.exchange_pb2.Summary.FromString(encoded)
+    assert wire.summary_from_wire(message) == summary
+    message.confirmed_age_ms += 1
+    with pytest.raises(FrameError):
+        wire.summary_from_wire(message)
+
+
+def test_a_list_that_lags_keeps_a_host_leaving() -> None:
+    host = attrs.evolve(make_host('a'), state=HostState.LEAVING)
+    hosts = HostList(1, {'a': host})
+    membership = Membership(make_host('b'), 1, Random(0), hosts)
+    assert membership.status('a', 0) == 'leaving'
+    assert membership.status('c', 0) == 'unknown'
