Count any time without a confirmed host list as a gap

Cause, found by reading how the replica learns ages: a daemon that takes over a later list may hear afterwards that the store had nothing later at moments before that list existed. Such news closed the gap between two confirmations, so that an owner which had been cut off while another host owned its keys counted as owner without a break, and ran a key again. The gap is now the time for which the held list was not confirmed, seen when news come, not the time between the moments that the news speak of. Ruled out: refusing such news, which are true and keep a list confirmed. Shown by old_news_hide_that_it_was_replaced: the former rule (GapOfNews) runs the key twice; the new one refuses. The machine takes old news too.

--- a/egretlanding/ownership.py
+++ b/egretlanding/ownership.py
@@ -8,8 +8,8 @@
    newest within `view_lag_s`.
 2. A daemon refuses keys that were made before it became the owner plus
    `hold_off_s`, by which time rule 1 has stopped the owner before it.
-3. A daemon whose confirmations have a gap above `view_lag_s` may have missed
-   lists, and counts as a new owner.
+3. A daemon whose list was not confirmed within `view_lag_s` at any time may
+   have missed lists, and counts as a new owner from then on.
 
 This holds as long as the wall clocks of two daemons differ by at most
 `clock_s`, one process at a time uses a host id, and the store's answers to
@@ -142,15 +142,15 @@
 
         Args:
             hosts: Ids of the service's hosts in the list that is held.
-            age_s: Time since that list was confirmed as the newest, seconds.
+            age_s: Time since the store had no later list, seconds.
             moment: The current time.
         """
-        confirmed = moment.now - age_s
-        if confirmed - self.confirmed > self.bounds.view_lag_s:
+        # Lists may have come and gone while this one was not confirmed.
+        if moment.now - self.confirmed > self.bounds.view_lag_s:
             self.views.clear()
         if not self.views or self.views[-1].hosts != hosts:
             self.views.append(View(moment.wall, hosts))
-        self.confirmed = max(self.confirmed, confirmed)
+        self.confirmed = max(self.confirmed, moment.now - age_s)
         del self.views[:-MAX_VIEWS]
 
 
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -91,6 +91,13 @@
             names = self.list_at(read_at)
             self.tables[host].ownership.confirm(names, age, self.moment(host))
 
+    @stateful.rule(host=hosts, age=st.sampled_from([2, 9, 21]))
+    def read_with_old_news(self, host, age):
+        """Takes the newest list with the word that an older one was new."""
+        self.read_at[host] = self.time
+        names = self.list_at(self.time)
+        self.tables[host].ownership.confirm(names, age, self.moment(host))
+
     @stateful.rule(host=hosts, age=st.sampled_from([0, 4]))
     def restart(self, host, age):
         self.start(host, age)
@@ -193,11 +200,23 @@
         return super().check(key, moment)
 
 
+class GapOfNews(Ownership):
+    """An owner looks for gaps between the news, however late they come."""
+
+    def confirm(self, names, age_s, moment):
+        known = self.confirmed
+        gap = moment.now - age_s - known
+        if gap <= self.bounds.view_lag_s:
+            self.confirmed = moment.now
+        super().confirm(names, age_s, moment)
+        self.confirmed = max(known, moment.now - age_s)
+
+
 class NoGapCheck(Ownership):
     """An owner trusts that it missed no list."""
 
     def confirm(self, names, age_s, moment):
-        self.confirmed = max(self.confirmed, moment.now - age_s)
+        self.confirmed = moment.now
         super().confirm(names, age_s, moment)
 
 
@@ -327,6 +346,18 @@
     machine.offer(key, 'b', DIGEST)
 
 
+def old_news_hide_that_it_was_replaced(machine):
+    add_b(machine)
+    settle(machine, ('b',), 40)
+    key = key_moved_from_a_to_b(machine)
+    machine.offer(key, 'b', DIGEST)
+    assert key.text in machine.executions
+    machine.change_list('b')
+    for age in (32, 24, 16, 8, 0):
+        machine.read_with_old_news('a', age)
+    machine.offer(key, 'a', DIGEST)
+
+
 def table_is_full(machine):
     for _ in range(4):
         machine.issue_key('a', 'a')
@@ -354,6 +385,7 @@
         (key_is_from_the_future, {'table_class': AnyTime}),
         (key_is_forgotten, {'table_class': AnyTime}),
         (table_is_full, {'table_class': Evicting}),
+        (old_news_hide_that_it_was_replaced, {'ownership_class': GapOfNews}),
         (old_owner_has_old_list, {'bounds': ClockHoldOff(2, 10, 90)}),
         (old_owner_is_cut_off, {'ownership_class': AnyAge}),
         (
