--- a/egretlanding/adminclient.py
+++ b/egretlanding/adminclient.py
@@ -6,6 +6,7 @@
 from urllib.parse import urlencode
 
 import attrs
+import msgspec
 import treq
 from result import Err, Ok, Result
 from twisted.internet.defer import (
@@ -26,6 +27,7 @@
 MAX_ANSWER_BYTES = 16_777_216
 MAX_CONCURRENT = 32
 DAEMON_PATTERN = r'[A-Za-z0-9._-]+:[1-9][0-9]{0,4}'
+WRONG_PORT_REMEDY = 'give the address of the admin port of an egretlandingd'
 FAILURES = (
     CancelledError,
     ConnectError,
@@ -78,7 +80,7 @@
         if self.size > MAX_ANSWER_BYTES:
             raise AdminError(
                 f'the answer exceeds {MAX_ANSWER_BYTES} bytes',
-                'give the address of the admin port of an egretlandingd',
+                WRONG_PORT_REMEDY,
             )
         self.chunks.append(chunk)
 
@@ -117,7 +119,7 @@
     def _start(self, daemon: str, question: Question) -> Any:
         started = ensureDeferred(self._fetch(daemon, question))
         return started.addTimeout(TIMEOUT_S, self.reactor).addErrback(
-            lambda failure: Err(_unreachable(daemon, failure)),
+            lambda failure: Err(_unreachable(failure)),
         )
 
     async def _fetch(self, daemon: str, question: Question) -> Outcome:
@@ -126,7 +128,7 @@
         answer = Answer()
         await treq.collect(response, answer.add)
         if response.code != http.OK:
-            return Err(_refused(daemon, response.code))
+            return Err(_refused(response.code))
         return Ok(b''.join(answer.chunks))
 
 
@@ -144,19 +146,32 @@
     )
 
 
-def _unreachable(daemon: str, failure: Any) -> AdminError:
+def decode_json(encoded: bytes) -> Result[Any, AdminError]:
+    """Decodes an answer, or says why it isn't JSON."""
+    try:
+        return Ok(msgspec.json.decode(encoded))
+    except (ValueError, RecursionError) as error:
+        return Err(
+            AdminError(
+                f'the answer is not JSON ({error})',
+                WRONG_PORT_REMEDY,
+            ),
+        )
+
+
+def _unreachable(failure: Any) -> AdminError:
     if failure.check(AdminError):
         return failure.value
     failure.trap(*FAILURES)
     reason = show(str(failure.value) or type(failure.value).__name__)
     return AdminError(
-        f'{daemon} gave no answer ({reason})',
+        f'no answer ({reason})',
         'check that egretlandingd runs there and that this is its admin port',
     )
 
 
-def _refused(daemon: str, code: int) -> AdminError:
+def _refused(code: int) -> AdminError:
     return AdminError(
-        f'{daemon} answered {code}',
-        'give the address of the admin port of an egretlandingd',
+        f'answered {code}',
+        WRONG_PORT_REMEDY,
     )
--- a/egretlanding/agreement.py
+++ b/egretlanding/agreement.py
@@ -3,7 +3,9 @@
 from collections.abc import Iterator, Mapping
 
 import attrs
+from result import Err, Ok, Result
 
+from egretlanding.exceptions import AdminError
 from egretlanding.release import Position, shorten
 from egretlanding.status import StatusReport
 
@@ -34,6 +36,29 @@
         held = map(position_of, reports.values())
         return cls(max(held, default=NOTHING), reports, silent)
 
+    @classmethod
+    def from_outcomes(
+        cls,
+        outcomes: Mapping[str, Result[bytes, AdminError]],
+    ) -> 'Agreement':
+        """Judges the answers of daemons, some of which may be malformed."""
+        decoded = {
+            daemon: outcome.and_then(_decode)
+            for daemon, outcome in outcomes.items()
+        }
+        return cls.from_reports(
+            {
+                daemon: report.ok_value
+                for daemon, report in decoded.items()
+                if isinstance(report, Ok)
+            },
+            {
+                daemon: str(report.err_value)
+                for daemon, report in decoded.items()
+                if isinstance(report, Err)
+            },
+        )
+
     def behind(self) -> list[str]:
         """Returns the hosts that don't hold the newest release."""
         return [
@@ -115,6 +140,13 @@
     ]
 
 
+def _decode(encoded: bytes) -> Result[StatusReport, AdminError]:
+    try:
+        return Ok(StatusReport.from_bytes(encoded))
+    except AdminError as error:
+        return Err(error)
+
+
 def _readiness(report: StatusReport) -> str:
     if report.draining:
         return 'no (draining)'
--- a/egretlanding/answers.py
+++ b/egretlanding/answers.py
@@ -6,6 +6,7 @@
 
 import attrs
 import msgspec
+import yaml
 
 
 class ExitCode(enum.IntEnum):
@@ -49,3 +50,13 @@
         """Returns the answer for machines, as JSON."""
         encoded = msgspec.json.encode(self.content, order='sorted')
         return msgspec.json.format(encoded, indent=2).decode()
+
+
+def plain(content: Any) -> Any:
+    """Returns typed values as the plain values that JSON has."""
+    return msgspec.to_builtins(content, str_keys=True)
+
+
+def outline(content: Any) -> list[str]:
+    """Returns typed values as indented lines for people."""
+    return yaml.safe_dump(plain(content), sort_keys=False).splitlines()
--- a/egretlanding/control.py
+++ b/egretlanding/control.py
@@ -8,9 +8,7 @@
 from typing import Any
 
 import attrs
-import msgspec
-import yaml
-from result import Err, Ok, Result
+from result import Err, Result
 
 from egretlanding import __version__
 from egretlanding.adminclient import (
@@ -18,9 +16,10 @@
     Outcome,
     Question,
     check_daemon,
+    decode_json,
 )
 from egretlanding.agreement import Agreement, report_lines
-from egretlanding.answers import ExitCode, Reply
+from egretlanding.answers import ExitCode, Reply, outline, plain
 from egretlanding.archive import (
     Parent,
     is_archive,
@@ -35,7 +34,6 @@
 from egretlanding.faults import CHECKS
 from egretlanding.objects import KINDS
 from egretlanding.reference import describe_fields
-from egretlanding.status import StatusReport
 
 LIBRARIES = ('attrs', 'grpclib', 'klein', 'msgspec', 'PyYAML', 'Twisted')
 
@@ -97,7 +95,7 @@
             f'digest: {release.digest}',
             f'written to {out}; publish the parts first, the head last',
         ]
-        return Reply.from_lines(lines, _plain(head))
+        return Reply.from_lines(lines, plain(head))
 
     def diff(self, old: Path, new: Path) -> Reply:
         """Reports the change between two directories or releases.
@@ -110,7 +108,7 @@
         lines = [line for change in changes for line in change.lines()]
         return Reply.from_lines(
             lines or ['no difference'],
-            _plain(changes),
+            plain(changes),
             ExitCode.FOUND if changes else ExitCode.DONE,
         )
 
@@ -121,20 +119,23 @@
             AdminError: An address is malformed.
         """
         outcomes = await self._ask(daemons, Question('/status'))
-        agreement = _agreement(outcomes)
+        agreement = Agreement.from_outcomes(outcomes)
         lines = [
             *(
                 line
                 for daemon, report in agreement.reports.items()
                 for line in report_lines(daemon, report)
             ),
-            *agreement.silent.values(),
+            *(
+                f'{daemon}: {reason}'
+                for daemon, reason in agreement.silent.items()
+            ),
             agreement.summary(),
         ]
         content = {
             'agreed': agreement.is_whole(),
             'summary': agreement.summary(),
-            'reports': _plain(agreement.reports),
+            'reports': plain(agreement.reports),
             'silent': agreement.silent,
         }
         return Reply.from_lines(lines, content, _judge(agreement))
@@ -177,7 +178,7 @@
             'events': {event.value: event.name for event in Event},
             'exit codes': {code.value: code.name for code in ExitCode},
         }
-        return Reply.from_lines(_outline(content), _plain(content))
+        return Reply.from_lines(outline(content), plain(content))
 
     async def _ask(
         self,
@@ -193,16 +194,12 @@
         return await self.client.ask(addresses, question)
 
 
-def _plain(content: Any) -> Any:
-    return msgspec.to_builtins(content, str_keys=True)
-
-
 def _faulty(declared: Declarations) -> Reply:
     count = len(declared.findings)
     lines = [*map(str, declared.findings), f'{count} faults']
     content = {
         'objects': len(declared.sources),
-        'findings': _plain(declared.findings),
+        'findings': plain(declared.findings),
     }
     return Reply.from_lines(lines, content, ExitCode.FOUND)
 
@@ -213,17 +210,6 @@
     return Declarations.from_directory(directory).compile(1, '').objects
 
 
-def _agreement(outcomes: dict[str, Outcome]) -> Agreement:
-    reports: dict[str, StatusReport] = {}
-    silent: dict[str, str] = {}
-    for daemon, outcome in outcomes.items():
-        try:
-            reports[daemon] = StatusReport.from_bytes(_unwrap(outcome))
-        except AdminError as error:
-            silent[daemon] = str(error)
-    return Agreement.from_reports(reports, silent)
-
-
 def _judge(agreement: Agreement) -> ExitCode:
     if agreement.silent:
         return ExitCode.UNREACHABLE
@@ -232,37 +218,16 @@
 
 def _raw(outcomes: dict[str, Outcome]) -> Reply:
     answers = {
-        daemon: outcome.and_then(_parse) for daemon, outcome in outcomes.items()
+        daemon: outcome.and_then(decode_json)
+        for daemon, outcome in outcomes.items()
     }
     content = {daemon: _shown(answer) for daemon, answer in answers.items()}
     failed = any(isinstance(answer, Err) for answer in answers.values())
     code = ExitCode.UNREACHABLE if failed else ExitCode.DONE
-    return Reply.from_lines(_outline(content), content, code)
+    return Reply.from_lines(outline(content), content, code)
 
 
 def _shown(answer: Result[Any, AdminError]) -> Any:
     if isinstance(answer, Err):
         return {'error': str(answer.err_value)}
     return answer.ok_value
-
-
-def _parse(encoded: bytes) -> Result[Any, AdminError]:
-    try:
-        return Ok(msgspec.json.decode(encoded))
-    except (ValueError, RecursionError) as error:
-        return Err(
-            AdminError(
-                f'the answer is not JSON ({error})',
-                'give the address of the admin port of an egretlandingd',
-            ),
-        )
-
-
-def _unwrap(outcome: Outcome) -> bytes:
-    if isinstance(outcome, Err):
-        raise outcome.err_value
-    return outcome.ok_value
-
-
-def _outline(content: Any) -> list[str]:
-    return yaml.safe_dump(_plain(content), sort_keys=False).splitlines()
