--- a/egretlanding/peerlinks.py
+++ b/egretlanding/peerlinks.py
@@ -150,22 +150,14 @@
             if lane.is_open()
         )
 
-    def send(
-        self,
-        host: Host,
-        lane_of: Lane,
-        request: CallRequest,
-        on_reply: OnReply,
-    ) -> PendingCall:
+    def send(self, host: Host, lane_of: Lane, pending: PendingCall) -> None:
         """Sends a call now or as soon as a connection is open.
 
         Args:
             host: The host of the target.
             lane_of: The lane to use.
-            request: The call.
-            on_reply: Called once with the reply.
+            pending: The call, which knows whether it was sent.
         """
-        pending = PendingCall(request, on_reply)
         lane = self.connect(host, lane_of)
         lane.used = self.reactor.seconds()
         if lane.connection and lane.is_open():
@@ -173,11 +165,9 @@
         elif lane.connecting:
             lane.queued.append(pending)
         else:
-            # The reply comes later, because the sender needs the pending
-            # call to tell that no byte of it was sent.
+            # The reply comes later, as it does when a connection is tried.
             detail = 'the daemon refused connections a moment ago'
             self.reactor.callLater(0, pending.fail, detail)
-        return pending
 
     def connect(self, host: Host, lane_of: Lane) -> PeerLane:
         """Begins to open a connection unless it is open or backed off."""
--- a/egretlanding/watchers.py
+++ b/egretlanding/watchers.py
@@ -14,6 +14,8 @@
 WATCHERS_PER_REGION = 3
 STANDBYS_PER_REGION = 6
 WATCH_POLL_S = 4
+FAR_WATCH_POLL_S = 30
+MIN_POLL_SHARE = 0.5
 STARTUP_JITTER_S = 0.5
 
 # Standbys exchange with the watchers, so their ages are seconds old.
@@ -27,9 +29,13 @@
 FAR_TAKEOVER_STEP_S = 1
 
 # A daemon without a host list doesn't know its rank; seeds go first.
-UNRANKED_SPREAD_S = 20
+UNRANKED_SPREAD_S = 40
 SEED_SPREAD_S = 2
 
+# A daemon that holds nothing and hears nothing asks earlier.
+EMPTY_TAKEOVER_AGE_S = 20
+EMPTY_TAKEOVER_STEP_S = 0.2
+
 HEARD_S = 15
 ANSWERED_S = 10
 DUTY_S = 60
@@ -80,6 +86,7 @@
         ranking: The region's hosts in order, empty without a host list.
         rank: This host's place in it, or none if it isn't listed.
         jitter: Share of the random delays that this process takes, 0 to 1.
+        poll_s: Longest time that the next read waits for a change, seconds.
         attempted_at: When this daemon last asked the store on duty, seconds.
         confirmed_at: When the store last answered this daemon, seconds.
         heard: When hosts of better rank were heard to reach the store.
@@ -92,6 +99,7 @@
     ranking: tuple[str, ...] = ()
     rank: int | None = None
     jitter: float = 0
+    poll_s: float = WATCH_POLL_S
     attempted_at: float = -math.inf
     confirmed_at: float = -math.inf
     heard: dict[str, float] = attrs.field(factory=dict)
@@ -114,8 +122,20 @@
             return self.is_seed
         return self.rank is not None and self.rank < ranked_limit()
 
-    def should_watch(self, now: float, freshness: Freshness) -> bool:
-        """Returns whether this daemon should read the store."""
+    def should_watch(
+        self,
+        now: float,
+        freshness: Freshness,
+        *,
+        holds_release: bool,
+    ) -> bool:
+        """Returns whether this daemon should read the store.
+
+        Args:
+            now: The time, seconds.
+            freshness: The age of what is known of the store.
+            holds_release: Whether any release is in force.
+        """
         waited = now - self.started_at
         if not self.ranking:
             spread = SEED_SPREAD_S if self.is_seed else UNRANKED_SPREAD_S
@@ -123,12 +143,12 @@
         if self._is_watcher():
             return waited >= self.jitter * STARTUP_JITTER_S
         attempted = min(waited, freshness.attempted_age(now))
-        if attempted > self._takeover_age():
+        if attempted > self._takeover_age(holds_release=holds_release):
             return True
         confirmed = min(waited, freshness.confirmed_age(now))
         if self.is_standby and confirmed > self._unconfirmed_age():
             return True
-        return now - self.attempted_at < DUTY_S and not self._is_relieved(now)
+        return now - self.attempted_at < DUTY_S
 
     def is_carrier(self, now: float) -> bool:
         """Returns whether this daemon exchanges with other regions."""
@@ -155,9 +175,18 @@
         limit = len(self.ranking) if self.rank is None else self.rank
         if host_id in self.ranking[: min(limit, ranked_limit())]:
             self.heard[host_id] = now
+        if self._is_relieved(now):
+            self.attempted_at = -math.inf
 
     def note_attempt(self, now: float) -> None:
-        """Records that this daemon asks the store."""
+        """Records that this daemon asks the store.
+
+        The ages that others depend on come from watchers and standbys, at
+        different times; the many other daemons spare the store if ever they
+        have to read it.
+        """
+        longest = WATCH_POLL_S if self.is_near_front else FAR_WATCH_POLL_S
+        self.poll_s = longest * self.random.uniform(MIN_POLL_SHARE, 1)
         if self.ranking:
             self.attempted_at = now
 
@@ -175,9 +204,14 @@
         heard = sum(now - at < HEARD_S for at in self.heard.values())
         return heard >= WATCHERS_PER_REGION
 
-    def _takeover_age(self) -> float:
+    def _takeover_age(self, *, holds_release: bool) -> float:
         if self.is_standby:
             return TAKEOVER_AGE_S + TAKEOVER_STEP_S * self._delay_rank()
+        if not holds_release:
+            return (
+                EMPTY_TAKEOVER_AGE_S
+                + EMPTY_TAKEOVER_STEP_S * self._delay_rank()
+            )
         return FAR_TAKEOVER_AGE_S + FAR_TAKEOVER_STEP_S * self._delay_rank()
 
     def _unconfirmed_age(self) -> float:
