--- a/egretlanding/agreement.py
+++ b/egretlanding/agreement.py
@@ -7,7 +7,7 @@
 
 from egretlanding.exceptions import AdminError
 from egretlanding.release import Position, shorten
-from egretlanding.status import StatusReport
+from egretlanding.status import RefusedRelease, StatusReport
 
 NOTHING = Position()
 
@@ -126,20 +126,21 @@
         f'    ready: {_readiness(report)}, number: {report.number}, '
         f'revision: {report.revision}, confirmed: {_freshness(report)}',
         f'    digest: {report.digest or "none"}',
+        *(f'    refused: {_refusal(refused)}' for refused in report.refused),
         *(
-            f'    refused: release {refused.number} '
-            f'({shorten(refused.digest)}): {refused.reason}'
-            for refused in report.refused
-        ),
-        *(
-            f'    conflict: release {conflict.number} '
-            f'({shorten(conflict.loser)}) lost to '
-            f'{shorten(conflict.winner)}: {conflict.reason}'
+            f'    conflict: release {conflict.number}: {conflict.loser} lost '
+            f'to {conflict.winner or "a later release"}: {conflict.reason}'
             for conflict in report.conflicts
         ),
     ]
 
 
+def _refusal(refused: RefusedRelease) -> str:
+    # A daemon that heard of the refusal from another knows the digest only.
+    number = f' {refused.number}' if refused.number else ''
+    return f'release{number} ({shorten(refused.digest)}): {refused.reason}'
+
+
 def _decode(encoded: bytes) -> Result[StatusReport, AdminError]:
     try:
         return Ok(StatusReport.from_bytes(encoded))
--- a/egretlanding/answers.py
+++ b/egretlanding/answers.py
@@ -8,6 +8,9 @@
 import msgspec
 import yaml
 
+# Long texts aren't wrapped, so that they can be searched for.
+OUTLINE_CHARS = 4_096
+
 
 class ExitCode(enum.IntEnum):
     """The exit codes of the command line; docs/CLI.md describes them."""
@@ -59,4 +62,9 @@
 
 def outline(content: Any) -> list[str]:
     """Returns typed values as indented lines for people."""
-    return yaml.safe_dump(plain(content), sort_keys=False).splitlines()
+    dumped = yaml.safe_dump(
+        plain(content),
+        sort_keys=False,
+        width=OUTLINE_CHARS,
+    )
+    return dumped.splitlines()
--- a/egretlanding/config.py
+++ b/egretlanding/config.py
@@ -30,8 +30,9 @@
 SEED_FORM = 'address:port, such as 10.0.0.7:7103'
 HOST_PATTERN = '[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?'
 HOST_FORM = 'lower-case letters, digits, dots and inner hyphens, at most 63'
-URL_PATTERN = 'https?://[^/?# ]+(/[^?# ]*)?'
-URL_FORM = 'a URL such as http://10.0.0.1:7000'
+# A URL with credentials would show them in the state dump.
+URL_PATTERN = 'https?://[^/?#@ ]+(/[^?# ]*)?'
+URL_FORM = 'a URL without credentials, such as http://10.0.0.1:7000'
 
 PORT_FIELDS = ('call_port', 'peer_port', 'exchange_port', 'admin_port')
 
--- a/egretlanding/status.py
+++ b/egretlanding/status.py
@@ -11,7 +11,8 @@
     """A release that a daemon keeps out.
 
     Attributes:
-        number: The number that operators gave the release.
+        number: The number that operators gave the release; zero if only
+            its digest is known.
         digest: The release's digest.
         reason: Why it was refused, with the remedy.
     """
@@ -27,8 +28,9 @@
 
     Attributes:
         number: The number of the release that lost.
-        winner: Digest of the release that is kept in force.
-        loser: Digest of the release that is not.
+        winner: Short digest of the release that is kept in force; empty if
+            a later release has taken the place of both.
+        loser: Short digest of the release that is not, or of both.
         reason: What the two have in common, with the remedy.
     """
 
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -49,9 +49,13 @@
     number=6,
     digest='b' * 64,
     confirmed_age_s=None,
-    refused=(RefusedRelease(8, 'c' * 64, 'a link dangles; publish again'),),
+    refused=(
+        RefusedRelease(8, 'c' * 64, 'a link dangles; publish again'),
+        RefusedRelease(0, 'd' * 64, 'told by b-1; publish again'),
+    ),
     conflicts=(
-        ReleaseConflict(6, 'b' * 64, 'd' * 64, 'same number; publish 7'),
+        ReleaseConflict(6, 'bbbb', 'dddd', 'same number; publish 7'),
+        ReleaseConflict(5, '', 'eeee, ffff', 'same parent; publish 7'),
     ),
 )
 
