Keep a refused store_url out of the error message

A URL is refused for its credentials, so the message must not repeat it. Wrong variants tried: the URL shown, and the earlier pattern that takes credentials; the listing of faults differs for both.

--- a/egretlanding/config.py
+++ b/egretlanding/config.py
@@ -91,7 +91,7 @@
     region: str = required_name()
     failure_domain: str = required_name()
     service: str = required_name()
-    store_url: str = form(URL_PATTERN, URL_FORM)
+    store_url: str = form(URL_PATTERN, URL_FORM, private=True)
     store_region: str = required_name()
     seeds: tuple[str, ...] = form(SEED_PATTERN, SEED_FORM, default=())
     distribution: str = choice(('exchange', 'direct'), default='exchange')
--- a/egretlanding/fieldchecks.py
+++ b/egretlanding/fieldchecks.py
@@ -38,7 +38,7 @@
     """Finds texts that don't have the form of their field."""
     return (
         value.fault(
-            f'has {quote(text)}, which is not allowed',
+            f'has {_shown(value, text)}, which is not allowed',
             f'use {value.field.metadata["described"]}',
         )
         for value in whole.fields('pattern')
@@ -81,6 +81,10 @@
     )
 
 
+def _shown(value: FieldValue, text: str) -> str:
+    return 'a value' if value.field.metadata['private'] else quote(text)
+
+
 def _within(number: FieldValue) -> bool:
     bounds = number.field.metadata
     return bounds['low'] <= number.value <= bounds['high']
--- a/egretlanding/schema.py
+++ b/egretlanding/schema.py
@@ -43,19 +43,30 @@
     )
 
 
-def form(pattern: str, described: str, **options: Any) -> Any:
+def form(
+    pattern: str,
+    described: str,
+    *,
+    private: bool = False,
+    **options: Any,
+) -> Any:
     """Declares a text field, or a list of texts, with the form of each text.
 
     Args:
         pattern: Regular expression that the whole text must match.
         described: The form in words, as written in error messages.
+        private: Whether error messages must not show the text.
         options: Further options of `attrs.field`.
 
     Returns:
         The attrs field, with the form recorded in its metadata.
     """
     return attrs.field(
-        metadata={'pattern': pattern, 'described': described},
+        metadata={
+            'pattern': pattern,
+            'described': described,
+            'private': private,
+        },
         **options,
     )
 
