--- a/egretlanding/answers.py
+++ b/egretlanding/answers.py
@@ -6,6 +6,10 @@
 
 import attrs
 import msgspec
+import yaml
+
+# Long texts aren't wrapped, so that they can be searched for.
+OUTLINE_CHARS = 4_096
 
 
 class ExitCode(enum.IntEnum):
@@ -49,3 +53,18 @@
         """Returns the answer for machines, as JSON."""
         encoded = msgspec.json.encode(self.content, order='sorted')
         return msgspec.json.format(encoded, indent=2).decode()
+
+
+def plain(content: Any) -> Any:
+    """Returns typed values as the plain values that JSON has."""
+    return msgspec.to_builtins(content, str_keys=True)
+
+
+def outline(content: Any) -> list[str]:
+    """Returns typed values as indented lines for people."""
+    dumped = yaml.safe_dump(
+        plain(content),
+        sort_keys=False,
+        width=OUTLINE_CHARS,
+    )
+    return dumped.splitlines()
--- a/egretlanding/config.py
+++ b/egretlanding/config.py
@@ -30,8 +30,9 @@
 SEED_FORM = 'address:port, such as 10.0.0.7:7103'
 HOST_PATTERN = '[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?'
 HOST_FORM = 'lower-case letters, digits, dots and inner hyphens, at most 63'
-URL_PATTERN = 'https?://[^/?# ]+(/[^?# ]*)?'
-URL_FORM = 'a URL such as http://10.0.0.1:7000'
+# A URL with credentials would show them in the state dump.
+URL_PATTERN = 'https?://[^/?#@ ]+(/[^?# ]*)?'
+URL_FORM = 'a URL without credentials, such as http://10.0.0.1:7000'
 
 PORT_FIELDS = ('call_port', 'peer_port', 'exchange_port', 'admin_port')
 
@@ -90,7 +91,7 @@
     region: str = required_name()
     failure_domain: str = required_name()
     service: str = required_name()
-    store_url: str = form(URL_PATTERN, URL_FORM)
+    store_url: str = form(URL_PATTERN, URL_FORM, private=True)
     store_region: str = required_name()
     seeds: tuple[str, ...] = form(SEED_PATTERN, SEED_FORM, default=())
     distribution: str = choice(('exchange', 'direct'), default='exchange')
