--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -381,8 +381,12 @@
             wait_until(check, timeout_s, f'release {number} on {name}')
         return time.monotonic() - began
 
-    def close(self) -> None:
-        """Stops every process, gracefully where it still answers."""
+    def close(self) -> list[int]:
+        """Stops every process, gracefully where it still answers.
+
+        Returns:
+            The exit codes; zero for a graceful stop.
+        """
         members = self.members.values()
         processes = [
             process for member in members for process in member.processes()
@@ -391,8 +395,7 @@
         for process in processes:
             process.send_signal(signal.SIGCONT)
             process.terminate()
-        for process in processes:
-            stop_process(process)
+        return list(map(stop_process, processes))
 
 
 def is_in_force(member: Member, number: int) -> bool:
