--- a/egretlanding/config.py
+++ b/egretlanding/config.py
@@ -1,6 +1,6 @@
 """The checked settings of a daemon."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from itertools import chain
 from pathlib import Path
 from typing import Any
@@ -13,7 +13,7 @@
 from egretlanding.faults import Fault, ObjectSet
 from egretlanding.fieldchecks import check_bounds, check_choices, check_forms
 from egretlanding.fields import Fields, read_fields
-from egretlanding.findings import Finding
+from egretlanding.findings import Finding, in_order
 from egretlanding.objects import ConfigObject
 from egretlanding.schema import (
     NAME_FORM,
@@ -30,8 +30,9 @@
 SEED_FORM = 'address:port, such as 10.0.0.7:7103'
 HOST_PATTERN = '[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?'
 HOST_FORM = 'lower-case letters, digits, dots and inner hyphens, at most 63'
-URL_PATTERN = 'https?://[^/?# ]+(/[^?# ]*)?'
-URL_FORM = 'a URL such as http://10.0.0.1:7000'
+# A URL with credentials would show them in the state dump.
+URL_PATTERN = 'https?://[^/?#@ ]+(/[^?# ]*)?'
+URL_FORM = 'a URL without credentials, such as http://10.0.0.1:7000'
 
 PORT_FIELDS = ('call_port', 'peer_port', 'exchange_port', 'admin_port')
 
@@ -90,7 +91,7 @@
     region: str = required_name()
     failure_domain: str = required_name()
     service: str = required_name()
-    store_url: str = form(URL_PATTERN, URL_FORM)
+    store_url: str = form(URL_PATTERN, URL_FORM, private=True)
     store_region: str = required_name()
     seeds: tuple[str, ...] = form(SEED_PATTERN, SEED_FORM, default=())
     distribution: str = choice(('exchange', 'direct'), default='exchange')
@@ -120,7 +121,7 @@
             for finding in chain(fields.findings, _check(read, fields))
         ]
         if findings:
-            raise _error(sorted(findings))
+            raise _error(in_order(findings))
         return read
 
 
@@ -164,7 +165,7 @@
                 yield listener.fault(problem, 'give each its own port')
 
 
-def _error(findings: list[Finding]) -> SettingsError:
+def _error(findings: Iterable[Finding]) -> SettingsError:
     return SettingsError(
         '\n'.join(map(str, findings)),
         'see docs/SETTINGS.md for each setting',
--- a/egretlanding/documents.py
+++ b/egretlanding/documents.py
@@ -11,7 +11,7 @@
 
 from egretlanding.bounds import MAX_NODES_PER_FILE, SPLIT_REMEDY, Usage
 from egretlanding.findings import Finding
-from egretlanding.texts import show
+from egretlanding.texts import show, show_path
 
 MAX_FILES = 4_096
 MAX_FILE_BYTES = 262_144
@@ -27,12 +27,10 @@
     Attributes:
         file: Path of the file, relative to the directory that was read.
         root: The root node, with line marks.
-        nodes: How many nodes the tree has.
     """
 
     file: str
     root: yaml.Node
-    nodes: int
 
 
 @attrs.define
@@ -93,22 +91,20 @@
     Returns:
         The document, or a finding that says what was refused.
     """
-    shown = show(name)
+    shown = show_path(name)
     outcome = _read_bytes(path, allowance).and_then(
-        lambda content: _compose_bytes(shown, content, allowance.nodes),
+        lambda content: _compose_bytes(shown, content, allowance),
     )
-    if is_ok(outcome):
-        allowance.nodes -= outcome.ok_value.nodes
     return outcome.map_err(lambda found: attrs.evolve(found, file=shown))
 
 
 def _compose_bytes(
     name: str,
     content: bytes,
-    most_nodes: int,
+    allowance: Allowance,
 ) -> Result[Document, Finding]:
     try:
-        return _compose(name, content.decode('utf-8'), most_nodes)
+        return _compose(name, content.decode('utf-8'), allowance)
     except UnicodeDecodeError as error:
         line = content[: error.start].count(b'\n') + 1
         return Err(
@@ -121,13 +117,14 @@
 def _compose(
     name: str,
     text: str,
-    most_nodes: int,
+    allowance: Allowance,
 ) -> Result[Document, Finding]:
     # The events are checked first, since composing recurses into the tree
     # and follows aliases.
-    usage = Usage(min(most_nodes, MAX_NODES_PER_FILE))
+    usage = Usage(min(allowance.nodes, MAX_NODES_PER_FILE))
     events = yaml.parse(text, Loader=yaml.CSafeLoader)
     refused = next(usage.refusals(events), None)
+    allowance.nodes -= usage.nodes
     if refused is not None:
         return Err(refused)
     root = yaml.compose(text, Loader=yaml.CSafeLoader)
@@ -135,7 +132,7 @@
         return Err(
             Finding('', 0, '', 'the file is empty', 'write objects or drop it'),
         )
-    return Ok(Document(name, root, usage.nodes))
+    return Ok(Document(name, root))
 
 
 def _syntax_finding(error: yaml.YAMLError) -> Finding:
@@ -187,7 +184,7 @@
 
 def _without_files(directory: Path) -> Finding:
     return Finding(
-        show(str(directory)),
+        show_path(directory),
         0,
         '',
         'no YAML files found',
@@ -197,7 +194,7 @@
 
 def _surplus(directory: Path, first: Path) -> Finding:
     return Finding(
-        show(str(first.relative_to(directory))),
+        show_path(first.relative_to(directory)),
         0,
         '',
         f'more than {MAX_FILES} files; this one and later ones were not read',
