--- a/egretlanding/daemon.py
+++ b/egretlanding/daemon.py
@@ -1,10 +1,10 @@
 """The process beside each target host."""
 
+import importlib
 import signal
 import sys
 from typing import Any
 
-import defopt
 from absl import logging
 from twisted.internet import reactor as default_reactor
 from twisted.internet.error import CannotListenError
@@ -68,11 +68,26 @@
     reactor.listenTCP(config.admin_port, admin, interface=config.address)
 
 
+def run(arguments: list[str]) -> None:
+    """Runs the daemon with the arguments of its command line.
+
+    A plain path is taken as it is, because the parser of the command line
+    needs 5 MB that the daemon would keep for as long as it runs.
+
+    Args:
+        arguments: What follows the name of the program.
+    """
+    if len(arguments) == 1 and not arguments[0].startswith('-'):
+        serve(arguments[0])
+    else:
+        importlib.import_module('defopt').run(serve, argv=arguments)
+
+
 def main() -> None:
     """Runs the command line of the daemon."""
     logging.set_verbosity(logging.INFO)
     try:
-        defopt.run(serve)
+        run(sys.argv[1:])
     except SettingsError as error:
         log_event(Event.SETTINGS_REFUSED, str(error), Severity.ERROR)
         sys.exit(REFUSED_SETTINGS_EXIT)
--- a/egretlanding/reactors.py
+++ b/egretlanding/reactors.py
@@ -1,12 +1,12 @@
 """The choice of the Twisted reactor."""
 
-import asyncio
 import importlib
 import sys
 
-# Twisted goes without TLS where pyOpenSSL can't be imported. The system uses
-# none, and this keeps 12 MB out of every process.
-sys.modules['OpenSSL'] = None  # type: ignore[assignment]
+# The libraries go without TLS where these can't be imported. The system uses
+# none, and this keeps 17 MB out of every process.
+TLS_MODULES = ('OpenSSL', 'ssl')
+sys.modules.update(dict.fromkeys(TLS_MODULES))  # type: ignore[arg-type]
 
 
 def launch(module: str) -> None:
@@ -19,6 +19,7 @@
     Args:
         module: Full name of the module to import and run.
     """
+    asyncio = importlib.import_module('asyncio')
     asyncioreactor = importlib.import_module('twisted.internet.asyncioreactor')
     loop = asyncio.new_event_loop()
     # Tasks that start before the reactor runs must find the same loop.
--- /dev/null
+++ b/lab/memory.py
@@ -0,0 +1,50 @@
+"""Measures what the resident memory of a daemon is made of.
+
+Usage: python -m lab.memory
+"""
+
+import importlib
+import pathlib
+
+from egretlanding import reactors
+
+STEPS = (
+    ('interpreter', ()),
+    ('asyncio', ('asyncio',)),
+    ('twisted with the asyncio reactor', ('twisted.internet.asyncioreactor',)),
+    ('grpclib and protobuf', ('egretlanding.exchange_grpc',)),
+    (
+        'msgspec, attrs, absl, YAML',
+        ('msgspec', 'attrs', 'absl.logging', 'yaml'),
+    ),
+    ('HTTP client of the store (treq)', ('treq',)),
+    ('all of the daemon', ('egretlanding.daemon',)),
+    ('admin port in use (klein)', ('klein',)),
+    ('metrics read (OpenTelemetry)', ('opentelemetry.sdk.metrics',)),
+)
+KB_PER_MB = 1_024
+
+
+def resident_kb() -> int:
+    """Returns the resident memory of this process, kB."""
+    status = pathlib.Path('/proc/self/status').read_text()
+    line = next(row for row in status.splitlines() if row.startswith('VmRSS'))
+    return int(line.split()[1])
+
+
+def load_steps() -> None:
+    """Imports step by step and prints what each adds."""
+    last = 0
+    for name, modules in STEPS:
+        for module in modules:
+            importlib.import_module(module)
+        now = resident_kb()
+        print(f'| {name} | {(now - last) / KB_PER_MB:.1f} |')
+        last = now
+    print(f'| in all | {last / KB_PER_MB:.1f} |')
+
+
+if __name__ == '__main__':
+    # Importing `reactors` keeps TLS out, as in the daemon.
+    assert reactors
+    load_steps()
