Count reads of a herd over ten more seconds; meet damage before healing; control figures

Damaged exchanges are now left in place until exchanges have failed. Of the variants tried on that test, 'a host that failed is never asked again' is not caught: others still call it.

--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -1,5 +1,6 @@
 """Tests of distribution with real processes, under failure."""
 
+import operator
 import signal
 import time
 from collections.abc import Iterator
@@ -28,7 +29,8 @@
     wait_refused,
 )
 
-READS_PER_DAEMON_AND_S = 1.5
+READS_PER_DAEMON_AND_S = 1
+COUNTED_S = 10
 PAUSE_S = 4
 
 
@@ -98,6 +100,7 @@
         for member in members:
             member.start_daemon()
         wait_everywhere(fleet, second.digest, timeout_s=40)
+        time.sleep(COUNTED_S)
         taken_s = time.monotonic() - began
         bound = READS_PER_DAEMON_AND_S * taken_s * len(members)
         assert reads(fleet) - before < bound, (reads(fleet) - before, bound)
@@ -214,6 +217,7 @@
 ) -> None:
     fleet = split.fleet
     before = in_force(fleet)
+    past = failures(fleet)
     with Witness(fleet) as witness:
         for member in fleet.members.values():
             split.proxy.set_rules(
@@ -227,12 +231,26 @@
             CONVERGENCE_S,
             'the release on a watcher',
         )
+        if not flow.bytes_per_s:
+            wait_until(
+                lambda: any(map(operator.lt, past, failures(fleet))),
+                CONVERGENCE_S,
+                'failed exchanges',
+            )
         split.heal()
         wait_everywhere(fleet, release.digest)
     assert witness.digests() == {*before, release.digest}
     assert not witness.went_back()
 
 
+def failures(fleet: Fleet) -> list[int]:
+    """Returns the exchanges of each daemon that failed."""
+    return [
+        member.admin('/dump')['counters']['exchange_failures']
+        for member in fleet.members.values()
+    ]
+
+
 def in_force(fleet: Fleet) -> set[str]:
     """Returns the digests that any daemon has in force."""
     return {found['digest'] for found in statuses(fleet).values()}
