Let a daemon without a host list pull from the seeds that it asked

A starting daemon has no list and knows its seeds by address only, so it took nothing from their answers and waited up to 20 s for its own turn to read the store. Ruled out: load of the machine, and back-off of the seeds (their answers arrived). Only requests of unknown senders have no address to pull from; answers do.

The test fails without the change.

--- a/egretlanding/replica.py
+++ b/egretlanding/replica.py
@@ -93,8 +93,10 @@
                 tell how long a request was under way.
 
         Returns:
-            What to pull from the sender; nothing from a host that isn't on
-            the list, since its address isn't known.
+            What to pull from the sender. Nothing because of a request from
+            a host that isn't on the list, since its address isn't known; an
+            answer came from an address that this daemon asked, such as that
+            of a seed, whose id it can't know before it has a list.
         """
         self.membership.heard_from(summary.host_id, summary.incarnation, now)
         if summary.watching:
@@ -103,7 +105,8 @@
         if elapsed is not None:
             self._learn_ages(summary, now - elapsed)
             self._note_peer(summary)
-        if summary.host_id not in self.membership.hosts.hosts:
+        is_known = summary.host_id in self.membership.hosts.hosts
+        if elapsed is None and not is_known:
             return Comparison(pull_release=False, pull_hosts=False)
         position = summary.position
         revision = summary.hosts_revision
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -28,6 +28,8 @@
 from egretlanding.notices import MAX_NOTICES, NoticeTable
 from egretlanding.objects import ConfigObject, Region
 from egretlanding.release import Position, Release
+from egretlanding.replica import Replica
+from egretlanding.replicastate import ReplicaConfig
 from egretlanding.watchers import WatchDuty
 
 MAX_TRANSIT_S = 2
@@ -288,3 +290,16 @@
     membership = Membership(make_host('b'), 1, Random(0), hosts)
     assert membership.status('a', 0) == 'leaving'
     assert membership.status('c', 0) == 'unknown'
+
+
+def test_a_daemon_without_a_list_pulls_from_its_seeds() -> None:
+    def build(host_id: str, seeds: tuple[Host, ...]) -> Replica:
+        config = ReplicaConfig(make_host(host_id), 1, seeds)
+        return Replica.from_config(config, lambda _objects: (), Random(1), 0)
+
+    listed = build('b', ())
+    listed.offer_hosts(make_hosts({'a': 1, 'b': 2}, revision=7), 1)
+    starting = build('a', (make_host('127.0.0.1:3'),))
+    summary = listed.summary(1)
+    assert not starting.observe(summary, 1).pull_hosts
+    assert starting.observe(summary, 1, elapsed=0.1).pull_hosts
