--- a/egretlanding/attempts.py
+++ b/egretlanding/attempts.py
@@ -25,7 +25,7 @@
 )
 from egretlanding.retries import CallContext, Retry, decide_retry
 from egretlanding.routing import Match
-from egretlanding.serviceroutes import ServiceRoute
+from egretlanding.serviceroutes import ServiceRoute, has_spare
 from egretlanding.subsets import Distance
 
 if TYPE_CHECKING:
@@ -224,9 +224,14 @@
             self.answer(refusal_reply(0, decision.refusal))
 
     def hedge(self) -> None:
-        """Makes a second attempt beside a late first one."""
-        budget, policy = self.known.budget, self.match.policy
-        if len(self.open) == 1 and budget.take(policy, self.now):
+        """Makes a second attempt beside a late first one.
+
+        Where all targets are busy, hedges would only add to their load.
+        """
+        targets, now = self.known.balancer.targets, self.now
+        if len(self.open) != 1 or not has_spare(targets, self.tried, now):
+            return
+        if self.known.budget.take(self.match.policy, now):
             self.ingress.hedges += 1
             self.attempt()
 
--- a/egretlanding/serviceroutes.py
+++ b/egretlanding/serviceroutes.py
@@ -1,6 +1,7 @@
 """What one ingress knows of the services that it sends calls to."""
 
 import random
+import statistics
 from collections.abc import Callable, Iterable
 
 import attrs
@@ -10,6 +11,7 @@
 from egretlanding.outcomes import Reason, Refusal
 from egretlanding.retries import HedgeTimer, RetryBudget
 from egretlanding.subsets import Locality
+from egretlanding.targets import TargetTable
 from egretlanding.tokens import TokenBucket
 from egretlanding.views import View
 
@@ -19,6 +21,7 @@
 ]
 CHOOSERS: dict[str, Chooser] = {}
 MAX_HEDGE_TIMERS = 1_024
+SPARE_SHARE = 0.5
 
 
 def chooser(name: str) -> Callable[[Chooser], Chooser]:
@@ -64,6 +67,23 @@
     return Choice(known.host, balancer.targets.distance(known))
 
 
+def has_spare(
+    targets: TargetTable,
+    excluded: frozenset[str],
+    now: float,
+) -> bool:
+    """Tells whether half of the targets have most of their slots free.
+
+    Args:
+        targets: The targets of a service.
+        excluded: Ids of hosts that don't count.
+        now: Monotonic time, seconds.
+    """
+    bound = targets.service.slots * SPARE_SHARE
+    loads = [known.load(now) for known in targets.group(now, excluded)]
+    return bool(loads) and statistics.median(loads) < bound
+
+
 @attrs.define(eq=False)
 class ServiceRoute:
     """What is known of one service.
