Mark hedges on the way to their target

Cause: the admission refuses a hedge that would wait, but the call path did not say which attempt is a hedge, so that hedges still queued. The frame of a call carries it now, and a hedge refused as not run gives its token back and doesn't count as an attempt while the other one is open.

--- a/egretlanding/attempts.py
+++ b/egretlanding/attempts.py
@@ -44,6 +44,7 @@
         number: The ingress's own number of the attempt.
         host: The host of the target.
         started: When it was made, seconds.
+        is_hedge: Whether another attempt was open when it was made.
         cancel: Abandons it.
         is_sent: Tells whether any byte may have left this daemon.
     """
@@ -51,6 +52,7 @@
     number: int
     host: Host
     started: float
+    is_hedge: bool = False
     cancel: Callable[[], None] = lambda: None
     is_sent: Callable[[], bool] = lambda: True
 
@@ -169,11 +171,11 @@
     def send(self, number: int, host: Host) -> None:
         """Sends one attempt."""
         self.tried |= {host.host_id}
-        attempt = Attempt(number, host, self.now)
+        attempt = Attempt(number, host, self.now, is_hedge=bool(self.open))
         self.open[number] = attempt
         self.ingress.send(
             attempt,
-            build_call(self),
+            build_call(self, attempt),
             lambda reply: self.take_reply(attempt, reply),
         )
 
@@ -189,6 +191,9 @@
             self.take_answer(attempt, reply)
             return
         targets.record_end(host_id, attempt.number, self.now)
+        if attempt.is_hedge and self.open and reply.ran is Ran.NOT_RUN:
+            self.known.budget.refund(self.now)
+            return
         self.failed.append(failure_of(attempt, reply, keyed=bool(self.key)))
         if not self.done:
             self.follow_failure()
@@ -282,7 +287,7 @@
     return Refusal.not_run(Reason.DEADLINE, 'the deadline has passed')
 
 
-def build_call(run: CallRun) -> CallRequest:
+def build_call(run: CallRun, attempt: Attempt) -> CallRequest:
     """Builds the frame that carries a call."""
     request = run.entry.request
     now = run.now
@@ -299,6 +304,7 @@
         work=run.ingress.work_class(run.match.route.work),
         idempotent=run.context.idempotent,
         key=run.key,
+        hedge=attempt.is_hedge,
     )
 
 
--- a/egretlanding/frames.py
+++ b/egretlanding/frames.py
@@ -61,6 +61,7 @@
         work: The class of work that the route declares.
         idempotent: Whether the release says that the call may run twice.
         key: Idempotency key that this daemon owns, or empty.
+        hedge: Whether another attempt of the call is under way.
     """
 
     call_id: int
@@ -74,6 +75,7 @@
     work: WorkClass = WorkClass.LEARNED
     idempotent: bool = False
     key: str = ''
+    hedge: bool = False
 
 
 class CallReply(Frame, frozen=True, tag='reply'):
--- a/egretlanding/jobs.py
+++ b/egretlanding/jobs.py
@@ -47,6 +47,7 @@
             self.deadline,
             self.call.short_wait_ms / MS_PER_S,
             self.arrived,
+            is_hedge=self.call.hedge,
         )
 
     def reply(self, reply: CallReply) -> None:
