--- a/egretlanding/attempts.py
+++ b/egretlanding/attempts.py
@@ -25,7 +25,7 @@
 )
 from egretlanding.retries import CallContext, Retry, decide_retry
 from egretlanding.routing import Match
-from egretlanding.serviceroutes import ServiceRoute
+from egretlanding.serviceroutes import ServiceRoute, has_spare
 from egretlanding.subsets import Distance
 
 if TYPE_CHECKING:
@@ -44,6 +44,7 @@
         number: The ingress's own number of the attempt.
         host: The host of the target.
         started: When it was made, seconds.
+        is_hedge: Whether another attempt was open when it was made.
         cancel: Abandons it.
         is_sent: Tells whether any byte may have left this daemon.
     """
@@ -51,6 +52,7 @@
     number: int
     host: Host
     started: float
+    is_hedge: bool = False
     cancel: Callable[[], None] = lambda: None
     is_sent: Callable[[], bool] = lambda: True
 
@@ -169,11 +171,11 @@
     def send(self, number: int, host: Host) -> None:
         """Sends one attempt."""
         self.tried |= {host.host_id}
-        attempt = Attempt(number, host, self.now)
+        attempt = Attempt(number, host, self.now, is_hedge=bool(self.open))
         self.open[number] = attempt
         self.ingress.send(
             attempt,
-            build_call(self),
+            build_call(self, attempt),
             lambda reply: self.take_reply(attempt, reply),
         )
 
@@ -189,6 +191,9 @@
             self.take_answer(attempt, reply)
             return
         targets.record_end(host_id, attempt.number, self.now)
+        if attempt.is_hedge and self.open and reply.ran is Ran.NOT_RUN:
+            self.known.budget.refund(self.now)
+            return
         self.failed.append(failure_of(attempt, reply, keyed=bool(self.key)))
         if not self.done:
             self.follow_failure()
@@ -224,9 +229,14 @@
             self.answer(refusal_reply(0, decision.refusal))
 
     def hedge(self) -> None:
-        """Makes a second attempt beside a late first one."""
-        budget, policy = self.known.budget, self.match.policy
-        if len(self.open) == 1 and budget.take(policy, self.now):
+        """Makes a second attempt beside a late first one.
+
+        Where all targets are busy, hedges would only add to their load.
+        """
+        targets, now = self.known.balancer.targets, self.now
+        if len(self.open) != 1 or not has_spare(targets, self.tried, now):
+            return
+        if self.known.budget.take(self.match.policy, now):
             self.ingress.hedges += 1
             self.attempt()
 
@@ -282,7 +292,7 @@
     return Refusal.not_run(Reason.DEADLINE, 'the deadline has passed')
 
 
-def build_call(run: CallRun) -> CallRequest:
+def build_call(run: CallRun, attempt: Attempt) -> CallRequest:
     """Builds the frame that carries a call."""
     request = run.entry.request
     now = run.now
@@ -299,6 +309,7 @@
         work=run.ingress.work_class(run.match.route.work),
         idempotent=run.context.idempotent,
         key=run.key,
+        hedge=attempt.is_hedge,
     )
 
 
