--- a/tests/test_declarations.py
+++ b/tests/test_declarations.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 from syrupy.assertion import SnapshotAssertion
 
+from egretlanding.check import find_faults
 from egretlanding.declarations import Declarations
 from egretlanding.documents import MAX_FILE_BYTES
 from egretlanding.exceptions import SourceError
@@ -109,8 +110,10 @@
 ) -> None:
     declared = Declarations.from_directory(EXAMPLES / firm)
     assert declared.findings == ()
+    release = declared.compile(1, '')
+    assert not find_faults(release.objects.values())
     # Daemons of two versions must give the same digest to one release.
-    assert declared.compile(1, '').digest == snapshot
+    assert release.digest == snapshot
 
 
 def test_every_fault_is_reported_with_place_and_remedy(
