--- /dev/null
+++ b/egretlanding/documents.py
@@ -0,0 +1,202 @@
+"""Reads the YAML files of a directory as node trees, within fixed bounds."""
+
+import os
+from collections.abc import Iterator
+from itertools import islice
+from pathlib import Path
+
+import attrs
+import yaml
+from result import Err, Ok, Result, is_err, is_ok
+
+from egretlanding.bounds import MAX_NODES_PER_FILE, SPLIT_REMEDY, Usage
+from egretlanding.findings import Finding
+from egretlanding.texts import show, show_path
+
+MAX_FILES = 4_096
+MAX_FILE_BYTES = 262_144
+MAX_TOTAL_BYTES = 8_388_608
+MAX_TOTAL_NODES = 262_144
+SUFFIXES = ('.yaml', '.yml')
+
+
+@attrs.frozen
+class Document:
+    """The node tree of one file.
+
+    Attributes:
+        file: Path of the file, relative to the directory that was read.
+        root: The root node, with line marks.
+    """
+
+    file: str
+    root: yaml.Node
+
+
+@attrs.define
+class Allowance:
+    """What the files that are still to be read may use.
+
+    Attributes:
+        size: Bytes.
+        nodes: Nodes of YAML trees.
+    """
+
+    size: int = MAX_TOTAL_BYTES
+    nodes: int = MAX_TOTAL_NODES
+
+
+def read_directory(
+    directory: Path,
+) -> tuple[tuple[Document, ...], tuple[Finding, ...]]:
+    """Reads every YAML file below a directory.
+
+    Args:
+        directory: The directory; links to other directories aren't followed.
+
+    Returns:
+        The documents of the files that could be read, and a finding for
+        each file that couldn't.
+    """
+    files = list(islice(_find_files(directory), MAX_FILES + 1))
+    if not files:
+        return (), (_without_files(directory),)
+    allowance = Allowance()
+    outcomes = [
+        read_document(path, str(path.relative_to(directory)), allowance)
+        for path in files[:MAX_FILES]
+    ]
+    surplus = [_surplus(directory, path) for path in files[MAX_FILES:]]
+    return (
+        tuple(outcome.ok_value for outcome in outcomes if is_ok(outcome)),
+        (
+            *(outcome.err_value for outcome in outcomes if is_err(outcome)),
+            *surplus,
+        ),
+    )
+
+
+def read_document(
+    path: Path,
+    name: str,
+    allowance: Allowance,
+) -> Result[Document, Finding]:
+    """Reads one file in bounded time and memory.
+
+    Args:
+        path: The file.
+        name: The name to show in findings.
+        allowance: What the file may use; its use is taken off.
+
+    Returns:
+        The document, or a finding that says what was refused.
+    """
+    shown = show_path(name)
+    outcome = _read_bytes(path, allowance).and_then(
+        lambda content: _compose_bytes(shown, content, allowance),
+    )
+    return outcome.map_err(lambda found: attrs.evolve(found, file=shown))
+
+
+def _compose_bytes(
+    name: str,
+    content: bytes,
+    allowance: Allowance,
+) -> Result[Document, Finding]:
+    try:
+        return _compose(name, content.decode('utf-8'), allowance)
+    except UnicodeDecodeError as error:
+        line = content[: error.start].count(b'\n') + 1
+        return Err(
+            Finding('', line, '', 'not UTF-8', 'save the file as UTF-8'),
+        )
+    except yaml.YAMLError as error:
+        return Err(_syntax_finding(error))
+
+
+def _compose(
+    name: str,
+    text: str,
+    allowance: Allowance,
+) -> Result[Document, Finding]:
+    # The events are checked first, since composing recurses into the tree
+    # and follows aliases.
+    usage = Usage(min(allowance.nodes, MAX_NODES_PER_FILE))
+    events = yaml.parse(text, Loader=yaml.CSafeLoader)
+    refused = next(usage.refusals(events), None)
+    allowance.nodes -= usage.nodes
+    if refused is not None:
+        return Err(refused)
+    root = yaml.compose(text, Loader=yaml.CSafeLoader)
+    if root is None:
+        return Err(
+            Finding('', 0, '', 'the file is empty', 'write objects or drop it'),
+        )
+    return Ok(Document(name, root))
+
+
+def _syntax_finding(error: yaml.YAMLError) -> Finding:
+    mark = getattr(error, 'problem_mark', None)
+    problem = getattr(error, 'problem', None) or getattr(error, 'reason', '')
+    return Finding(
+        '',
+        mark.line + 1 if mark else 0,
+        '',
+        f'not well-formed YAML ({show(str(problem))})',
+        'correct the syntax near this line',
+    )
+
+
+def _find_files(directory: Path) -> Iterator[Path]:
+    for root, folders, names in os.walk(directory):
+        folders.sort()
+        for name in sorted(names):
+            if name.endswith(SUFFIXES):
+                yield Path(root, name)
+
+
+def _read_bytes(path: Path, allowance: Allowance) -> Result[bytes, Finding]:
+    # Opening a named pipe would block until another process writes to it.
+    if not path.is_file():
+        return Err(Finding('', 0, '', 'not a regular file', 'remove it'))
+    most = min(allowance.size, MAX_FILE_BYTES)
+    try:
+        with path.open('rb') as stream:
+            content = stream.read(most + 1)
+    except OSError as error:
+        reason = f'not readable ({error.strerror})'
+        return Err(Finding('', 0, '', reason, 'correct its permissions'))
+    if len(content) > most:
+        return Err(_oversized())
+    allowance.size -= len(content)
+    return Ok(content)
+
+
+def _oversized() -> Finding:
+    return Finding(
+        '',
+        0,
+        '',
+        f'over {MAX_FILE_BYTES} bytes, or all files over {MAX_TOTAL_BYTES}',
+        SPLIT_REMEDY,
+    )
+
+
+def _without_files(directory: Path) -> Finding:
+    return Finding(
+        show_path(directory),
+        0,
+        '',
+        'no YAML files found',
+        'name a directory that holds files ending in .yaml',
+    )
+
+
+def _surplus(directory: Path, first: Path) -> Finding:
+    return Finding(
+        show_path(first.relative_to(directory)),
+        0,
+        '',
+        f'more than {MAX_FILES} files; this one and later ones were not read',
+        'write several objects in one file',
+    )
--- a/egretlanding/exceptions.py
+++ b/egretlanding/exceptions.py
@@ -55,6 +55,11 @@
     """A message between daemons can't be decoded."""
 
 
+@final
+class CallHeaderError(RemediedError):
+    """A header of a call has a value that can't be used."""
+
+
 @final
 class KeyFormatError(RemediedError):
     """An idempotency key doesn't have a form that can be honoured."""
@@ -63,3 +68,8 @@
 @final
 class AdminError(RemediedError):
     """A daemon's admin port gave no usable answer."""
+
+
+@final
+class ExchangeError(RemediedError):
+    """Another daemon gave no usable answer to a control exchange."""
--- /dev/null
+++ b/egretlanding/httpserver.py
@@ -0,0 +1,310 @@
+"""An HTTP/1.1 server protocol for calls, parsed by httptools."""
+
+from collections import deque
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Any
+
+import attrs
+import httptools
+import msgspec
+from twisted.internet.protocol import Factory, Protocol, connectionDone
+from twisted.python.failure import Failure
+
+from egretlanding.eagerwrites import write_now
+from egretlanding.frames import Headers
+from egretlanding.httpheaders import LENGTH, drop_hop_headers, has_safe_framing
+
+MAX_HEADER_BYTES = 65_536
+MAX_BODY_BYTES = 1_048_576
+MAX_PIPELINED = 16
+
+REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
+BODILESS = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
+NOT_RUN_HEADERS = (
+    ('content-type', 'text/plain'),
+    ('x-egretlanding-ran', 'no'),
+    ('x-egretlanding-reason', 'malformed-request'),
+)
+MALFORMED = (
+    b'the request is not served; send well-formed HTTP/1.1 within limits'
+)
+CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+
+
+# The server has answered an expectation, and frames the body anew.
+CONSUMED_HEADERS = frozenset((LENGTH, 'expect'))
+
+
+class FramingError(ValueError):
+    """Two readers could disagree on where the request ends."""
+
+
+class HttpRequest(msgspec.Struct):
+    """A whole HTTP request.
+
+    Attributes:
+        method: The method in capitals.
+        path: The request target, with the query string.
+        headers: Names in lower case and values, in order, without those
+            for one connection only.
+        body: The whole body.
+        keep_alive: Whether the connection stays open afterwards.
+    """
+
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    keep_alive: bool = True
+
+    def header(self, name: str, default: str = '') -> str:
+        """Returns the first value of a header, named in lower case."""
+        return next(
+            (value for key, value in self.headers if key == name),
+            default,
+        )
+
+
+class HttpResponse(msgspec.Struct):
+    """A whole HTTP response.
+
+    Attributes:
+        status: The status code.
+        headers: Names and values, without the framing headers; the response
+            to HEAD keeps its length.
+        body: The whole body.
+    """
+
+    status: int
+    headers: Headers
+    body: bytes
+
+    def to_bytes(self, *, keep_alive: bool = True) -> bytes:
+        """Encodes the response with its framing headers."""
+        reason = REASONS.get(self.status, b'Status')
+        lines = [b'HTTP/1.1 %d %s' % (self.status, reason)]
+        lines.extend(
+            f'{name}: {value}'.encode('latin-1') for name, value in self.headers
+        )
+        if self.needs_length():
+            lines.append(b'content-length: %d' % len(self.body))
+        if not keep_alive:
+            lines.append(b'connection: close')
+        return b'%s\r\n\r\n%s' % (b'\r\n'.join(lines), self.body)
+
+    def needs_length(self) -> bool:
+        """Tells whether the length of the body is to be added.
+
+        Some statuses have no body, and the response to HEAD carries the
+        length of the body that it leaves out.
+        """
+        if self.status in BODILESS:
+            return False
+        return all(name != LENGTH for name, _ in self.headers)
+
+
+@attrs.define(eq=False)
+class Exchange:
+    """One request with the means to answer it.
+
+    Attributes:
+        request: The request.
+        protocol: The connection that it came by.
+        response: The answer once it is known.
+        on_abandon: Called when the caller goes away before the answer.
+    """
+
+    request: HttpRequest
+    protocol: 'HttpServer'
+    response: HttpResponse | None = None
+    on_abandon: Callable[[], None] | None = None
+
+    def respond(self, response: HttpResponse) -> None:
+        """Answers the request; answers leave in the order of requests."""
+        self.response = response
+        self.protocol.flush()
+
+
+Handler = Callable[[Exchange], None]
+
+
+class HttpServer(Protocol):
+    """Serves one connection of a caller.
+
+    Attributes:
+        server: Who handles the requests and knows the connections.
+        pending: Requests that aren't answered yet, oldest first.
+    """
+
+    def __init__(self, factory: 'HttpServerFactory') -> None:
+        """Prepares the parser.
+
+        Args:
+            factory: Who handles the requests and knows the connections.
+        """
+        self.server = factory
+        self.pending: deque[Exchange] = deque()
+        self.parser = httptools.HttpRequestParser(self)
+        self.refused = False
+        self.reset()
+
+    def reset(self) -> None:
+        """Forgets the request that was being parsed."""
+        self.url = b''
+        self.headers: Headers = []
+        self.chunks: list[bytes] = []
+        self.header_bytes = 0
+        self.body_bytes = 0
+
+    def connectionMade(self) -> None:
+        """Turns off Nagle's algorithm, since answers are written whole."""
+        transport: Any = self.transport
+        transport.setTcpNoDelay(True)
+        self.server.connections.add(self)
+
+    def dataReceived(self, data: bytes) -> None:
+        """Feeds the parser; a malformed request closes the connection."""
+        if self.refused:
+            return
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self.reject(HTTPStatus.NOT_IMPLEMENTED)
+        except httptools.HttpParserCallbackError as error:
+            framing = isinstance(error.__context__, FramingError)
+            self.reject(
+                HTTPStatus.BAD_REQUEST
+                if framing
+                else HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+            )
+        except httptools.HttpParserError:
+            self.reject(HTTPStatus.BAD_REQUEST)
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        """Tells the requests in flight that their caller is gone."""
+        self.refused = True
+        self.server.connections.discard(self)
+        abandoned = [entry for entry in self.pending if not entry.response]
+        self.pending.clear()
+        for entry in abandoned:
+            if entry.on_abandon:
+                entry.on_abandon()
+
+    def reject(self, status: int) -> None:
+        """Refuses what can't be parsed, after the answers before it."""
+        self.refused = True
+        entry = Exchange(HttpRequest('', '', [], b'', keep_alive=False), self)
+        self.pending.append(entry)
+        entry.respond(HttpResponse(status, list(NOT_RUN_HEADERS), MALFORMED))
+
+    def drain(self) -> None:
+        """Closes the connection unless requests wait for answers."""
+        if not self.pending:
+            self.write(b'', last=True)
+
+    def flush(self) -> None:
+        """Writes the answers that are due, oldest first."""
+        while self.pending:
+            response = self.pending[0].response
+            if response is None:
+                break
+            entry = self.pending.popleft()
+            last = self.server.leaving and not self.pending
+            keep_alive = entry.request.keep_alive and not last
+            encoded = response.to_bytes(keep_alive=keep_alive)
+            self.write(encoded, last=not keep_alive)
+            if not keep_alive:
+                return
+        self.regulate()
+
+    def regulate(self) -> None:
+        """Stops reading while too many pipelined requests wait."""
+        transport: Any = self.transport
+        if len(self.pending) >= MAX_PIPELINED:
+            transport.pauseProducing()
+        elif transport.connected:
+            transport.resumeProducing()
+
+    def write(self, encoded: bytes, *, last: bool = False) -> None:
+        """Writes to the caller and closes after the last answer."""
+        transport: Any = self.transport
+        write_now(transport, encoded)
+        if last:
+            transport.loseConnection()
+
+    def on_url(self, url: bytes) -> None:
+        """Collects the request target."""
+        self.url += url
+        self.limit_headers(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collects one header."""
+        self.limit_headers(len(name) + len(value))
+        self.headers.append(
+            (name.decode('latin-1').lower(), value.decode('latin-1')),
+        )
+
+    def on_headers_complete(self) -> None:
+        """Checks the framing and answers an expectation of the caller."""
+        if self.parser.should_upgrade() or not has_safe_framing(self.headers):
+            raise FramingError
+        if ('expect', '100-continue') in self.headers:
+            self.write(CONTINUE)
+
+    def on_body(self, body: bytes) -> None:
+        """Collects the body up to its limit."""
+        self.body_bytes += len(body)
+        if self.body_bytes > MAX_BODY_BYTES:
+            raise ValueError('the body exceeds its limit')
+        self.chunks.append(body)
+
+    def on_message_complete(self) -> None:
+        """Hands the whole request to the handler."""
+        request = HttpRequest(
+            self.parser.get_method().decode('ascii'),
+            self.url.decode('latin-1'),
+            [
+                pair
+                for pair in drop_hop_headers(self.headers)
+                if pair[0] not in CONSUMED_HEADERS
+            ],
+            b''.join(self.chunks),
+            self.parser.should_keep_alive(),
+        )
+        self.reset()
+        entry = Exchange(request, self)
+        self.pending.append(entry)
+        self.regulate()
+        self.server.handler(entry)
+
+    def limit_headers(self, size: int) -> None:
+        """Counts header bytes against their limit."""
+        self.header_bytes += size
+        if self.header_bytes > MAX_HEADER_BYTES:
+            raise ValueError('the headers exceed their limit')
+
+
+class HttpServerFactory(Factory):
+    """Builds a server protocol for each connection of a caller."""
+
+    noisy = False
+
+    def __init__(self, handler: Handler) -> None:
+        """Stores the handler.
+
+        Args:
+            handler: Called with each whole request.
+        """
+        self.handler = handler
+        self.connections: set[HttpServer] = set()
+        self.leaving = False
+
+    def buildProtocol(self, addr: Any) -> HttpServer:
+        """Builds the protocol of one connection."""
+        return HttpServer(self)
+
+    def drain(self) -> None:
+        """Closes each connection once its requests are answered."""
+        for connection in tuple(self.connections):
+            connection.drain()
--- a/egretlanding/replica.py
+++ b/egretlanding/replica.py
@@ -93,8 +93,8 @@
                 tell how long a request was under way.
 
         Returns:
-            What to pull from the sender; nothing from a host that isn't on
-            the list, since its address isn't known.
+            What to pull from the sender; nothing on a request from a host
+            that isn't on the list, since its address isn't known.
         """
         self.membership.heard_from(summary.host_id, summary.incarnation, now)
         if summary.watching:
@@ -103,7 +103,8 @@
         if elapsed is not None:
             self._learn_ages(summary, now - elapsed)
             self._note_peer(summary)
-        if summary.host_id not in self.membership.hosts.hosts:
+        listed = summary.host_id in self.membership.hosts.hosts
+        if elapsed is None and not listed:
             return Comparison(pull_release=False, pull_hosts=False)
         position = summary.position
         revision = summary.hosts_revision
@@ -228,6 +229,16 @@
         self.readiness.note_store(self.ledger.position)
         self._settle()
 
+    def hosts_confirmed(self, now: float, revision: int) -> None:
+        """Records what the store said of the host list.
+
+        Args:
+            now: When the store was asked, seconds.
+            revision: The store's revision of the list.
+        """
+        if revision == self.membership.hosts.revision:
+            self.freshness.note_hosts(now)
+
     def next_exchanges(self, now: float) -> tuple[Host, ...]:
         """Takes the exchanges that are due off the schedule."""
         due = self.partners.take_due(
@@ -287,6 +298,9 @@
         self.freshness.note_attempted(asked_at, summary.attempted_age)
         if summary.position == self.ledger.position:
             self.freshness.note_confirmed(asked_at, summary.confirmed_age)
+        # What is later than the list held is later than an earlier list too.
+        if summary.hosts_revision <= self.membership.hosts.revision:
+            self.freshness.note_hosts(asked_at, summary.hosts_age)
 
     def _note_peer(self, summary: Summary) -> None:
         host = self.membership.hosts.hosts.get(summary.host_id)
--- a/egretlanding/replicastate.py
+++ b/egretlanding/replicastate.py
@@ -85,6 +85,7 @@
             notices=self.membership.notices.to_send(now),
             ready=self.is_ready(now),
             watching=self.duty.is_watching(now),
+            hosts_age=self.freshness.hosts_age(now),
         )
 
     def is_ready(self, now: float) -> bool:
--- /dev/null
+++ b/egretlanding/storeclient.py
@@ -0,0 +1,126 @@
+"""Reads and watches the platform's store."""
+
+from typing import Any
+
+import attrs
+import treq
+from twisted.internet.defer import CancelledError
+from twisted.internet.error import ConnectError, ConnectionClosed
+from twisted.web import http
+from twisted.web.client import Agent, HTTPConnectionPool, ResponseFailed
+
+from egretlanding.exceptions import PlatformError
+from egretlanding.release import MAX_VALUE_BYTES
+
+CONNECT_TIMEOUT_S = 2
+READ_TIMEOUT_S = 3
+REVISION_HEADER = 'x-revision'
+MS_PER_S = 1_000
+
+FAILURES = (
+    CancelledError,
+    ConnectError,
+    ConnectionClosed,
+    ResponseFailed,
+    TimeoutError,
+    ValueError,
+)
+
+
+@attrs.frozen
+class StoreValue:
+    """What the store says of a key.
+
+    Attributes:
+        revision: The store's revision at which the key was last written,
+            zero if it never was.
+        body: The value, or None if it isn't newer than was asked for.
+    """
+
+    revision: int
+    body: bytes | None = None
+
+
+@attrs.define
+class StoreClient:
+    """Reads keys of the platform's store over HTTP.
+
+    Attributes:
+        reactor: The reactor to connect with.
+        base_url: URL of the store, without a trailing slash.
+        agent: The HTTP agent, which keeps connections open.
+        reads: Reads sent so far, a waiting watch counted as one.
+    """
+
+    reactor: Any
+    base_url: str
+    agent: Any
+    reads: int = 0
+
+    @classmethod
+    def from_url(
+        cls,
+        reactor: Any,
+        base_url: str,
+        source: str = '',
+    ) -> 'StoreClient':
+        """Builds a client.
+
+        Args:
+            reactor: The reactor to connect with.
+            base_url: URL of the store.
+            source: The address to connect from, or empty for any.
+        """
+        agent = Agent(
+            reactor,
+            connectTimeout=CONNECT_TIMEOUT_S,
+            bindAddress=(source, 0) if source else None,
+            pool=HTTPConnectionPool(reactor),
+        )
+        return cls(reactor, base_url.rstrip('/'), agent)
+
+    async def read(
+        self,
+        key: str,
+        after: int = 0,
+        wait_ms: int = 0,
+    ) -> StoreValue:
+        """Reads a key once it is newer than a revision.
+
+        Args:
+            key: The key.
+            after: Revision that the value must exceed.
+            wait_ms: Longest wait for a newer value, ms.
+
+        Raises:
+            PlatformError: The store gave no usable answer.
+        """
+        self.reads += 1
+        url = f'{self.base_url}/v1/keys/{key}?after={after}&wait_ms={wait_ms}'
+        try:
+            return await self._get(url, READ_TIMEOUT_S + wait_ms / MS_PER_S)
+        except FAILURES as error:
+            raise _unreachable(key, error) from error
+
+    async def _get(self, url: str, timeout_s: float) -> StoreValue:
+        response = await treq.get(url, agent=self.agent, timeout=timeout_s)
+        content = treq.content(response)
+        body = await content.addTimeout(READ_TIMEOUT_S, self.reactor)
+        if response.code == http.NOT_FOUND:
+            return StoreValue(0)
+        revision = response.headers.getRawHeaders(REVISION_HEADER, ['0'])[0]
+        if response.code == http.NOT_MODIFIED:
+            return StoreValue(int(revision))
+        if response.code != http.OK or len(body) > MAX_VALUE_BYTES:
+            raise PlatformError(
+                f'the store answered {response.code} with {len(body)} bytes',
+                'wait; the last accepted release stays in force',
+            )
+        return StoreValue(revision=int(revision), body=body)
+
+
+def _unreachable(key: str, error: Exception) -> PlatformError:
+    return PlatformError(
+        f'reading {key} from the store failed ({error!r})',
+        'check store_url; the last accepted release stays in force',
+    )
