--- a/egretlanding/agreement.py
+++ b/egretlanding/agreement.py
@@ -3,9 +3,11 @@
 from collections.abc import Iterator, Mapping
 
 import attrs
+from result import Err, Ok, Result
 
+from egretlanding.exceptions import AdminError
 from egretlanding.release import Position, shorten
-from egretlanding.status import StatusReport
+from egretlanding.status import RefusedRelease, StatusReport
 
 NOTHING = Position()
 
@@ -34,6 +36,29 @@
         held = map(position_of, reports.values())
         return cls(max(held, default=NOTHING), reports, silent)
 
+    @classmethod
+    def from_outcomes(
+        cls,
+        outcomes: Mapping[str, Result[bytes, AdminError]],
+    ) -> 'Agreement':
+        """Judges the answers of daemons, some of which may be malformed."""
+        decoded = {
+            daemon: outcome.and_then(_decode)
+            for daemon, outcome in outcomes.items()
+        }
+        return cls.from_reports(
+            {
+                daemon: report.ok_value
+                for daemon, report in decoded.items()
+                if isinstance(report, Ok)
+            },
+            {
+                daemon: str(report.err_value)
+                for daemon, report in decoded.items()
+                if isinstance(report, Err)
+            },
+        )
+
     def behind(self) -> list[str]:
         """Returns the hosts that don't hold the newest release."""
         return [
@@ -101,20 +126,28 @@
         f'    ready: {_readiness(report)}, number: {report.number}, '
         f'revision: {report.revision}, confirmed: {_freshness(report)}',
         f'    digest: {report.digest or "none"}',
+        *(f'    refused: {_refusal(refused)}' for refused in report.refused),
         *(
-            f'    refused: release {refused.number} '
-            f'({shorten(refused.digest)}): {refused.reason}'
-            for refused in report.refused
-        ),
-        *(
-            f'    conflict: release {conflict.number} '
-            f'({shorten(conflict.loser)}) lost to '
-            f'{shorten(conflict.winner)}: {conflict.reason}'
+            f'    conflict: release {conflict.number}: {conflict.loser} lost '
+            f'to {conflict.winner or "a later release"}: {conflict.reason}'
             for conflict in report.conflicts
         ),
     ]
 
 
+def _refusal(refused: RefusedRelease) -> str:
+    # A daemon that heard of the refusal from another knows the digest only.
+    number = f' {refused.number}' if refused.number else ''
+    return f'release{number} ({shorten(refused.digest)}): {refused.reason}'
+
+
+def _decode(encoded: bytes) -> Result[StatusReport, AdminError]:
+    try:
+        return Ok(StatusReport.from_bytes(encoded))
+    except AdminError as error:
+        return Err(error)
+
+
 def _readiness(report: StatusReport) -> str:
     if report.draining:
         return 'no (draining)'
