--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -41,3 +41,15 @@
     assert not lacking, f'add a section for {lacking} to docs/CLI.md'
     codes = re.findall(r'^\| (\d) \|', text, re.MULTILINE)
     assert list(map(int, codes)) == [code.value for code in ExitCode]
+
+
+def test_tests_that_the_promises_name_exist() -> None:
+    text = (DOCS / 'PROMISES.md').read_text()
+    named = re.findall(r'`(tests/\w+\.py)::(\w+)`', text)
+    assert named
+    missing = [
+        f'{path}::{name}'
+        for path, name in named
+        if f'def {name}(' not in (DOCS.parent / path).read_text()
+    ]
+    assert not missing
