--- /dev/null
+++ b/tests/test_design.py
@@ -0,0 +1,81 @@
+"""Compares the layers that docs/DESIGN.md shows with the imports."""
+
+import ast
+import itertools
+import re
+from collections.abc import Iterator
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+PACKAGE = ROOT / 'egretlanding'
+PURE = ('values', 'files', 'policy')
+IMPURE_LIBRARIES = {
+    'absl',
+    'asyncio',
+    'grpclib',
+    'httptools',
+    'klein',
+    'opentelemetry',
+    'signal',
+    'socket',
+    'time',
+    'treq',
+    'twisted',
+    'uvloop',
+}
+
+
+def layers() -> dict[str, list[str]]:
+    """Returns the modules of each layer, as the page lists them."""
+    text = (ROOT / 'docs' / 'DESIGN.md').read_text()
+    found = re.search('```layers\n(.*?)```', text, re.DOTALL)
+    assert found
+    rows = [line.split(': ') for line in found[1].splitlines()]
+    return {name: modules.split() for name, modules in rows}
+
+
+def imports(module: str) -> Iterator[str]:
+    """Yields the full names of the modules that a module imports."""
+    tree = ast.parse((PACKAGE / f'{module}.py').read_text())
+    for node in ast.walk(tree):
+        if isinstance(node, ast.Import):
+            yield from (alias.name for alias in node.names)
+        elif isinstance(node, ast.ImportFrom) and node.module:
+            yield node.module
+
+
+def test_each_module_stands_in_one_layer() -> None:
+    listed = list(itertools.chain.from_iterable(layers().values()))
+    present = {
+        path.stem
+        for path in PACKAGE.glob('*.py')
+        if not path.stem.startswith('__')
+    }
+    assert sorted(listed) == sorted(present)
+
+
+def test_modules_import_from_their_own_layer_and_those_above() -> None:
+    rank = {
+        module: number
+        for number, modules in enumerate(layers().values())
+        for module in modules
+    }
+    wrong = [
+        f'{module} imports {name}'
+        for module in rank
+        for name in imports(module)
+        if name.startswith('egretlanding.')
+        and rank[name.removeprefix('egretlanding.')] > rank[module]
+    ]
+    assert not wrong
+
+
+def test_policy_owns_no_sockets_and_no_clock() -> None:
+    wrong = [
+        f'{module} imports {name}'
+        for layer in PURE
+        for module in layers()[layer]
+        for name in imports(module)
+        if name.partition('.')[0] in IMPURE_LIBRARIES
+    ]
+    assert not wrong
