--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -1,4 +1,4 @@
-"""Property tests of deltas, notices, ages, the read budget and the wire."""
+"""Property tests of deltas, notices, the read budget and the wire."""
 
 import itertools
 import math
@@ -28,6 +28,7 @@
 from egretlanding.notices import MAX_NOTICES, NoticeTable
 from egretlanding.objects import ConfigObject, Region
 from egretlanding.release import Position, Release
+from egretlanding.replica import Replica, ReplicaConfig
 from egretlanding.watchers import WatchDuty
 
 MAX_TRANSIT_S = 2
@@ -282,6 +283,18 @@
         wire.summary_from_wire(message)
 
 
+def test_a_seed_that_is_not_listed_is_pulled_from() -> None:
+    config = ReplicaConfig(make_host('a'), 1, (make_host('127.0.0.1:3'),))
+    replica = Replica.from_config(config, lambda _: (), Random(0), 0)
+    answer = Summary('b', 1, Position(1, 1, 'ab'), 1, 1, 1)
+    # The seed is known by its address only, and answers by its id.
+    asked = replica.observe(answer, 1)
+    assert not asked.pull_release
+    answered = replica.observe(answer, 1, 0.1)
+    assert answered.pull_release
+    assert answered.pull_hosts
+
+
 def test_a_list_that_lags_keeps_a_host_leaving() -> None:
     host = attrs.evolve(make_host('a'), state=HostState.LEAVING)
     hosts = HostList(1, {'a': host})
