--- a/egretlanding/supervisor.py
+++ b/egretlanding/supervisor.py
@@ -182,11 +182,13 @@
         """Swaps the view if what it was built from has changed."""
         replica = self.subscriber.replica
         release = replica.ledger.release
-        staying = replica.membership.staying(time.monotonic())
         hosts = replica.membership.hosts
-        leaving = frozenset(hosts.hosts).difference(
-            host.host_id for host in staying
+        # The list itself marks those that the platform knows to be leaving.
+        notices = replica.membership.notices.of_kind(
+            NoticeKind.LEAVING,
+            time.monotonic(),
         )
+        leaving = frozenset(notice.subject for notice in notices)
         key = (replica.ledger.position, hosts.revision, leaving)
         if release is not None and key != self.applied:
             self.applied = key
