--- a/tests/callfleet.py
+++ b/tests/callfleet.py
@@ -95,24 +95,38 @@
     def start(cls, placements: Iterable[Placement] = PLACEMENTS) -> 'CallFleet':
         """Starts all processes and waits until calls are served."""
         fleet = Fleet.from_placements(placements, store_region=REGION)
-        proxy = FaultProxy.start()
-        solo = fleet.members[SOLO]
-        target_port = solo.settings['target_port']
-        solo.advertised['peer_port'] = proxy.add_link(
+        started = cls(
+            fleet,
+            FaultProxy.start(),
+            fleet.members[SOLO].settings['target_port'],
+        )
+        try:
+            started.serve()
+        except BaseException:
+            # No process may be left running if one of them doesn't start.
+            started.close()
+            raise
+        return started
+
+    def serve(self) -> None:
+        """Starts the hosts and waits until calls are served."""
+        solo = self.member(SOLO)
+        solo.advertised['peer_port'] = self.proxy.add_link(
             'peer',
             solo.settings['peer_port'],
         )
-        for member in fleet.members.values():
+        for member in self.fleet.members.values():
             member.start_target()
-        solo.settings['target_port'] = proxy.add_link('target', target_port)
-        for member in fleet.members.values():
+        solo.settings['target_port'] = self.proxy.add_link(
+            'target',
+            self.target_port,
+        )
+        for member in self.fleet.members.values():
             member.start_daemon()
-        fleet.publish_hosts()
-        fleet.publish(build_release())
-        fleet.wait_in_force(1)
-        started = cls(fleet, proxy, target_port)
-        started.wait_served()
-        return started
+        self.fleet.publish_hosts()
+        self.fleet.publish(build_release())
+        self.fleet.wait_in_force(1)
+        self.wait_served()
 
     def member(self, name: str) -> Member:
         """Returns a host."""
