--- a/egretlanding/replica.py
+++ b/egretlanding/replica.py
@@ -93,8 +93,8 @@
                 tell how long a request was under way.
 
         Returns:
-            What to pull from the sender; nothing from a host that isn't on
-            the list, since its address isn't known.
+            What to pull from the sender; nothing on a request from a host
+            that isn't on the list, since its address isn't known.
         """
         self.membership.heard_from(summary.host_id, summary.incarnation, now)
         if summary.watching:
@@ -103,7 +103,8 @@
         if elapsed is not None:
             self._learn_ages(summary, now - elapsed)
             self._note_peer(summary)
-        if summary.host_id not in self.membership.hosts.hosts:
+        listed = summary.host_id in self.membership.hosts.hosts
+        if elapsed is None and not listed:
             return Comparison(pull_release=False, pull_hosts=False)
         position = summary.position
         revision = summary.hosts_revision
