--- a/egretlanding/callheaders.py
+++ b/egretlanding/callheaders.py
@@ -4,7 +4,7 @@
 
 from egretlanding.exceptions import CallHeaderError
 from egretlanding.frames import CallReply, Headers
-from egretlanding.httpserver import HttpRequest, HttpResponse
+from egretlanding.httpmessages import HttpRequest, HttpResponse
 from egretlanding.outcomes import TRAITS, Execution, Reason, Refusal
 from egretlanding.retries import (
     DEADLINE_HEADER,
--- a/egretlanding/egress.py
+++ b/egretlanding/egress.py
@@ -14,7 +14,7 @@
 )
 from egretlanding.exceptions import KeyFormatError
 from egretlanding.frames import CallReply, CallRequest, refusal_reply
-from egretlanding.httpserver import HttpResponse
+from egretlanding.httpmessages import HttpResponse
 from egretlanding.idempotency import (
     Answer,
     Join,
--- a/egretlanding/httpclient.py
+++ b/egretlanding/httpclient.py
@@ -11,11 +11,10 @@
 from egretlanding.eagerwrites import write_now
 from egretlanding.frames import MAX_FRAME_BYTES, Headers
 from egretlanding.httpheaders import drop_hop_headers, has_one_length
-from egretlanding.httpserver import HttpRequest, HttpResponse
+from egretlanding.httpmessages import BODILESS, HttpRequest, HttpResponse
 
 MAX_RESPONSE_BYTES = MAX_FRAME_BYTES // 2
 MAX_HEADER_BYTES = 65_536
-BODILESS = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 
 # Called with the whole response, or with None if the connection was lost
 # before the response was whole.
--- a/egretlanding/httpserver.py
+++ b/egretlanding/httpserver.py
@@ -7,20 +7,18 @@
 
 import attrs
 import httptools
-import msgspec
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
 from egretlanding.eagerwrites import write_now
 from egretlanding.frames import Headers
 from egretlanding.httpheaders import LENGTH, drop_hop_headers, has_safe_framing
+from egretlanding.httpmessages import HttpRequest, HttpResponse
 
 MAX_HEADER_BYTES = 65_536
 MAX_BODY_BYTES = 1_048_576
 MAX_PIPELINED = 16
 
-REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
-BODILESS = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 NOT_RUN_HEADERS = (
     ('content-type', 'text/plain'),
     ('x-egretlanding-ran', 'no'),
@@ -40,70 +38,6 @@
     """Two readers could disagree on where the request ends."""
 
 
-class HttpRequest(msgspec.Struct):
-    """A whole HTTP request.
-
-    Attributes:
-        method: The method in capitals.
-        path: The request target, with the query string.
-        headers: Names in lower case and values, in order, without those
-            for one connection only.
-        body: The whole body.
-        keep_alive: Whether the connection stays open afterwards.
-    """
-
-    method: str
-    path: str
-    headers: Headers
-    body: bytes
-    keep_alive: bool = True
-
-    def header(self, name: str, default: str = '') -> str:
-        """Returns the first value of a header, named in lower case."""
-        return next(
-            (value for key, value in self.headers if key == name),
-            default,
-        )
-
-
-class HttpResponse(msgspec.Struct):
-    """A whole HTTP response.
-
-    Attributes:
-        status: The status code.
-        headers: Names and values, without the framing headers; the response
-            to HEAD keeps its length.
-        body: The whole body.
-    """
-
-    status: int
-    headers: Headers
-    body: bytes
-
-    def to_bytes(self, *, keep_alive: bool = True) -> bytes:
-        """Encodes the response with its framing headers."""
-        reason = REASONS.get(self.status, b'Status')
-        lines = [b'HTTP/1.1 %d %s' % (self.status, reason)]
-        lines.extend(
-            f'{name}: {value}'.encode('latin-1') for name, value in self.headers
-        )
-        if self.needs_length():
-            lines.append(b'content-length: %d' % len(self.body))
-        if not keep_alive:
-            lines.append(b'connection: close')
-        return b'%s\r\n\r\n%s' % (b'\r\n'.join(lines), self.body)
-
-    def needs_length(self) -> bool:
-        """Tells whether the length of the body is to be added.
-
-        Some statuses have no body, and the response to HEAD carries the
-        length of the body that it leaves out.
-        """
-        if self.status in BODILESS:
-            return False
-        return all(name != LENGTH for name, _ in self.headers)
-
-
 @attrs.define(eq=False)
 class Exchange:
     """One request with the means to answer it.
--- a/egretlanding/ingress.py
+++ b/egretlanding/ingress.py
@@ -18,7 +18,8 @@
     refusal_reply,
 )
 from egretlanding.hosts import Host
-from egretlanding.httpserver import Exchange, HttpRequest
+from egretlanding.httpmessages import HttpRequest
+from egretlanding.httpserver import Exchange
 from egretlanding.jobs import MS_PER_S
 from egretlanding.keys import parse_key
 from egretlanding.objects import WorkClass
--- a/egretlanding/keyissuer.py
+++ b/egretlanding/keyissuer.py
@@ -16,7 +16,8 @@
 from egretlanding.callheaders import response_of
 from egretlanding.frames import refusal_reply
 from egretlanding.hosts import Host
-from egretlanding.httpserver import Exchange, HttpResponse
+from egretlanding.httpmessages import HttpResponse
+from egretlanding.httpserver import Exchange
 from egretlanding.keys import issue_key
 from egretlanding.outcomes import Reason, Refusal
 from egretlanding.peerlinks import Lane, PeerLinks
--- a/egretlanding/targetcalls.py
+++ b/egretlanding/targetcalls.py
@@ -8,7 +8,7 @@
     TARGET_CALL_HEADER,
     TARGET_DEADLINE_HEADER,
 )
-from egretlanding.httpserver import HttpRequest
+from egretlanding.httpmessages import HttpRequest
 from egretlanding.jobs import MS_PER_S, Job
 from egretlanding.outcomes import FailedAttempt, Progress, Reason
 from egretlanding.quarantine import Quarantine
--- a/egretlanding/targethealth.py
+++ b/egretlanding/targethealth.py
@@ -9,7 +9,7 @@
 
 from egretlanding.events import Event, Severity, log_event
 from egretlanding.httpclient import encode_request
-from egretlanding.httpserver import HttpRequest
+from egretlanding.httpmessages import HttpRequest
 from egretlanding.outcomes import Progress
 from egretlanding.targetpool import TargetOutcome, TargetPool
 
--- a/egretlanding/targetpool.py
+++ b/egretlanding/targetpool.py
@@ -11,7 +11,7 @@
 
 from egretlanding.frames import Headers
 from egretlanding.httpclient import HttpClient, encode_request
-from egretlanding.httpserver import HttpRequest, HttpResponse
+from egretlanding.httpmessages import HttpRequest, HttpResponse
 from egretlanding.outcomes import Progress
 
 CONNECT_TIMEOUT_S = 1
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from egretlanding.httpclient import HttpClient, encode_request
-from egretlanding.httpserver import HttpRequest, HttpResponse
+from egretlanding.httpmessages import HttpRequest, HttpResponse
 from tests.wires import attach, feed
 
 BODIES = st.binary(max_size=60)
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -4,13 +4,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from egretlanding.httpserver import (
-    Exchange,
-    HttpRequest,
-    HttpResponse,
-    HttpServer,
-    HttpServerFactory,
-)
+from egretlanding.httpmessages import HttpRequest, HttpResponse
+from egretlanding.httpserver import Exchange, HttpServer, HttpServerFactory
 from tests.wires import Wire, attach, feed
 
 HAZARDS = (
