Give a PlatformError for every bad answer of the store

Cause: a body that stalls ends in twisted.internet.defer.TimeoutError, which is neither the built-in TimeoutError nor CancelledError, so it escaped the read. The time limit of the request ran on the global reactor, not on the client's. A revision below 0 or above 63 bits was accepted, and the exchange can't carry it.

Ruled out: a revision that isn't a number gave PlatformError before, since ValueError was handled; so did a cancelled read.

--- a/egretlanding/storeclient.py
+++ b/egretlanding/storeclient.py
@@ -4,7 +4,7 @@
 
 import attrs
 import treq
-from twisted.internet.defer import CancelledError
+from twisted.internet import defer
 from twisted.internet.error import ConnectError, ConnectionClosed
 from twisted.web import http
 from twisted.web.client import Agent, HTTPConnectionPool, ResponseFailed
@@ -15,10 +15,12 @@
 CONNECT_TIMEOUT_S = 2
 READ_TIMEOUT_S = 3
 REVISION_HEADER = 'x-revision'
+MAX_REVISION = 9_000_000_000_000_000_000
 MS_PER_S = 1_000
 
 FAILURES = (
-    CancelledError,
+    defer.CancelledError,
+    defer.TimeoutError,
     ConnectError,
     ConnectionClosed,
     ResponseFailed,
@@ -103,20 +105,34 @@
             raise _unreachable(key, error) from error
 
     async def _get(self, url: str, timeout_s: float) -> StoreValue:
-        response = await treq.get(url, agent=self.agent, timeout=timeout_s)
+        response = await treq.get(
+            url,
+            agent=self.agent,
+            reactor=self.reactor,
+            timeout=timeout_s,
+        )
         content = treq.content(response)
         body = await content.addTimeout(READ_TIMEOUT_S, self.reactor)
         if response.code == http.NOT_FOUND:
             return StoreValue(0)
-        revision = response.headers.getRawHeaders(REVISION_HEADER, ['0'])[0]
+        revision = _revision_of(response)
         if response.code == http.NOT_MODIFIED:
-            return StoreValue(int(revision))
+            return StoreValue(revision)
         if response.code != http.OK or len(body) > MAX_VALUE_BYTES:
             raise PlatformError(
                 f'the store answered {response.code} with {len(body)} bytes',
                 'wait; the last accepted release stays in force',
             )
-        return StoreValue(revision=int(revision), body=body)
+        return StoreValue(revision, body)
+
+
+def _revision_of(response: Any) -> int:
+    text = response.headers.getRawHeaders(REVISION_HEADER, ['0'])[0]
+    revision = int(text)
+    # The exchange carries revisions in 64 bits.
+    if not 0 <= revision <= MAX_REVISION:
+        raise ValueError(f'{REVISION_HEADER} {revision} is out of range')
+    return revision
 
 
 def _unreachable(key: str, error: Exception) -> PlatformError:
--- a/egretlanding/storewatch.py
+++ b/egretlanding/storewatch.py
@@ -24,13 +24,13 @@
     digest_of,
 )
 from egretlanding.replica import Replica
-from egretlanding.storeclient import StoreClient, StoreValue
+from egretlanding.storeclient import MAX_REVISION, StoreClient, StoreValue
 
 MS_PER_S = 1_000
 HOSTS_POLL_S = 2
 HOSTS_RETRY_S = 5
-# Later than any revision, so that the store answers with its revision only.
-NO_BODY = 9_000_000_000_000_000_000
+# No value is newer, so the store answers with its revision only.
+NO_BODY = MAX_REVISION
 UNUSABLE_TTL_S = 30
 MAX_REASON_LENGTH = 200
 
--- /dev/null
+++ b/tests/test_storeclient.py
@@ -0,0 +1,84 @@
+"""Tests of reading the store: every bad answer is a PlatformError."""
+
+from typing import Any
+
+import pytest
+from twisted.internet.defer import Deferred, ensureDeferred, succeed
+from twisted.internet.task import Clock
+from twisted.python.failure import Failure
+from twisted.web.client import ResponseDone
+from twisted.web.http_headers import Headers
+
+from egretlanding.exceptions import PlatformError
+from egretlanding.storeclient import READ_TIMEOUT_S, StoreClient
+
+
+class Response:
+    """An answer whose body never ends unless it is given."""
+
+    code = 200
+    length = 1
+
+    def __init__(self, revision: str, body: bytes | None) -> None:
+        """Keeps what to answer."""
+        self.headers = Headers({'x-revision': [revision]})
+        self.body = body
+
+    def deliverBody(self, protocol: Any) -> None:
+        """Delivers the body, if there is one."""
+        if self.body is not None:
+            protocol.dataReceived(self.body)
+            protocol.connectionLost(Failure(ResponseDone()))
+
+
+class Agent:
+    """Answers every request with the same response, or not at all."""
+
+    def __init__(self, response: Response | None) -> None:
+        """Keeps the response."""
+        self.response = response
+
+    def request(self, *_request: Any) -> Deferred[Any]:
+        """Answers one request."""
+        return succeed(self.response) if self.response else Deferred()
+
+
+def read(response: Response | None) -> Deferred[Any]:
+    """Reads a key and lets the longest wait pass."""
+    clock = Clock()
+    client = StoreClient(clock, 'http://store', Agent(response))
+    reading = ensureDeferred(client.read('release/head'))
+    clock.advance(READ_TIMEOUT_S)
+    return reading
+
+
+def failure_of(reading: Deferred[Any]) -> Any:
+    failures: list[Any] = []
+    reading.addErrback(failures.append)
+    assert failures, 'the read has not failed'
+    return failures[0].value
+
+
+def test_a_whole_answer_is_returned() -> None:
+    found: list[Any] = []
+    read(Response('7', b'x')).addCallback(found.append)
+    assert (found[0].revision, found[0].body) == (7, b'x')
+
+
+@pytest.mark.parametrize('revision', ['', 'seven', '-1', str(2**63), '9' * 99])
+def test_a_malformed_revision_is_a_platform_error(revision: str) -> None:
+    error = failure_of(read(Response(revision, b'x')))
+    assert isinstance(error, PlatformError), repr(error)
+
+
+@pytest.mark.parametrize('response', [None, Response('7', None)])
+def test_a_silent_store_is_a_platform_error(response: Response | None) -> None:
+    error = failure_of(read(response))
+    assert isinstance(error, PlatformError), repr(error)
+
+
+def test_a_cancelled_read_is_a_platform_error() -> None:
+    client = StoreClient(Clock(), 'http://store', Agent(None))
+    reading = ensureDeferred(client.read('release/head'))
+    reading.cancel()
+    assert isinstance(failure_of(reading), PlatformError)
