Tell the number of a refused release to other daemons

Cause: the notice of a refusal carried the digest only, so daemons that heard of it from others showed 'refused: release (digest)' without the number; seen on a fleet of 6 daemons, where 1 of 3 asked lacked it. The subject is now number/digest, as conflicts have it; a subject without a number is still read.

Ruled out: the notice's incarnation as a carrier, since it orders notices of one subject.

Wrong variant: a subject of the digest alone; the new test in test_replica.py failed with number=0 != number=1. Now it passes.

--- a/egretlanding/agreement.py
+++ b/egretlanding/agreement.py
@@ -136,7 +136,7 @@
 
 
 def _refusal(refused: RefusedRelease) -> str:
-    # A daemon that heard of the refusal from another knows the digest only.
+    # A head that can't be decoded has no number.
     number = f' {refused.number}' if refused.number else ''
     return f'release{number} ({shorten(refused.digest)}): {refused.reason}'
 
--- a/egretlanding/reports.py
+++ b/egretlanding/reports.py
@@ -1,17 +1,24 @@
 """Notices by which every daemon learns of refused and conflicting releases."""
 
+from collections.abc import Iterable
+
 from egretlanding.ledger import Conflict, Refused
 from egretlanding.messages import Notice, NoticeKind
+from egretlanding.status import RefusedRelease
 
 REPORT_TTL_S = 1_800
 MAX_FAULT_LENGTH = 200
+REFUSED_REMEDY = 'fix the objects, run "egretlanding check", publish again'
 
 
 def refusal_notice(refused: Refused) -> Notice:
     """Returns the notice of a release that failed the check."""
     return Notice(
         kind=NoticeKind.REFUSED,
-        subject=refused.position.digest,
+        subject=release_subject(
+            refused.position.number,
+            refused.position.digest,
+        ),
         ttl=REPORT_TTL_S,
         evidence=tuple(
             fault[:MAX_FAULT_LENGTH] for fault in refused.faults[:1]
@@ -19,6 +26,31 @@
     )
 
 
+def release_subject(number: int, digest: str) -> str:
+    """Returns the subject of a notice on one release."""
+    return f'{number}/{digest}'
+
+
+def refused_of(notice: Notice) -> RefusedRelease:
+    """Rebuilds a refused release from its notice.
+
+    Its number is zero if the notice names none.
+    """
+    digits, _, digest = notice.subject.rpartition('/')
+    number = int(digits) if digits.isdecimal() else 0
+    return describe_refused(number, digest, notice.evidence)
+
+
+def describe_refused(
+    number: int,
+    digest: str,
+    faults: Iterable[str],
+) -> RefusedRelease:
+    """Returns a refused release as operators are told of it."""
+    reason = '; '.join((*faults, REFUSED_REMEDY))
+    return RefusedRelease(number, digest, reason)
+
+
 def conflict_notice(conflict: Conflict) -> Notice:
     """Returns the notice of two releases in conflict."""
     return Notice(
--- a/egretlanding/statedump.py
+++ b/egretlanding/statedump.py
@@ -14,6 +14,7 @@
 from egretlanding.messages import NoticeKind
 from egretlanding.release import shorten
 from egretlanding.replica import Replica
+from egretlanding.reports import describe_refused, refused_of
 from egretlanding.status import (
     RefusedRelease,
     ReleaseConflict,
@@ -21,7 +22,6 @@
 )
 
 MAX_ROWS = 64
-REFUSED_REMEDY = 'fix the objects, run "egretlanding check", publish again'
 CONFLICT_REMEDY = 'agree on one release and publish it with a greater number'
 
 
@@ -70,24 +70,20 @@
 ) -> tuple[RefusedRelease, ...]:
     """Returns the releases that this daemon or others keep out."""
     notices = replica.membership.notices.of_kind(NoticeKind.REFUSED, now)
-    told = {
-        notice.subject: RefusedRelease(
-            number=0,
-            digest=notice.subject,
-            reason=f'{"; ".join(notice.evidence)}; {REFUSED_REMEDY}',
-        )
-        for notice in notices
-        if notice.subject != replica.ledger.digest
-    }
-    own = {
-        digest: RefusedRelease(
-            number=refused.position.number,
-            digest=digest,
-            reason=f'{"; ".join(refused.faults)}; {REFUSED_REMEDY}',
-        )
-        for digest, refused in replica.ledger.refused.items()
+    told = map(refused_of, notices)
+    own = itertools.starmap(
+        describe_refused,
+        (
+            (refused.position.number, digest, refused.faults)
+            for digest, refused in replica.ledger.refused.items()
+        ),
+    )
+    # What this daemon found itself replaces what it was told.
+    by_digest = {
+        refused.digest: refused for refused in itertools.chain(told, own)
     }
-    return tuple({**told, **own}.values())
+    by_digest.pop(replica.ledger.digest, None)
+    return tuple(by_digest.values())
 
 
 def describe_conflict(conflict: Conflict, digest: str) -> ReleaseConflict:
--- a/egretlanding/status.py
+++ b/egretlanding/status.py
@@ -11,8 +11,8 @@
     """A release that a daemon keeps out.
 
     Attributes:
-        number: The number that operators gave the release; zero if only
-            its digest is known.
+        number: The number that operators gave the release; zero if its
+            head can't be decoded.
         digest: The release's digest.
         reason: Why it was refused, with the remedy.
     """
--- a/egretlanding/storewatch.py
+++ b/egretlanding/storewatch.py
@@ -24,6 +24,7 @@
     digest_of,
 )
 from egretlanding.replica import Replica
+from egretlanding.reports import release_subject
 from egretlanding.storeclient import MAX_REVISION, StoreClient, StoreValue
 
 MS_PER_S = 1_000
@@ -269,16 +270,21 @@
         )
         notice = Notice(
             kind=NoticeKind.REFUSED,
-            subject=announced_digest(body),
+            subject=announced_release(body),
             ttl=UNUSABLE_TTL_S,
             evidence=(str(error)[:MAX_REASON_LENGTH],),
         )
         self.replica.membership.learn(notice, self.clock())
 
 
-def announced_digest(body: bytes) -> str:
-    """Returns the digest in a head, or of the head if it is malformed."""
+def announced_release(body: bytes) -> str:
+    """Returns what a head announces, as the subject of a notice.
+
+    Returns:
+        The release's number and digest, or the digest of a malformed head.
+    """
     try:
-        return Head.from_bytes(body).digest
+        head = Head.from_bytes(body)
     except ReleaseError:
         return digest_of(body)
+    return release_subject(head.number, head.digest)
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -29,6 +29,7 @@
 from egretlanding.objects import ConfigObject, Region
 from egretlanding.release import Position, Release
 from egretlanding.replica import Replica, ReplicaConfig
+from egretlanding.statedump import refused_releases
 from egretlanding.watchers import WatchDuty
 
 MAX_TRANSIT_S = 2
@@ -161,6 +162,27 @@
     assert Conflict.from_text(subject, evidence) is None
 
 
+def find_fault(_objects: Any) -> list[str]:
+    return ['a link dangles']
+
+
+@given(st.integers(1, 10**18 - 1))
+def test_a_refusal_is_told_with_its_number(number: int) -> None:
+    release = make_release({}, number)
+    configs = [ReplicaConfig(make_host(name), 1) for name in 'ab']
+    replicas = [
+        Replica.from_config(config, find_fault, Random(0), 0)
+        for config in configs
+    ]
+    replicas[0].offer_release(release, 1, 0)
+    replicas[1].observe(replicas[0].summary(0), 0)
+    found, told = (refused_releases(replica, 0) for replica in replicas)
+    assert told == found
+    assert [(each.number, each.digest) for each in told] == [
+        (number, release.digest),
+    ]
+
+
 @given(FACTS)
 def test_the_latest_incarnation_decides(facts: Any) -> None:
     notices = [Notice(kind, 'h', number, ttl) for kind, number, ttl in facts]
