Let explain exit with 1 when a daemon has no route for the call

Cause: explain exited with 0 whatever the daemon found, so a script could not tell a routed call from one that is refused everywhere.

The test was seen to fail on the old control.py (exit code 0 for a call without a route), and passes now.

--- a/egretlanding/cmdline.py
+++ b/egretlanding/cmdline.py
@@ -112,7 +112,8 @@
 ) -> ExitCode:
     """Shows where daemons would send a call, and why.
 
-    Exits with 3 if one of them gives no answer.
+    Exits with 0 if each has a route for the call, with 1 if one has none,
+    and with 3 if one gives no answer.
 
     Args:
         method: HTTP method of the call.
--- a/egretlanding/control.py
+++ b/egretlanding/control.py
@@ -2,7 +2,7 @@
 
 import platform
 import sys
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from importlib import metadata
 from pathlib import Path
 from typing import Any
@@ -160,7 +160,8 @@
             AdminError: An address is malformed.
         """
         options = {'method': method.upper(), 'path': path}
-        return _raw(await self._ask(daemons, Question('/explain', options)))
+        outcomes = await self._ask(daemons, Question('/explain', options))
+        return _raw(outcomes, _has_route)
 
     def debug(self) -> Reply:
         """Reports versions, settings, kinds, checks and surroundings."""
@@ -216,15 +217,38 @@
     return ExitCode.DONE if agreement.is_whole() else ExitCode.FOUND
 
 
-def _raw(outcomes: dict[str, Outcome]) -> Reply:
+def _has_route(answer: Any) -> bool:
+    return bool(isinstance(answer, dict) and answer.get('route'))
+
+
+def _is_anything(_answer: Any) -> bool:
+    return True
+
+
+def _raw(
+    outcomes: dict[str, Outcome],
+    is_found: Callable[[Any], bool] = _is_anything,
+) -> Reply:
     answers = {
         daemon: outcome.and_then(decode_json)
         for daemon, outcome in outcomes.items()
     }
     content = {daemon: _shown(answer) for daemon, answer in answers.items()}
-    failed = any(isinstance(answer, Err) for answer in answers.values())
-    code = ExitCode.UNREACHABLE if failed else ExitCode.DONE
-    return Reply.from_lines(outline(content), content, code)
+    return Reply.from_lines(
+        outline(content),
+        content,
+        _worst(answers.values(), is_found),
+    )
+
+
+def _worst(
+    answers: Collection[Result[Any, AdminError]],
+    is_found: Callable[[Any], bool],
+) -> ExitCode:
+    if any(isinstance(answer, Err) for answer in answers):
+        return ExitCode.UNREACHABLE
+    found = all(is_found(answer.unwrap()) for answer in answers)
+    return ExitCode.DONE if found else ExitCode.FOUND
 
 
 def _shown(answer: Result[Any, AdminError]) -> Any:
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -259,11 +259,15 @@
     daemon = daemons.add(
         {
             '/explain?method=GET&path=%2Fa%3Fb%26c': b'{"route": "a"}',
+            '/explain?method=GET&path=%2Fb': b'{"route": "", "reasons": []}',
             '/dump': b'{"tasks": []}',
         },
     )
     call = ('explain', 'get', '/a?b&c', '--daemon', daemon, '--json')
-    assert json.loads(launch(*call).stdout) == {daemon: {'route': 'a'}}
+    explained = launch(*call)
+    assert json.loads(explained.stdout) == {daemon: {'route': 'a'}}
+    assert explained.returncode == 0
+    assert launch('explain', 'GET', '/b', '--daemon', daemon).returncode == 1
     dumped = launch('dump', '--daemon', daemon)
     assert 'tasks: []' in dumped.stdout
     assert launch('explain', 'PUT', '/x', '--daemon', daemon).returncode == 3
