Notice tests of KNOWN-RED.txt that pass again

Cause: a listed test that passes again showed only as xpassed, so its entry could stay for good. The summary now says so beside its name; it doesn't fail, since flaky tests may be listed.

Seen with two entries added on a scratch copy of the list: both passed tests were named, with and without workers; one broken on purpose was not.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -36,5 +36,9 @@
 
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
     """Prints the tests that the verdict passes over."""
+    passed = {
+        report.nodeid for report in terminalreporter.getreports('xpassed')
+    }
     for nodeid in known_red():
-        terminalreporter.write_line(f'known red: {nodeid}')
+        verdict = ', passed: remove its entry' if nodeid in passed else ''
+        terminalreporter.write_line(f'known red: {nodeid}{verdict}')
