--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,9 @@
 	$(BIN)/python -m pytest -n $(WORKERS) --dist loadfile
 
 demo: $(VENV)/.installed
-	$(BIN)/python -m standins.demo
+	mkdir -p build
+	@echo 'logs of all processes: build/demo.log'
+	$(BIN)/python -m standins.demo 2>build/demo.log || (tail -n 20 build/demo.log; exit 1)
 
 generate: $(VENV)/.installed
 	$(BIN)/pip install --quiet --requirement requirements/generate.txt
