Test the command line against real daemons

Status, dump and explain ran against stand-ins for daemons only, so an answer that the command line can't read would not have been noticed. Two tests run them against two daemons in two regions, with a refused release, a killed daemon and a call without a route.

Wrong variants: a refusal told without its number, and explain without its exit code; each made one of the two tests fail.

--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -24,6 +24,7 @@
 from egretlanding.declarations import Declarations
 from egretlanding.documents import MAX_FILE_BYTES, MAX_TOTAL_BYTES
 from egretlanding.status import RefusedRelease, ReleaseConflict, StatusReport
+from tests.commands import launch
 
 TROUSSE = Path(__file__).parent.parent / 'examples' / 'trousse'
 HOSTILE_LIMIT_S = 30
@@ -68,17 +69,6 @@
     return ended.value.code
 
 
-def launch(*arguments: str) -> subprocess.CompletedProcess[str]:
-    """Runs a command in a process of its own, as its reactor needs."""
-    return subprocess.run(
-        [sys.executable, '-m', 'egretlanding', *arguments],
-        capture_output=True,
-        check=False,
-        text=True,
-        timeout=60,
-    )
-
-
 class Handler(BaseHTTPRequestHandler):
     """Answers every path that was given, and 404 otherwise."""
 
--- /dev/null
+++ b/tests/test_cmdline_processes.py
@@ -0,0 +1,61 @@
+"""Tests of the command line against real daemons."""
+
+import json
+from collections.abc import Iterator
+
+import pytest
+
+from standins.fleet import Fleet
+from tests.commands import launch
+from tests.controlfleet import build_release, kill, running, wait_refused
+
+HOSTS = ('casa-0', 'sous-0')
+PATH = '/kits/7'
+
+
+@pytest.fixture
+def fleet() -> Iterator[Fleet]:
+    with running(1, 1) as (started, _first):
+        yield started
+
+
+def admin_options(fleet: Fleet) -> list[str]:
+    return [
+        f'--daemon=127.0.0.1:{member.settings["admin_port"]}'
+        for member in fleet.members.values()
+    ]
+
+
+def test_operators_see_what_daemons_hold(fleet: Fleet) -> None:
+    options = admin_options(fleet)
+    agreed = launch('status', *options)
+    assert agreed.returncode == 0, agreed.stdout
+    assert '2 of 2 daemons hold release 1' in agreed.stdout
+    broken = build_release(2, service='nowhere')
+    fleet.publish(broken)
+    wait_refused(fleet, broken.digest)
+    shown = json.loads(launch('status', *options, '--json').stdout)
+    numbers = {
+        report['host_id']: (
+            report['number'],
+            [refused['number'] for refused in report['refused']],
+        )
+        for report in shown['reports'].values()
+    }
+    assert numbers == dict.fromkeys(HOSTS, (1, [2]))
+    dumped = json.loads(launch('dump', *options, '--json').stdout)
+    assert {state['phase'] for state in dumped.values()} == {'ready'}
+    kill([fleet.members[HOSTS[1]]])
+    cut = launch('status', *options)
+    assert cut.returncode == 3
+    assert 'no answer' in cut.stdout
+
+
+def test_explain_tells_where_daemons_send_a_call(fleet: Fleet) -> None:
+    options = admin_options(fleet)
+    explained = launch('explain', 'GET', PATH, *options, '--json')
+    assert explained.returncode == 0, explained.stdout
+    for answer in json.loads(explained.stdout).values():
+        targets = {target['host_id'] for target in answer['targets']}
+        assert (answer['route'], targets) == ('kits', set(HOSTS))
+    assert launch('explain', 'GET', '/nowhere', *options).returncode == 1
