Join the header of updates with what is kept of releases

ledger.Lineage and delta.ReleaseHeader were the same three fields; the ledger keeps ReleaseHeader now.

--- a/egretlanding/delta.py
+++ b/egretlanding/delta.py
@@ -30,7 +30,7 @@
 
 @attrs.frozen
 class ReleaseHeader:
-    """Identifies the release that an update leads to.
+    """Identifies a release and the one that it was made from.
 
     Attributes:
         number: The release's number.
@@ -42,6 +42,11 @@
     parent: str
     digest: str
 
+    @classmethod
+    def from_release(cls, release: Release) -> 'ReleaseHeader':
+        """Returns what identifies a release."""
+        return cls(release.number, release.parent, release.digest)
+
 
 @attrs.frozen
 class ReleaseChanges:
@@ -98,7 +103,7 @@
         ),
         removed=tuple(key for key in known if key not in release.index),
     )
-    header = ReleaseHeader(release.number, release.parent, release.digest)
+    header = ReleaseHeader.from_release(release)
     return ReleaseUpdate(
         header=msgspec.json.encode(header, order='sorted'),
         revision=revision,
--- a/egretlanding/ledger.py
+++ b/egretlanding/ledger.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from egretlanding.delta import release_update
+from egretlanding.delta import ReleaseHeader, release_update
 from egretlanding.messages import ReleaseUpdate
 from egretlanding.objects import ConfigObject
 from egretlanding.release import Position, Release, shorten
@@ -68,21 +68,6 @@
     SAME_PARENT = 'same parent'
 
 
-@attrs.frozen
-class Lineage:
-    """What is kept of an acceptable release to recognize conflicts.
-
-    Attributes:
-        number: The release's number.
-        parent: Digest of the release that it was made from, or empty.
-        digest: The release's digest.
-    """
-
-    number: int
-    parent: str
-    digest: str
-
-
 @attrs.frozen(order=True)
 class Conflict:
     """Two releases of which only one can stay in force.
@@ -98,7 +83,9 @@
     reason: ConflictReason = attrs.field(order=False)
 
     @classmethod
-    def between(cls, first: Lineage, second: Lineage) -> 'Conflict | None':
+    def between(
+        cls, first: ReleaseHeader, second: ReleaseHeader
+    ) -> 'Conflict | None':
         """Returns the conflict of two releases, or none."""
         if first.digest == second.digest:
             return None
@@ -155,7 +142,7 @@
     position: Position = attrs.field(factory=Position)
     release: Release | None = None
     bases: dict[str, Release] = attrs.field(factory=dict)
-    seen: dict[str, Lineage] = attrs.field(factory=dict)
+    seen: dict[str, ReleaseHeader] = attrs.field(factory=dict)
     refused: dict[str, Refused] = attrs.field(factory=dict)
     conflicts: tuple[Conflict, ...] = ()
     updates: dict[str, ReleaseUpdate] = attrs.field(factory=dict)
@@ -235,12 +222,12 @@
         return refused
 
     def _record_conflicts(self, release: Release) -> None:
-        lineage = Lineage(release.number, release.parent, release.digest)
+        header = ReleaseHeader.from_release(release)
         found = (
-            Conflict.between(lineage, other) for other in self.seen.values()
+            Conflict.between(header, other) for other in self.seen.values()
         )
         self.add_conflicts(filter(None, found))
-        self.seen[release.digest] = lineage
+        self.seen[release.digest] = header
         _trim(self.seen, MAX_SEEN)
 
     def _adopt(self, release: Release, position: Position) -> Adopted:
@@ -253,7 +240,9 @@
         return adopted
 
 
-def _common(first: Lineage, second: Lineage) -> ConflictReason | None:
+def _common(
+    first: ReleaseHeader, second: ReleaseHeader
+) -> ConflictReason | None:
     if first.number == second.number:
         return ConflictReason.SAME_NUMBER
     if first.parent and first.parent == second.parent:
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -318,21 +318,23 @@
     machine.offer(key, 'b', DIGEST)
 
 
-def old_owner_is_cut_off(machine):
+def run_by_new_owner(machine):
+    """Lets b alone learn that it owns a key, and run the call."""
     add_b(machine)
     settle(machine, ('b',), 40)
     key = key_moved_from_a_to_b(machine)
     machine.offer(key, 'b', DIGEST)
     assert key.text in machine.executions
+    return key
+
+
+def old_owner_is_cut_off(machine):
+    key = run_by_new_owner(machine)
     machine.offer(key, 'a', DIGEST)
 
 
 def old_owner_misses_that_it_was_replaced(machine):
-    add_b(machine)
-    settle(machine, ('b',), 40)
-    key = key_moved_from_a_to_b(machine)
-    machine.offer(key, 'b', DIGEST)
-    assert key.text in machine.executions
+    key = run_by_new_owner(machine)
     machine.change_list('b')
     machine.read('a', 0)
     machine.offer(key, 'a', DIGEST)
