Don't fail an exchange while every connection is in use

Cause: closing unused connections took the last of the idle ones for the one about to be used; if all were in use, the list was empty and IndexError ended the exchange (E111 'pop from empty list', seen when a daemon of two was killed), and if the wanted one was in use, another idle one was spared.

The new test failed on the old exchange.py with that error (1 failed) and passes now (1 passed).

--- a/egretlanding/exchange.py
+++ b/egretlanding/exchange.py
@@ -228,13 +228,9 @@
     def evict(self) -> None:
         """Closes the connections unused for longest above the bound."""
         excess = len(self.channels) - MAX_CHANNELS
-        idle = [
-            channel
-            for channel in self.channels.values()
-            if not channel.lock.locked()
-        ]
-        # The last one is about to be used.
-        idle.pop()
+        # The last one is about to be used, whether or not it is in use.
+        *older, _ = self.channels.values()
+        idle = [channel for channel in older if not channel.lock.locked()]
         for channel in idle[: max(0, excess)]:
             self.forget(channel)
 
