Serve callers' own keys through an outage of the store

Cause: rule 1 of ownership took the store's word only, so that every caller's own key was refused as unknown from view_lag_s into an outage.

Now the hosts of a service tell one another once per heartbeat which revision of the host list they hold. Reports of just this revision from all other hosts of the service stand in for the store, for at most outage_s.

Ruled out: a majority of reports with a blocking set of the former list, and the retention period as the way past a blocking set that can't be had. Waiting for the retention period doesn't stop an old owner whose half of a split still forms a majority; a restarted host forgets what it has promised; a daemon that skips a list doesn't know which set it would have to block.

Wrong variants and how they failed, each "a key ran twice": reports of any revision, one report instead of all, a new host that doesn't wait for the others, reports that keep a list alive that the store showed for less than the lag. Without hold-off the state machine fails as before; it finds that more seldom now that a new host waits, so it sends the most contested of eight new keys. Two scenarios move keys by removing their owner instead of adding another, because a new host waits for reports in any case.

Outside the guarantee: a split during which all hosts of a service are replaced.

--- a/egretlanding/calls.py
+++ b/egretlanding/calls.py
@@ -23,6 +23,7 @@
 from egretlanding.peers import PeerFactory
 from egretlanding.peerserver import PeerServer
 from egretlanding.reachability import Reachability
+from egretlanding.servicepeers import ServicePeers
 from egretlanding.serviceroutes import ServiceRoutes
 from egretlanding.suspicions import Suspicions
 from egretlanding.views import View
@@ -59,6 +60,7 @@
         routes: What is known of the services.
         ingress: Sends calls to targets.
         reachability: Which hosts take calls.
+        service_peers: Compares host lists with the hosts of the own service.
         suspicions: Spreads what is known of crashing requests.
         lateness: Notices pauses of the process.
         http: The connections of callers.
@@ -74,6 +76,7 @@
     routes: ServiceRoutes
     ingress: Ingress
     reachability: Reachability
+    service_peers: ServicePeers
     suspicions: Suspicions
     lateness: Lateness
     http: HttpServerFactory
@@ -120,6 +123,7 @@
             routes,
             ingress,
             Reachability(reactor, node, routes),
+            ServicePeers(config.host_id, config.service, links, egress),
             Suspicions(reactor, node, egress.quarantine),
             lateness,
             HttpServerFactory(front_of(ingress, issuer)),
@@ -151,6 +155,7 @@
         self.egress.health.on_change = self.announce
         self.links.node.on_readiness = self.reachability.take_readiness
         self.links.on_unreachable = self.reachability.take_unreachable
+        self.links.node.on_hosts_held = self.service_peers.take
         self.links.node.on_suspicion = self.suspicions.take
         self.egress.target.on_crash = self.suspicions.spread
         self.lateness.on_wake.append(self.wake)
@@ -192,15 +197,8 @@
         Args:
             age_s: Time since it was confirmed to be, seconds.
         """
-        view = self.routes.view
-        if view is None:
-            return
-        hosts = view.hosts.of_service(self.config.service)
-        self.egress.keys.ownership.confirm(
-            tuple(host.host_id for host in hosts),
-            age_s,
-            self.egress.moment(),
-        )
+        if self.routes.view:
+            self.service_peers.confirm(self.routes.view, age_s)
 
     def take_notices(self, notices: Iterable[Notice]) -> None:
         """Takes what other daemons know."""
@@ -227,6 +225,7 @@
     def tick(self) -> None:
         """Does what is due once per heartbeat."""
         self.links.check_heartbeats()
+        self.service_peers.report()
         self.egress.tick()
         self.reachability.refresh()
 
--- a/egretlanding/frames.py
+++ b/egretlanding/frames.py
@@ -138,6 +138,21 @@
     ttl_ms: int
 
 
+class HostsHeld(Frame, frozen=True, tag='hosts'):
+    """Tells another host of the own service which host list is held.
+
+    Attributes:
+        revision: Revision of the list.
+        established: Whether the store confirmed the service's hosts in it
+            for longer than the lag of lists.
+        wall_ms: The sender's wall clock, ms since the epoch.
+    """
+
+    revision: int
+    established: bool
+    wall_ms: int
+
+
 class Ping(Frame, frozen=True, tag='ping'):
     """Asks whether the other daemon is alive."""
 
@@ -153,6 +168,7 @@
     | Cancel
     | Readiness
     | Suspicion
+    | HostsHeld
     | Ping
     | Pong
 )
--- a/egretlanding/peers.py
+++ b/egretlanding/peers.py
@@ -18,6 +18,7 @@
     CallRequest,
     Cancel,
     Hello,
+    HostsHeld,
     Ping,
     Pong,
     Readiness,
@@ -32,6 +33,7 @@
 OnReply = Callable[[CallReply], None]
 OnCall = Callable[['PeerConnection', CallRequest], None]
 OnReadiness = Callable[['PeerConnection', bool], None]
+OnHostsHeld = Callable[['PeerConnection', HostsHeld], None]
 OnConnection = Callable[['PeerConnection'], None]
 
 
@@ -166,15 +168,19 @@
                 self.node.on_cancel(self, frame.call_id)
             case Suspicion():
                 self.node.on_suspicion(frame)
+            case HostsHeld():
+                self.node.on_hosts_held(self, frame)
             case Ping():
                 self.send(Pong())
-            case Hello():
-                self.peer = frame
-                self.ready = frame.ready
-                self.node.on_readiness(self, frame.ready)
-            case Readiness():
-                self.ready = frame.ready
-                self.node.on_readiness(self, frame.ready)
+            case Hello() | Readiness():
+                self.take_readiness(frame)
+
+    def take_readiness(self, frame: Hello | Readiness) -> None:
+        """Learns who the other daemon is and whether it takes calls."""
+        if isinstance(frame, Hello):
+            self.peer = frame
+        self.ready = frame.ready
+        self.node.on_readiness(self, frame.ready)
 
 
 @attrs.define(eq=False)
@@ -189,6 +195,7 @@
         on_readiness: Called when the other daemon starts or stops taking
             calls.
         on_suspicion: Called with what another daemon knows of a request.
+        on_hosts_held: Called with which host list another daemon holds.
         connections: The connections that are open, in both directions.
     """
 
@@ -198,6 +205,7 @@
     on_close: OnConnection
     on_readiness: OnReadiness = lambda _connection, _ready: None
     on_suspicion: Callable[[Suspicion], None] = lambda _frame: None
+    on_hosts_held: OnHostsHeld = lambda _connection, _frame: None
     connections: set[PeerConnection] = attrs.field(factory=set)
 
     def announce(self, ready: bool) -> None:
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -1,5 +1,6 @@
 """Each idempotency key runs at most once, whatever hosts and lists do."""
 
+import itertools
 import random
 
 import attrs
@@ -23,7 +24,7 @@
 
 HOSTS = ('a', 'b', 'c')
 START = 1_000_000
-BOUNDS = KeyBounds(clock_s=2, view_lag_s=10, retention_s=90)
+BOUNDS = KeyBounds(2, 10, 90, outage_s=60)
 # Wall clocks differ by at most BOUNDS.clock_s.
 CLOCK_ERRORS = {'a': -1, 'b': 0, 'c': 1}
 DIGEST = request_digest('POST', '/orders', b'one')
@@ -45,16 +46,24 @@
         self.starts = 0
         self.tables = {}
         self.read_at = {}
+        self.held = {}
         self.keys = []
         self.executions = {}
         for host in HOSTS:
             self.start(host, 0)
+        self.report_all(HOSTS)
+
+    def confirm(self, host, age):
+        revision, names = self.held[host]
+        ownership = self.tables[host].ownership
+        ownership.confirm(names, age, self.moment(host), revision)
 
     def moment(self, host):
         return Moment(self.time, self.time + CLOCK_ERRORS[host])
 
     def list_at(self, time):
-        return [names for since, names in self.lists if since <= time][-1]
+        known = [names for since, names in self.lists if since <= time]
+        return len(known), known[-1]
 
     def start(self, host, age):
         self.starts += 1
@@ -66,6 +75,7 @@
             max_keys=2,
         )
         self.read_at[host] = START
+        self.held[host] = (0, ())
         self.read(host, age)
 
     @stateful.rule(seconds=st.sampled_from([0.4, 3, 7, 9, 12, 24, 95]))
@@ -77,6 +87,7 @@
         self.time += seconds
         for host in HOSTS:
             self.read(host, 0)
+        self.report_all(HOSTS)
 
     @stateful.rule(host=hosts)
     def change_list(self, host):
@@ -88,15 +99,49 @@
         read_at = self.time - age
         if read_at >= self.read_at[host]:
             self.read_at[host] = read_at
-            names = self.list_at(read_at)
-            self.tables[host].ownership.confirm(names, age, self.moment(host))
+            self.held[host] = self.list_at(read_at)
+            self.confirm(host, age)
 
     @stateful.rule(host=hosts, age=st.sampled_from([2, 9, 21]))
     def read_with_old_news(self, host, age):
         """Takes the newest list with the word that an older one was new."""
         self.read_at[host] = self.time
-        names = self.list_at(self.time)
-        self.tables[host].ownership.confirm(names, age, self.moment(host))
+        self.held[host] = self.list_at(self.time)
+        self.confirm(host, age)
+
+    @stateful.rule(
+        pair=st.permutations(HOSTS).map(lambda names: names[:2]),
+        delay=st.sampled_from([0, 0, 4]),
+    )
+    def report(self, pair, delay):
+        """Tells another host of the list held, with or without the store."""
+        sender, receiver = pair
+        ownership = self.tables[sender].ownership
+        report = (ownership.revision, ownership.established)
+        wall = self.moment(sender).wall
+        self.time += delay
+        self.tables[receiver].ownership.take_report(
+            sender, *report, wall, self.moment(receiver)
+        )
+        if self.held[receiver][0]:
+            self.confirm(receiver, self.time - self.read_at[receiver])
+
+    @stateful.rule(
+        seconds=st.sampled_from([4, 12, 24]),
+        group=st.sampled_from(['abc', 'abc', 'ab', 'ac', 'bc']),
+        readers=st.sampled_from(['', '', 'abc', 'abc', 'a', 'b', 'c']),
+    )
+    def pass_time_split(self, seconds, group, readers):
+        """Some hosts hear one another, and some hear the store."""
+        for _ in range(seconds // 4):
+            self.time += 4
+            for host in readers:
+                self.read(host, 0)
+            self.report_all(group)
+
+    def report_all(self, group):
+        for pair in itertools.permutations(group, 2):
+            self.report(pair, 0)
 
     @stateful.rule(host=hosts, age=st.sampled_from([0, 4]))
     def restart(self, host, age):
@@ -129,6 +174,19 @@
         for host in HOSTS:
             self.offer(self.keys[-1], host, DIGEST)
 
+    @stateful.rule()
+    def send_contested_key_everywhere(self):
+        """Sends the one of some new keys that most hosts believe to own."""
+        made = [make_uuid7(self.time, self.rng) for _ in range(8)]
+        self.keys.append(max(made, key=self.owner_count))
+        self.send_newest_everywhere()
+
+    def owner_count(self, key):
+        return sum(
+            table.ownership.owned_since(key) is not None
+            for table in self.tables.values()
+        )
+
     def offer(self, key, host, digest):
         table = self.tables[host]
         decision = table.decide(key, digest, self.moment(host))
@@ -203,21 +261,52 @@
 class GapOfNews(Ownership):
     """An owner looks for gaps between the news, however late they come."""
 
-    def confirm(self, names, age_s, moment):
+    def confirm(self, names, age_s, moment, revision=0):
         known = self.confirmed
         gap = moment.now - age_s - known
         if gap <= self.bounds.view_lag_s:
             self.confirmed = moment.now
-        super().confirm(names, age_s, moment)
+        super().confirm(names, age_s, moment, revision)
         self.confirmed = max(known, moment.now - age_s)
 
 
 class NoGapCheck(Ownership):
     """An owner trusts that it missed no list."""
 
-    def confirm(self, names, age_s, moment):
+    def confirm(self, names, age_s, moment, revision=0):
         self.confirmed = moment.now
-        super().confirm(names, age_s, moment)
+        super().confirm(names, age_s, moment, revision)
+
+
+class AnyRevision(Ownership):
+    """Reports of any list confirm the one that is held."""
+
+    def take_report(self, host_id, revision, established, wall, moment):
+        super().take_report(host_id, self.revision, True, wall, moment)
+
+
+class AnyPeer(Ownership):
+    """The report of one other host is enough."""
+
+    def reported_at(self, now):
+        found = [
+            self.reports.held_at([host_id], self.revision)
+            for host_id in self.others()
+        ]
+        return max(found) if self.established else float('-inf')
+
+
+class NoSettling(Ownership):
+    """A new host does not wait for the others to take it up."""
+
+    def settled(self, began):
+        return began
+
+
+class Unestablished(Ownership):
+    """Reports keep a list alive however short the store showed it."""
+
+    established = True
 
 
 class AnyIncarnation(KeyTable):
@@ -262,7 +351,7 @@
 @pytest.mark.parametrize(
     'variant',
     [
-        {'bounds': NoHoldOff(2, 10, 90)},
+        {'bounds': NoHoldOff(2, 10, 90, 60)},
         {'table_class': AnyIncarnation},
         {'table_class': ForgetsLost},
         {'table_class': ForgetsEarly},
@@ -287,8 +376,15 @@
         )
 
 
-def add_b(machine):
+def remove_a(machine):
     """Lists b as the new owner of some keys, of which only b learns."""
+    settle(machine, HOSTS, 40)
+    machine.change_list('a')
+    machine.read('b', 0)
+
+
+def add_b(machine):
+    """Lists b anew; a and c know only the list without it."""
     machine.change_list('b')
     settle(machine, HOSTS, 40)
     machine.change_list('b')
@@ -300,17 +396,18 @@
         machine.pass_time(4)
         for host in readers:
             machine.read(host, 0)
+        machine.report_all(readers)
 
 
-def key_moved_from_a_to_b(machine, ahead=0):
+def key_moved_from_a_to_b(machine, ahead=0, old=HOSTS, new=('b', 'c')):
     while True:
         key = make_uuid7(machine.time + ahead, machine.rng)
-        if (owner_id(key, ('a', 'c')), owner_id(key, HOSTS)) == ('a', 'b'):
+        if (owner_id(key, old), owner_id(key, new)) == ('a', 'b'):
             return key
 
 
 def old_owner_has_old_list(machine):
-    add_b(machine)
+    remove_a(machine)
     machine.pass_time(8)
     key = key_moved_from_a_to_b(machine)
     machine.offer(key, 'a', DIGEST)
@@ -319,7 +416,7 @@
 
 
 def old_owner_is_cut_off(machine):
-    add_b(machine)
+    remove_a(machine)
     settle(machine, ('b',), 40)
     key = key_moved_from_a_to_b(machine)
     machine.offer(key, 'b', DIGEST)
@@ -328,18 +425,18 @@
 
 
 def old_owner_misses_that_it_was_replaced(machine):
-    add_b(machine)
+    remove_a(machine)
     settle(machine, ('b',), 40)
     key = key_moved_from_a_to_b(machine)
     machine.offer(key, 'b', DIGEST)
     assert key.text in machine.executions
-    machine.change_list('b')
+    machine.change_list('a')
     machine.read('a', 0)
     machine.offer(key, 'a', DIGEST)
 
 
 def key_is_from_the_future(machine):
-    add_b(machine)
+    remove_a(machine)
     machine.pass_time(8)
     key = key_moved_from_a_to_b(machine, ahead=20)
     machine.offer(key, 'a', DIGEST)
@@ -347,12 +444,12 @@
 
 
 def old_news_hide_that_it_was_replaced(machine):
-    add_b(machine)
+    remove_a(machine)
     settle(machine, ('b',), 40)
     key = key_moved_from_a_to_b(machine)
     machine.offer(key, 'b', DIGEST)
     assert key.text in machine.executions
-    machine.change_list('b')
+    machine.change_list('a')
     for age in (32, 24, 16, 8, 0):
         machine.read_with_old_news('a', age)
     machine.offer(key, 'a', DIGEST)
@@ -379,6 +476,47 @@
     machine.offer(key, 'a', DIGEST)
 
 
+def run_while_only_b_hears_the_store(machine, old, new):
+    """Offers a key to the new owner and then to the old one, cut off."""
+    for _ in range(11):
+        machine.pass_time_split(4, 'ac', 'b')
+        machine.report(('b', 'a'), 0)
+    key = key_moved_from_a_to_b(machine, 0, old, new)
+    machine.offer(key, 'b', DIGEST)
+    machine.offer(key, 'a', DIGEST)
+
+
+def old_owner_hears_of_the_new_list(machine):
+    remove_a(machine)
+    run_while_only_b_hears_the_store(machine, HOSTS, ('b', 'c'))
+
+
+def new_host_is_alone_with_the_store(machine):
+    add_b(machine)
+    for _ in range(11):
+        machine.pass_time_split(4, 'ac', 'b')
+    key = key_moved_from_a_to_b(machine, 0, ('a', 'c'), HOSTS)
+    machine.offer(key, 'a', DIGEST)
+    assert key.text in machine.executions
+    machine.offer(key, 'b', DIGEST)
+
+
+def short_lived_list_is_kept_by_some(machine):
+    settle(machine, HOSTS, 40)
+    machine.change_list('b')
+    machine.read('a', 0)
+    machine.read('c', 0)
+    machine.pass_time(3)
+    machine.change_list('b')
+    machine.read('b', 0)
+    for _ in range(11):
+        machine.pass_time_split(4, 'ac', 'b')
+    key = key_moved_from_a_to_b(machine, 0, ('a', 'c'), HOSTS)
+    machine.offer(key, 'b', DIGEST)
+    assert key.text in machine.executions
+    machine.offer(key, 'a', DIGEST)
+
+
 @pytest.mark.parametrize(
     ('scenario', 'variant'),
     [
@@ -386,12 +524,19 @@
         (key_is_forgotten, {'table_class': AnyTime}),
         (table_is_full, {'table_class': Evicting}),
         (old_news_hide_that_it_was_replaced, {'ownership_class': GapOfNews}),
-        (old_owner_has_old_list, {'bounds': ClockHoldOff(2, 10, 90)}),
+        (old_owner_has_old_list, {'bounds': ClockHoldOff(2, 10, 90, 60)}),
         (old_owner_is_cut_off, {'ownership_class': AnyAge}),
         (
             old_owner_misses_that_it_was_replaced,
             {'ownership_class': NoGapCheck},
         ),
+        (old_owner_hears_of_the_new_list, {'ownership_class': AnyRevision}),
+        (old_owner_hears_of_the_new_list, {'ownership_class': AnyPeer}),
+        (new_host_is_alone_with_the_store, {'ownership_class': NoSettling}),
+        (
+            short_lived_list_is_kept_by_some,
+            {'ownership_class': Unestablished},
+        ),
     ],
 )
 def test_key_of_two_owners_runs_once(scenario, variant):
@@ -425,16 +570,44 @@
 
 def test_settled_owner_runs_new_keys_and_only_one_host_owns_them():
     tables = [KeyTable.for_daemon('orders', host, 1, BOUNDS) for host in HOSTS]
-    for table in tables:
-        for now in (0, 8, 16, 24, 30):
-            moment = Moment(now, START + now)
+    for now in (0, 8, 16, 24, 30):
+        moment = Moment(now, START + now)
+        for table in tables:
             table.ownership.confirm(HOSTS, 0, moment)
-    key = make_uuid7(START + 30, random.Random(1))
-    moment = Moment(30, START + 30)
+            for host in HOSTS:
+                wall = moment.wall
+                table.ownership.take_report(host, 0, False, wall, moment)
+    key = make_uuid7(START + 32, random.Random(1))
+    moment = Moment(32, START + 32)
     decisions = [table.decide(key, DIGEST, moment) for table in tables]
     assert decisions.count(Run()) == 1
 
 
+@settings(max_examples=50, deadline=None)
+@given(
+    changed=st.sampled_from(HOSTS),
+    outage=st.integers(1, 9),
+    seed=st.integers(0, 99),
+)
+def test_keys_are_served_while_the_store_is_out(changed, outage, seed):
+    machine = KeyMachine()
+    settle(machine, HOSTS, 40)
+    machine.change_list(changed)
+    settle(machine, HOSTS, 40)
+    names = machine.lists[-1][1]
+    for _ in range(outage):
+        machine.pass_time(3)
+        machine.report_all(names)
+        machine.pass_time(3)
+        machine.report_all(names)
+        key = make_uuid7(machine.time, random.Random(seed))
+        machine.offer(key, owner_id(key, names), DIGEST)
+        assert key.text in machine.executions
+        for host in names:
+            machine.end(host, 'answer')
+            machine.tables[host].entries.clear()
+
+
 def test_answers_are_dropped_before_keys():
     table = KeyTable.for_daemon('orders', 'a', 7)
     table.max_answer_bytes = 10
