--- /dev/null
+++ b/egretlanding/callevents.py
@@ -0,0 +1,55 @@
+"""Log events on targets and calls, from the state of the call path."""
+
+import attrs
+
+from egretlanding.events import Event
+from egretlanding.quarantine import FactKind, Quarantine
+from egretlanding.serviceroutes import ServiceRoutes
+from egretlanding.transitions import SetEvents
+
+
+def _shunned_events() -> SetEvents:
+    return SetEvents(
+        Event.TARGET_SHUNNED,
+        'target is much slower than its peers and gets probes only',
+        Event.TARGET_RESTORED,
+        'target takes its share of calls again',
+    )
+
+
+def _quarantined_events() -> SetEvents:
+    return SetEvents(
+        Event.CALL_QUARANTINED,
+        'request crashed several targets and is refused for a while',
+    )
+
+
+@attrs.define
+class CallEvents:
+    """Logs which targets are shunned and which requests are quarantined.
+
+    Attributes:
+        shunned: Shunned targets, as service/host.
+        quarantined: Signatures of quarantined requests.
+    """
+
+    shunned: SetEvents = attrs.field(factory=_shunned_events)
+    quarantined: SetEvents = attrs.field(factory=_quarantined_events)
+
+    def update(self, routes: ServiceRoutes, quarantine: Quarantine) -> None:
+        """Logs what changed since the last update."""
+        self.shunned.update(
+            frozenset(
+                f'{service}/{known.host.host_id}'
+                for service, route in routes.services.items()
+                for known in route.balancer.targets.evidence.values()
+                if known.probation is not None
+            ),
+        )
+        self.quarantined.update(
+            frozenset(
+                signature
+                for signature, suspect in quarantine.suspects.items()
+                if suspect.kind() is FactKind.QUARANTINED
+            ),
+        )
--- a/egretlanding/calls.py
+++ b/egretlanding/calls.py
@@ -8,6 +8,7 @@
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.task import LoopingCall, deferLater
 
+from egretlanding.callevents import CallEvents
 from egretlanding.callnotices import merge_notice, quarantine_notices
 from egretlanding.callparts import build_egress, build_node, build_routes
 from egretlanding.callreport import dump_calls, explain_call
@@ -67,6 +68,7 @@
         draining: Whether the daemon is about to stop.
         ports: The listening ports.
         loops: The periodic duties.
+        events: Logs changes of the call path.
     """
 
     reactor: Any
@@ -83,6 +85,7 @@
     draining: bool = False
     ports: list[Any] = attrs.field(factory=list)
     loops: list[LoopingCall] = attrs.field(factory=list)
+    events: CallEvents = attrs.field(factory=CallEvents)
 
     @classmethod
     def from_config(
@@ -228,6 +231,7 @@
         self.service_peers.report()
         self.egress.tick()
         self.reachability.refresh()
+        self.events.update(self.routes, self.egress.quarantine)
 
     def drain(self) -> Deferred[None]:
         """Ends the call path without cutting a call.
--- a/egretlanding/journal.py
+++ b/egretlanding/journal.py
@@ -2,13 +2,14 @@
 
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 
 from egretlanding.events import Event, Severity, log_event
-from egretlanding.ledger import Adopted, Outcome, Refused
-from egretlanding.release import shorten
+from egretlanding.ledger import Adopted, Conflict, Outcome, Refused
+from egretlanding.release import HEAD_KEY, shorten
+from egretlanding.transitions import SetEvents
 
 MAX_APPLIED = 32
 
@@ -55,6 +56,23 @@
     source: str
 
 
+def _conflict_events() -> SetEvents:
+    return SetEvents(
+        Event.RELEASE_CONFLICT,
+        'two releases exclude each other; the later one is in force',
+    )
+
+
+def _duty_events() -> SetEvents:
+    return SetEvents(
+        Event.WATCH_STARTED,
+        'reads the store for its region',
+        Event.WATCH_STOPPED,
+        'leaves the store to other daemons',
+        Severity.INFO,
+    )
+
+
 @attrs.define(eq=False)
 class Journal:
     """Hears of every outcome, whichever way it came about.
@@ -63,6 +81,8 @@
         on_news: Called when news should be applied and passed on.
         counters: What happened so far.
         applied: The releases applied last.
+        conflicts: Conflicts of releases, as number/digests.
+        duty: Keys of the store that this daemon is to watch.
     """
 
     on_news: Callable[[], None]
@@ -70,6 +90,8 @@
     applied: deque[AppliedRelease] = attrs.field(
         factory=lambda: deque(maxlen=MAX_APPLIED),
     )
+    conflicts: SetEvents = attrs.field(factory=_conflict_events)
+    duty: SetEvents = attrs.field(factory=_duty_events)
 
     def note_release(self, outcome: Outcome, source: str) -> None:
         """Reports what became of a release.
@@ -119,6 +141,15 @@
             )
             self.on_news()
 
+    def note_state(self, conflicts: Iterable[Conflict], on_duty: bool) -> None:
+        """Reports new conflicts, and the begin and end of watching."""
+        subjects = (
+            '/'.join((str(conflict.number), *conflict.digests))
+            for conflict in conflicts
+        )
+        self.conflicts.update(frozenset(subjects))
+        self.duty.update(frozenset((HEAD_KEY,) if on_duty else ()))
+
     def note_pause(self, gap: float) -> None:
         """Reports that the process did not run for some seconds."""
         self.counters.pauses += 1
--- a/egretlanding/subscriber.py
+++ b/egretlanding/subscriber.py
@@ -185,6 +185,10 @@
         self.checked_time()
         self.ticked_at = now
         self.pass_on()
+        self.journal.note_state(
+            self.replica.ledger.conflicts,
+            self.replica.is_on_duty(now),
+        )
         if self.mode.should_watch(now):
             self.background.start('head', self.watch.watch_store)
         retry_due = now >= self.watch.hosts_retry_at
