--- a/egretlanding/attempts.py
+++ b/egretlanding/attempts.py
@@ -23,7 +23,12 @@
     Refusal,
     combine,
 )
-from egretlanding.retries import CallContext, Retry, decide_retry
+from egretlanding.retries import (
+    CallContext,
+    Retry,
+    decide_retry,
+    needs_budget,
+)
 from egretlanding.routing import Match
 from egretlanding.serviceroutes import ServiceRoute, has_spare
 from egretlanding.subsets import Distance
@@ -223,7 +228,8 @@
             self.now,
         )
         if isinstance(decision, Retry):
-            budget.take(policy, self.now)
+            if needs_budget(self.failed):
+                budget.take(policy, self.now)
             self.attempt()
         else:
             self.answer(refusal_reply(0, decision.refusal))
@@ -274,7 +280,7 @@
             return
         self.end()
         self.ingress.count(reply)
-        self.entry.respond(response_of(reply))
+        self.entry.respond(response_of(reply, self.ingress.dialect))
 
     def end(self) -> None:
         """Stops the timers and forgets the call."""
@@ -295,13 +301,18 @@
 def build_call(run: CallRun, attempt: Attempt) -> CallRequest:
     """Builds the frame that carries a call."""
     request = run.entry.request
+    dialect = run.ingress.dialect
     now = run.now
-    added = run.context.headers(len(run.tried) - 1, now)
+    headers = passed_on(request.headers, dialect)
+    if dialect.repeat_hops:
+        headers.extend(run.context.headers(len(run.tried) - 1, now).items())
+    if dialect.origin:
+        headers.append((dialect.origin, run.ingress.service))
     return CallRequest(
         call_id=0,
         method=request.method,
         path=request.path,
-        headers=[*passed_on(request.headers), *added.items()],
+        headers=headers,
         body=request.body,
         route=run.match.route_name,
         remaining_ms=max(0, int((run.context.deadline - now) * MS_PER_S)),
@@ -310,6 +321,9 @@
         idempotent=run.context.idempotent,
         key=run.key,
         hedge=attempt.is_hedge,
+        instance=attempt.host.instance,
+        priority=run.match.policy.priority,
+        patience_ms=run.match.policy.target_latency_ms,
     )
 
 
@@ -327,6 +341,7 @@
         denied=sent and reply.ran is Ran.NOT_RUN,
         keyed=keyed,
         detail=reply.detail,
+        arrived=sent and reply.arrived,
     )
 
 
--- a/egretlanding/callheaders.py
+++ b/egretlanding/callheaders.py
@@ -1,9 +1,12 @@
 """The HTTP headers of calls that the daemon reads, sets and removes."""
 
+from http import HTTPStatus
+
 import attrs
 
+from egretlanding.dialect import OWN_DIALECT, Dialect
 from egretlanding.exceptions import CallHeaderError
-from egretlanding.frames import CallReply, Headers
+from egretlanding.frames import CallReply, Headers, Ran
 from egretlanding.httpmessages import HttpRequest, HttpResponse
 from egretlanding.outcomes import TRAITS, Execution, Reason, Refusal
 from egretlanding.retries import (
@@ -16,11 +19,9 @@
 RAN_HEADER = 'x-egretlanding-ran'
 REASON_HEADER = 'x-egretlanding-reason'
 REPLAYED_HEADER = 'x-egretlanding-replayed'
-# What the targets read: how long a call may take, and a name to cancel it by.
-TARGET_DEADLINE_HEADER = 'x-deadline-ms'
-TARGET_CALL_HEADER = 'x-call-id'
-# What a target answers with when it refuses a call that it did not run.
-TARGET_NOT_RUN_HEADER = 'x-not-run'
+RETRY_AFTER_HEADER = 'retry-after'
+# Pause after which a caller may send a refused call again, seconds.
+RETRY_AFTER_S = '0.2'
 
 MAX_TIMEOUT_MS = 3_600_000
 MAX_DEPTH_VALUE = 1_000
@@ -30,8 +31,8 @@
         DEADLINE_HEADER,
         DEPTH_HEADER,
         RETRY_HEADER,
-        TARGET_DEADLINE_HEADER,
-        TARGET_CALL_HEADER,
+        OWN_DIALECT.target_deadline,
+        OWN_DIALECT.target_call,
     ),
 )
 # Only daemons may say these, so a target's answer can't.
@@ -55,54 +56,98 @@
     key: str
 
     @classmethod
-    def from_request(cls, request: HttpRequest) -> 'CallMeta':
+    def from_request(
+        cls,
+        request: HttpRequest,
+        dialect: Dialect = OWN_DIALECT,
+    ) -> 'CallMeta':
         """Reads the headers of a call.
 
+        Args:
+            request: The request.
+            dialect: The names of the headers.
+
         Raises:
             CallHeaderError: A header comes twice or its value is wrong.
         """
         return cls(
-            _integer(request, DEADLINE_HEADER, MAX_TIMEOUT_MS),
+            _integer(request, dialect.caller_deadline, MAX_TIMEOUT_MS),
             _integer(request, DEPTH_HEADER, MAX_DEPTH_VALUE) or 0,
             _integer(request, RETRY_HEADER, 1) == 1,
             _single(request, KEY_HEADER),
         )
 
 
-def passed_on(headers: Headers) -> Headers:
+def passed_on(headers: Headers, dialect: Dialect = OWN_DIALECT) -> Headers:
     """Returns a caller's headers without those that are set anew."""
-    return [pair for pair in headers if pair[0] not in REPLACED_HEADERS]
+    replaced = REPLACED_HEADERS | {
+        dialect.caller_deadline,
+        dialect.target_deadline,
+        dialect.origin,
+        dialect.wanted_instance,
+    }
+    return [pair for pair in headers if pair[0] not in replaced]
+
+
+def domain_of(request: HttpRequest) -> str:
+    """Returns the domain name that a request was sent to, without a port."""
+    return request.header('host').partition(':')[0].lower()
 
 
-def response_of(reply: CallReply) -> HttpResponse:
+def response_of(
+    reply: CallReply,
+    dialect: Dialect = OWN_DIALECT,
+) -> HttpResponse:
     """Returns the response that carries a reply to the caller."""
     if reply.reason:
-        return refusal_response(reply)
+        return refusal_response(reply, dialect)
+    if not dialect.tells_reason:
+        return HttpResponse(reply.status, reply.headers, reply.body)
     headers = [pair for pair in reply.headers if pair[0] != RAN_HEADER]
     headers.append((RAN_HEADER, reply.ran.value))
     return HttpResponse(reply.status, headers, reply.body)
 
 
-def refusal_response(reply: CallReply) -> HttpResponse:
+def refusal_response(
+    reply: CallReply,
+    dialect: Dialect = OWN_DIALECT,
+) -> HttpResponse:
     """Returns the response that tells a caller of a refusal."""
     known = reply.reason in set(Reason)
     remedy = TRAITS[Reason(reply.reason)].remedy if known else ''
     ran = {'no': 'did not run', 'unknown': 'may have run'}.get(reply.ran, '')
     text = f'The call {ran}: {reply.detail or reply.reason}; {remedy}.\n'
-    return HttpResponse(
-        reply.status,
-        [
-            ('content-type', 'text/plain; charset=utf-8'),
-            (RAN_HEADER, reply.ran.value),
-            (REASON_HEADER, reply.reason),
-        ],
-        text.encode(),
-    )
-
-
-def is_denial(response: HttpResponse) -> bool:
+    status = reply.status
+    if known:
+        execution = (
+            Execution.NOT_RUN if reply.ran is Ran.NOT_RUN else Execution.UNKNOWN
+        )
+        status = dialect.status_of(Reason(reply.reason), execution)
+    headers = [('content-type', 'text/plain; charset=utf-8')]
+    if dialect.tells_reason:
+        headers.append((RAN_HEADER, reply.ran.value))
+        headers.append((REASON_HEADER, reply.reason))
+    if status == HTTPStatus.SERVICE_UNAVAILABLE and dialect.truthful_statuses:
+        headers.append((RETRY_AFTER_HEADER, RETRY_AFTER_S))
+    return HttpResponse(status, headers, text.encode())
+
+
+def is_denial(
+    response: HttpResponse,
+    dialect: Dialect = OWN_DIALECT,
+) -> bool:
     """Tells whether a target says that it did not run the call."""
-    return any(name == TARGET_NOT_RUN_HEADER for name, _ in response.headers)
+    return any(name == dialect.not_run for name, _ in response.headers)
+
+
+def is_whole(response: HttpResponse, dialect: Dialect) -> bool:
+    """Tells whether a success bears what each answer of a target bears."""
+    names = {name for name, _ in response.headers}
+    if 'content-encoding' in names:
+        # Callers ask for none, so the target did not make this answer.
+        return False
+    is_success = HTTPStatus.OK <= response.status < HTTPStatus.MULTIPLE_CHOICES
+    return not is_success or not dialect.seal or dialect.seal in names
 
 
 def own_headers_removed(headers: Headers) -> Headers:
--- a/egretlanding/callparts.py
+++ b/egretlanding/callparts.py
@@ -5,6 +5,7 @@
 
 from egretlanding.admission import Admission
 from egretlanding.config import DaemonConfig
+from egretlanding.dialect import Dialect
 from egretlanding.egress import Egress
 from egretlanding.frames import Hello
 from egretlanding.idempotency import KeyTable
@@ -15,7 +16,7 @@
 from egretlanding.serviceroutes import CHOOSERS, ServiceRoutes
 from egretlanding.subsets import Locality
 from egretlanding.targetcalls import TargetCalls
-from egretlanding.targethealth import TargetHealth
+from egretlanding.targethealth import HEALTH
 from egretlanding.targetpool import TargetPool
 
 # Bounds of the local service until a release is in force.
@@ -26,6 +27,7 @@
     reactor: Any,
     config: DaemonConfig,
     incarnation: int,
+    dialect: Dialect,
 ) -> Egress:
     """Builds what runs calls at the local target."""
     pool = TargetPool(
@@ -34,16 +36,17 @@
         config.target_port,
         DEFAULT_SERVICE.connections,
     )
-    health = TargetHealth(reactor, pool)
+    health = HEALTH[config.target_check](reactor, pool)
     quarantine = Quarantine()
     process = f'{config.host_id}:{incarnation:x}'
     return Egress(
         reactor,
-        TargetCalls(process, pool, health, quarantine),
+        TargetCalls(process, pool, health, quarantine, dialect=dialect),
         health,
         Admission.from_service(DEFAULT_SERVICE),
         KeyTable.for_daemon(config.service, config.host_id, incarnation),
         quarantine,
+        dialect=dialect,
     )
 
 
--- a/egretlanding/calls.py
+++ b/egretlanding/calls.py
@@ -13,6 +13,7 @@
 from egretlanding.callparts import build_egress, build_node, build_routes
 from egretlanding.callreport import dump_calls, explain_call
 from egretlanding.config import DaemonConfig
+from egretlanding.dialect import OWN_DIALECT, Dialect
 from egretlanding.egress import Egress
 from egretlanding.httpserver import Exchange, Handler, HttpServerFactory
 from egretlanding.ingress import Ingress
@@ -30,8 +31,7 @@
 from egretlanding.views import View
 
 BASELINE = 'random'
-# Time in which other daemons and callers learn of a drain, seconds.
-DRAIN_NOTICE_S = 1
+DRAIN_NOTICE_S = 1.0
 DRAIN_POLL_S = 0.02
 CLOSE_TIMEOUT_S = 2
 
@@ -69,6 +69,8 @@
         ports: The listening ports.
         loops: The periodic duties.
         events: Logs changes of the call path.
+        drain_notice_s: Time in which other daemons and callers learn of a
+            drain, seconds.
     """
 
     reactor: Any
@@ -86,6 +88,7 @@
     ports: list[Any] = attrs.field(factory=list)
     loops: list[LoopingCall] = attrs.field(factory=list)
     events: CallEvents = attrs.field(factory=CallEvents)
+    drain_notice_s: float = DRAIN_NOTICE_S
 
     @classmethod
     def from_config(
@@ -93,6 +96,7 @@
         reactor: Any,
         config: DaemonConfig,
         incarnation: int,
+        dialect: Dialect = OWN_DIALECT,
     ) -> 'CallService':
         """Builds the call path without opening a socket.
 
@@ -100,9 +104,10 @@
             reactor: The reactor.
             config: The daemon's settings.
             incarnation: Start time of the daemon, ns since the epoch.
+            dialect: The names of the headers.
         """
         lateness = Lateness.from_reactor(reactor)
-        egress = build_egress(reactor, config, incarnation)
+        egress = build_egress(reactor, config, incarnation, dialect)
         server = PeerServer(egress, lateness.late_s)
         node = build_node(config, incarnation, server)
         links = PeerLinks(reactor, node)
@@ -116,6 +121,8 @@
             lateness.late_s,
             hedging=config.balancing != BASELINE,
             classes=config.balancing != BASELINE,
+            dialect=dialect,
+            service=config.service,
         )
         issuer = KeyIssuer(reactor, links, routes, random.SystemRandom())
         service = cls(
@@ -129,7 +136,7 @@
             ServicePeers(config.host_id, config.service, links, egress),
             Suspicions(reactor, node, egress.quarantine),
             lateness,
-            HttpServerFactory(front_of(ingress, issuer)),
+            HttpServerFactory(front_of(ingress, issuer), reactor.seconds),
         )
         service.join_tasks()
         return service
@@ -228,6 +235,7 @@
     def tick(self) -> None:
         """Does what is due once per heartbeat."""
         self.links.check_heartbeats()
+        self.http.check_times()
         self.service_peers.report()
         self.egress.tick()
         self.reachability.refresh()
@@ -247,7 +255,7 @@
 
     async def finish_drain(self) -> None:
         """Waits for the calls in flight and closes all ports."""
-        await deferLater(self.reactor, DRAIN_NOTICE_S)
+        await deferLater(self.reactor, self.drain_notice_s)
         for port in self.ports:
             await port.stopListening()
         while self.in_flight:
--- a/egretlanding/config.py
+++ b/egretlanding/config.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Iterator
 from itertools import chain
 from pathlib import Path
-from typing import Any
+from typing import Any, Self
 
 import attrs
 from result import is_err
@@ -52,8 +52,39 @@
     return form(ADDRESS_PATTERN, ADDRESS_FORM)
 
 
+class Settings:
+    """Settings that are read from a YAML file and checked as a whole."""
+
+    @classmethod
+    def from_file(cls, path: str) -> Self:
+        """Reads and checks a settings file.
+
+        Args:
+            path: A YAML file that holds one mapping.
+
+        Raises:
+            SettingsError: The file has faults; the error lists each.
+        """
+        outcome = read_document(Path(path), path, Allowance())
+        if is_err(outcome):
+            raise _error([outcome.err_value])
+        return cls._from_document(outcome.unwrap())
+
+    @classmethod
+    def _from_document(cls, document: Document) -> Self:
+        fields = read_fields(document.root, cls)
+        read = _build(cls, fields)
+        findings = [
+            attrs.evolve(finding, file=document.file)
+            for finding in chain(fields.findings, _check(read, fields))
+        ]
+        if findings:
+            raise _error(in_order(findings))
+        return read
+
+
 @attrs.frozen(kw_only=True)
-class DaemonConfig:
+class DaemonConfig(Settings):
     """The settings of one daemon.
 
     The fields of this class are the table of settings: its metadata holds
@@ -78,6 +109,8 @@
             for measurements only.
         balancing: How targets are chosen; "random" is a baseline for
             measurements only.
+        target_check: How it is found out whether the target takes calls:
+            "report" asks it, "connect" opens a connection after a loss.
     """
 
     host_id: str = form(HOST_PATTERN, HOST_FORM)
@@ -96,33 +129,7 @@
     seeds: tuple[str, ...] = form(SEED_PATTERN, SEED_FORM, default=())
     distribution: str = choice(('exchange', 'direct'), default='exchange')
     balancing: str = choice(('p2c', 'random'), default='p2c')
-
-    @classmethod
-    def from_file(cls, path: str) -> 'DaemonConfig':
-        """Reads and checks a settings file.
-
-        Args:
-            path: A YAML file that holds one mapping.
-
-        Raises:
-            SettingsError: The file has faults; the error lists each.
-        """
-        outcome = read_document(Path(path), path, Allowance())
-        if is_err(outcome):
-            raise _error([outcome.err_value])
-        return cls._from_document(outcome.unwrap())
-
-    @classmethod
-    def _from_document(cls, document: Document) -> 'DaemonConfig':
-        fields = read_fields(document.root, cls)
-        read = _build(cls, fields)
-        findings = [
-            attrs.evolve(finding, file=document.file)
-            for finding in chain(fields.findings, _check(read, fields))
-        ]
-        if findings:
-            raise _error(in_order(findings))
-        return read
+    target_check: str = choice(('report', 'connect'), default='report')
 
 
 def _build(config_class: type, fields: Fields) -> Any:
@@ -135,7 +142,7 @@
     return config_class(**{each: fields.values.get(each) for each in names})
 
 
-def _check(read: DaemonConfig, fields: Fields) -> Iterator[Finding]:
+def _check(read: Settings, fields: Fields) -> Iterator[Finding]:
     settings = ObjectSet.from_objects([ConfigObject('', '', read)])
     faults = chain(
         check_bounds(settings),
--- a/egretlanding/eagerwrites.py
+++ b/egretlanding/eagerwrites.py
@@ -1,9 +1,18 @@
-"""Writes to a connection without a turn of the event loop."""
+"""Writes at once to TCP connections, and notices those that fell silent."""
 
+import socket
 from typing import Any
 
 # Where Twisted keeps what it has not tried to send yet.
 UNTRIED = '_tempDataBuffer'
+# Probes begin after a second without traffic and end the connection after
+# two more seconds without an answer; unanswered bytes end it as late.
+SILENCE_OPTIONS = (
+    (socket.TCP_KEEPIDLE, 1),
+    (socket.TCP_KEEPINTVL, 1),
+    (socket.TCP_KEEPCNT, 2),
+    (socket.TCP_USER_TIMEOUT, 3_000),
+)
 
 
 def write_now(transport: Any, encoded: bytes) -> None:
@@ -31,3 +40,17 @@
         return False
     waiting = transport.dataBuffer or getattr(transport, UNTRIED)
     return transport.connected and not waiting
+
+
+def watch_silence(transport: Any) -> None:
+    """Has the kernel end a connection whose other side fell silent.
+
+    Args:
+        transport: A TCP transport, or one of a test, which is left alone.
+    """
+    if not hasattr(transport, 'getHandle'):
+        return
+    handle = transport.getHandle()
+    transport.setTcpKeepAlive(True)
+    for option, setting in SILENCE_OPTIONS:
+        handle.setsockopt(socket.IPPROTO_TCP, option, setting)
--- a/egretlanding/egress.py
+++ b/egretlanding/egress.py
@@ -2,6 +2,7 @@
 
 import itertools
 import time
+from http import HTTPStatus
 from typing import Any
 
 import attrs
@@ -10,8 +11,10 @@
 from egretlanding.callheaders import (
     REPLAYED_HEADER,
     is_denial,
+    is_whole,
     own_headers_removed,
 )
+from egretlanding.dialect import OWN_DIALECT, Dialect
 from egretlanding.exceptions import KeyFormatError
 from egretlanding.frames import CallReply, CallRequest, refusal_reply
 from egretlanding.httpmessages import HttpResponse
@@ -27,6 +30,7 @@
 from egretlanding.keys import parse_key
 from egretlanding.objects import Service
 from egretlanding.outcomes import (
+    Execution,
     Progress,
     Reason,
     Refusal,
@@ -37,8 +41,6 @@
 from egretlanding.targethealth import TargetHealth
 from egretlanding.targetpool import TargetOutcome
 
-CANCEL_PATH = '/cancel'
-
 
 @attrs.define(eq=False)
 class Egress:
@@ -55,6 +57,7 @@
         numbers: Source of job numbers and tickets.
         timer: Wakes the queue when a wait ends.
         abandoned: Calls that were cancelled while they ran.
+        dialect: The names of the headers.
     """
 
     reactor: Any
@@ -67,6 +70,7 @@
     numbers: Any = attrs.field(factory=lambda: itertools.count(1))
     timer: Any = None
     abandoned: int = 0
+    dialect: Dialect = OWN_DIALECT
 
     def moment(self) -> Moment:
         """Returns the current time on both clocks."""
@@ -164,26 +168,28 @@
     def finish(self, job: Job, outcome: TargetOutcome) -> None:
         """Frees the slot of a call that the target is done with."""
         now = self.reactor.seconds()
-        response = outcome.response
-        denied = response is not None and is_denial(response)
-        if denied or outcome.progress is Progress.UNSENT:
+        refusal = refusal_of_answer(outcome.response, self.dialect)
+        unsent = outcome.progress is Progress.UNSENT
+        job.running = not unsent
+        if unsent or (refusal and refusal.execution is Execution.NOT_RUN):
             self.admission.record_shed(job.job_id, now)
         else:
             self.admission.release(job.job_id, now)
-        if response is None:
-            refusal = failed_attempt(outcome).to_refusal()
+        if outcome.cancelled:
+            self.table.remove(job)
+        elif outcome.response is None:
+            lost = failed_attempt(outcome).to_refusal()
             self.target.note_loss(
                 outcome,
                 self.table.running(),
                 now,
-                lambda: self.end_refused(job, refusal),
+                lambda: self.end_refused(job, lost),
             )
-        elif denied:
+        elif refusal:
             self.health.check()
-            detail = 'the target refused the call'
-            self.end_refused(job, Refusal.not_run(Reason.SHED, detail))
+            self.end_refused(job, refusal)
         else:
-            self.end_answered(job, response)
+            self.end_answered(job, outcome.response)
         self.advance()
 
     def end_answered(self, job: Job, response: HttpResponse) -> None:
@@ -209,11 +215,12 @@
         if job.key:
             self.keys.record_refusal(job.key, refusal)
         self.table.remove(job)
-        job.reply(self.refuse(refusal))
+        job.reply(self.refuse(refusal, arrived=job.running))
 
-    def refuse(self, refusal: Refusal) -> CallReply:
+    def refuse(self, refusal: Refusal, *, arrived: bool = False) -> CallReply:
         """Returns the reply that carries a refusal."""
-        return refusal_reply(0, refusal, len(self.table.jobs))
+        load = len(self.table.jobs)
+        return refusal_reply(0, refusal, load, arrived=arrived)
 
     def cancel(self, ticket: int) -> None:
         """Abandons a call.
@@ -268,6 +275,28 @@
         self.quarantine.expire(self.reactor.seconds())
 
 
+def refusal_of_answer(
+    response: HttpResponse | None,
+    dialect: Dialect,
+) -> Refusal | None:
+    """Returns why a response is no answer to the call, if so."""
+    if response is None:
+        return None
+    if is_denial(response, dialect):
+        if response.status == HTTPStatus.MISDIRECTED_REQUEST:
+            detail = 'another process of a target has the address'
+            return Refusal.not_run(Reason.OTHER_INSTANCE, detail)
+        return Refusal.not_run(Reason.SHED, 'the target refused the call')
+    if response.status == HTTPStatus.MISDIRECTED_REQUEST and (
+        dialect.wanted_instance
+    ):
+        detail = 'another process of a target has the address'
+        return Refusal.not_run(Reason.OTHER_INSTANCE, detail)
+    if not is_whole(response, dialect):
+        return Refusal.unknown(Reason.GARBLED, "the target's answer is spoilt")
+    return None
+
+
 def replayed(answer: Answer) -> CallReply:
     """Returns the reply that repeats a stored answer."""
     headers = [*answer.headers, (REPLAYED_HEADER, 'yes')]
--- a/egretlanding/exceptions.py
+++ b/egretlanding/exceptions.py
@@ -50,6 +50,11 @@
     """The platform's store gave no usable answer."""
 
 
+@final
+class HistoryLostError(RemediedError):
+    """The store no longer has the changes that a watch asked for."""
+
+
 @final
 class FrameError(RemediedError):
     """A message between daemons can't be decoded."""
--- a/egretlanding/frames.py
+++ b/egretlanding/frames.py
@@ -62,6 +62,9 @@
         idempotent: Whether the release says that the call may run twice.
         key: Idempotency key that this daemon owns, or empty.
         hedge: Whether another attempt of the call is under way.
+        instance: The process of the target that is to run it, or empty.
+        priority: Rank of the call where not all can be served, 0 first.
+        patience_ms: Time from now on after which an answer is worth less, ms.
     """
 
     call_id: int
@@ -76,6 +79,9 @@
     idempotent: bool = False
     key: str = ''
     hedge: bool = False
+    instance: str = ''
+    priority: int = 0
+    patience_ms: int = 0
 
 
 class CallReply(Frame, frozen=True, tag='reply'):
@@ -90,6 +96,7 @@
         reason: Why the call was refused, empty for an answer.
         detail: What was found, in one clause.
         load: Calls that run or wait at the target, as a hint.
+        arrived: Whether the call reached a target, even one that refused it.
     """
 
     call_id: int
@@ -100,6 +107,7 @@
     reason: str = ''
     detail: str = ''
     load: int = 0
+    arrived: bool = True
 
 
 class Cancel(Frame, frozen=True, tag='cancel'):
@@ -153,6 +161,46 @@
     wall_ms: int
 
 
+class RecordsHeld(Frame, frozen=True, tag='records-held'):
+    """Tells which of the store's records the sender holds.
+
+    Attributes:
+        revision: It holds all changes up to this revision.
+        age_ms: Time since the store confirmed that there are no others, ms.
+        asks: Whether the receiver is asked to say the same of itself.
+    """
+
+    revision: int
+    age_ms: int
+    asks: bool = False
+
+
+class RecordsWanted(Frame, frozen=True, tag='records-wanted'):
+    """Asks for the records that were written after a revision.
+
+    Attributes:
+        after: The sender holds all changes up to this revision.
+    """
+
+    after: int
+
+
+class RecordsSent(Frame, frozen=True, tag='records'):
+    """Carries records of the store.
+
+    Attributes:
+        revision: With these, the receiver has all changes up to this one.
+        age_ms: Time since the store confirmed that there are no others, ms.
+        packed: The records in msgpack, compressed by zlib.
+        whole: Whether these are all records that exist, not just the changes.
+    """
+
+    revision: int
+    age_ms: int
+    packed: bytes
+    whole: bool = False
+
+
 class Ping(Frame, frozen=True, tag='ping'):
     """Asks whether the other daemon is alive."""
 
@@ -169,6 +217,9 @@
     | Readiness
     | Suspicion
     | HostsHeld
+    | RecordsHeld
+    | RecordsWanted
+    | RecordsSent
     | Ping
     | Pong
 )
@@ -197,8 +248,21 @@
         ) from error
 
 
-def refusal_reply(call_id: int, refusal: Refusal, load: int = 0) -> CallReply:
-    """Returns the reply that carries a refusal."""
+def refusal_reply(
+    call_id: int,
+    refusal: Refusal,
+    load: int = 0,
+    *,
+    arrived: bool = True,
+) -> CallReply:
+    """Returns the reply that carries a refusal.
+
+    Args:
+        call_id: Number of the call.
+        refusal: Why it was refused.
+        load: Calls that run or wait at the target, as a hint.
+        arrived: Whether the call may have reached a target.
+    """
     not_run = refusal.execution is Execution.NOT_RUN
     return CallReply(
         call_id,
@@ -209,4 +273,5 @@
         refusal.reason,
         refusal.detail,
         load,
+        arrived,
     )
--- a/egretlanding/hosts.py
+++ b/egretlanding/hosts.py
@@ -26,6 +26,9 @@
         failure_domain: The failure domain that the host is in.
         service: The service that its target runs.
         state: Whether the host is live or leaving.
+        instance: The process of its target, empty if it isn't known.
+        slots: Calls that its target runs at a time, zero if the service
+            says it.
     """
 
     host_id: str
@@ -37,6 +40,8 @@
     failure_domain: str
     service: str
     state: HostState = HostState.LIVE
+    instance: str = ''
+    slots: int = 0
 
 
 @attrs.frozen
--- a/egretlanding/httpclient.py
+++ b/egretlanding/httpclient.py
@@ -5,12 +5,19 @@
 from typing import Any
 
 import httptools
+from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
-from egretlanding.eagerwrites import write_now
+from egretlanding.eagerwrites import watch_silence, write_now
 from egretlanding.frames import MAX_FRAME_BYTES, Headers
-from egretlanding.httpheaders import drop_hop_headers, has_one_length
+from egretlanding.httpheaders import (
+    drop_hop_headers,
+    has_one_length,
+    has_safe_framing,
+    header_values,
+    keep_time,
+)
 from egretlanding.httpmessages import BODILESS, HttpRequest, HttpResponse
 
 MAX_RESPONSE_BYTES = MAX_FRAME_BYTES // 2
@@ -47,8 +54,8 @@
 class HttpClient(Protocol):
     """Runs one request at a time on a kept connection.
 
-    A response must say where it ends. One that ends with its connection
-    counts as cut, since nothing tells it from the beginning of a longer one.
+    A response that doesn't say where it ends is whole if the target closed
+    the connection in order; one that is reset was cut.
 
     Attributes:
         on_response: Called with the response of the request in flight.
@@ -67,7 +74,9 @@
         self.on_response: OnResponse | None = None
         self.usable = True
         self.is_head = False
+        self.echo: tuple[str, str] | None = None
         self.idle_since: float = 0
+        self.keep_s: float = float('inf')
         self.reset()
 
     def reset(self) -> None:
@@ -77,12 +86,14 @@
         self.chunks: list[bytes] = []
         self.body_bytes = 0
         self.header_bytes = 0
+        self.ends_with_connection = False
         self.whole: HttpResponse | None = None
 
     def connectionMade(self) -> None:
         """Turns off Nagle's algorithm, since requests are written whole."""
         transport: Any = self.transport
         transport.setTcpNoDelay(True)
+        watch_silence(transport)
 
     def send(
         self,
@@ -90,6 +101,7 @@
         on_response: OnResponse,
         *,
         is_head: bool = False,
+        echo: tuple[str, str] | None = None,
     ) -> None:
         """Sends an encoded request.
 
@@ -97,8 +109,11 @@
             encoded: The request.
             on_response: Called with the response, or None if it was cut.
             is_head: Whether the response has no body, as for HEAD.
+            echo: Header and value that the response must repeat if it has
+                the header; one with another value answers another request.
         """
         self.reset()
+        self.echo = echo
         self.on_response = on_response
         self.is_head = is_head
         write_now(self.transport, encoded)
@@ -127,7 +142,9 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Reports a request in flight as cut."""
         self.usable = False
-        self.finish(None)
+        if self.ends_with_connection and reason.check(ConnectionDone):
+            self.on_message_complete()
+        self.finish(self.whole)
         self.on_close(self)
 
     def on_message_begin(self) -> None:
@@ -151,7 +168,9 @@
         if self.is_head or status in BODILESS:
             self.take(drop_hop_headers(self.headers))
         elif not has_one_length(self.headers):
-            raise ValueError('the response does not say where it ends')
+            if not has_safe_framing(self.headers):
+                raise ValueError('the response does not say where it ends')
+            self.ends_with_connection = True
 
     def on_body(self, body: bytes) -> None:
         """Collects the body up to its limit."""
@@ -167,11 +186,28 @@
         if self.parser.get_status_code() < HTTPStatus.OK:
             self.headers = []
             return
+        if self.is_strange():
+            # A late answer to an earlier request; the wanted one follows.
+            self.headers = []
+            self.chunks = []
+            self.usable = False
+            return
         headers = drop_hop_headers(self.headers)
         self.take([pair for pair in headers if pair[0] != 'content-length'])
 
+    def is_strange(self) -> bool:
+        """Tells whether a response names another request than its own."""
+        if self.echo is None:
+            return False
+        name, wanted = self.echo
+        return any(
+            key == name and value != wanted for key, value in self.headers
+        )
+
     def take(self, headers: Headers) -> None:
         """Keeps a whole response."""
+        found = header_values(self.headers, 'keep-alive')
+        self.keep_s = keep_time(found, self.keep_s)
         self.usable = self.usable and self.parser.should_keep_alive()
         self.whole = HttpResponse(
             self.parser.get_status_code(),
--- a/egretlanding/httpheaders.py
+++ b/egretlanding/httpheaders.py
@@ -55,3 +55,23 @@
     """Tells whether a message says, once, where it ends."""
     framed = header_values(headers, LENGTH) or header_values(headers, ENCODING)
     return bool(framed) and has_safe_framing(headers)
+
+
+def keep_time(found: list[str], default: float) -> float:
+    """Returns how long the other side keeps an idle connection, seconds.
+
+    Args:
+        found: The values of the keep-alive header.
+        default: The time if the header doesn't say.
+    """
+    fields = (
+        field.strip().lower().partition('=')
+        for value in found
+        for field in value.split(',')
+    )
+    times = (
+        int(text)
+        for name, _, text in fields
+        if name == 'timeout' and text.isascii() and text.isdigit()
+    )
+    return next(times, default)
--- a/egretlanding/httpmessages.py
+++ b/egretlanding/httpmessages.py
@@ -5,6 +5,7 @@
 
 from http import HTTPStatus
 
+import attrs
 import msgspec
 
 from egretlanding.frames import Headers
@@ -14,6 +15,25 @@
 BODILESS = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 
 
+@attrs.frozen
+class HttpLimits:
+    """What callers may send, and how long they may take.
+
+    Attributes:
+        header_bytes: Most bytes of the headers of a request.
+        body_bytes: Most bytes of the body of a request.
+        header_s: Longest time from the first byte of a request to the end
+            of its headers, seconds.
+        idle_s: Longest time that a connection is kept without a request,
+            seconds.
+    """
+
+    header_bytes: int = 65_536
+    body_bytes: int = 1_048_576
+    header_s: float = 30
+    idle_s: float = 600
+
+
 class HttpRequest(msgspec.Struct):
     """A whole HTTP request.
 
--- a/egretlanding/httpserver.py
+++ b/egretlanding/httpserver.py
@@ -1,5 +1,6 @@
 """An HTTP/1.1 server protocol for calls, parsed by httptools."""
 
+import time
 from collections import deque
 from collections.abc import Callable
 from http import HTTPStatus
@@ -13,10 +14,8 @@
 from egretlanding.eagerwrites import write_now
 from egretlanding.frames import Headers
 from egretlanding.httpheaders import LENGTH, drop_hop_headers, has_safe_framing
-from egretlanding.httpmessages import HttpRequest, HttpResponse
+from egretlanding.httpmessages import HttpLimits, HttpRequest, HttpResponse
 
-MAX_HEADER_BYTES = 65_536
-MAX_BODY_BYTES = 1_048_576
 MAX_PIPELINED = 16
 
 NOT_RUN_HEADERS = (
@@ -37,6 +36,20 @@
 class FramingError(ValueError):
     """Two readers could disagree on where the request ends."""
 
+    status = HTTPStatus.BAD_REQUEST
+
+
+class HeaderSizeError(ValueError):
+    """The headers of a request exceed their limit."""
+
+    status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+
+
+class BodySizeError(ValueError):
+    """The body of a request exceeds its limit."""
+
+    status = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+
 
 @attrs.define(eq=False)
 class Exchange:
@@ -81,6 +94,10 @@
         self.pending: deque[Exchange] = deque()
         self.parser = httptools.HttpRequestParser(self)
         self.refused = False
+        self.limits = factory.limits
+        # When the connection fell idle or a request began to arrive, seconds.
+        self.since: float = 0
+        self.in_headers = False
         self.reset()
 
     def reset(self) -> None:
@@ -90,11 +107,13 @@
         self.chunks: list[bytes] = []
         self.header_bytes = 0
         self.body_bytes = 0
+        self.receiving = False
 
     def connectionMade(self) -> None:
         """Turns off Nagle's algorithm, since answers are written whole."""
         transport: Any = self.transport
         transport.setTcpNoDelay(True)
+        self.since = self.server.clock()
         self.server.connections.add(self)
 
     def dataReceived(self, data: bytes) -> None:
@@ -106,12 +125,8 @@
         except httptools.HttpParserUpgrade:
             self.reject(HTTPStatus.NOT_IMPLEMENTED)
         except httptools.HttpParserCallbackError as error:
-            framing = isinstance(error.__context__, FramingError)
-            self.reject(
-                HTTPStatus.BAD_REQUEST
-                if framing
-                else HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-            )
+            cause = error.__context__
+            self.reject(getattr(cause, 'status', HTTPStatus.BAD_REQUEST))
         except httptools.HttpParserError:
             self.reject(HTTPStatus.BAD_REQUEST)
 
@@ -137,6 +152,15 @@
         if not self.pending:
             self.write(b'', last=True)
 
+    def check_time(self, now: float) -> None:
+        """Ends a connection whose caller is idle or slow for too long."""
+        if self.refused or self.pending:
+            return
+        if self.in_headers and now - self.since > self.limits.header_s:
+            self.reject(HTTPStatus.REQUEST_TIMEOUT)
+        elif not self.receiving and now - self.since > self.limits.idle_s:
+            self.drain()
+
     def flush(self) -> None:
         """Writes the answers that are due, oldest first."""
         while self.pending:
@@ -150,6 +174,10 @@
             self.write(encoded, last=not keep_alive)
             if not keep_alive:
                 return
+        if not self.pending:
+            # The limit that the caller may know of is the one in force now.
+            self.limits = self.server.limits
+            self.since = self.server.clock()
         self.regulate()
 
     def regulate(self) -> None:
@@ -167,6 +195,14 @@
         if last:
             transport.loseConnection()
 
+    def on_message_begin(self) -> None:
+        """Notes when a request began to arrive."""
+        self.limits = self.server.limits
+        self.in_headers = True
+        self.receiving = True
+        if not self.pending:
+            self.since = self.server.clock()
+
     def on_url(self, url: bytes) -> None:
         """Collects the request target."""
         self.url += url
@@ -181,6 +217,7 @@
 
     def on_headers_complete(self) -> None:
         """Checks the framing and answers an expectation of the caller."""
+        self.in_headers = False
         if self.parser.should_upgrade() or not has_safe_framing(self.headers):
             raise FramingError
         if ('expect', '100-continue') in self.headers:
@@ -189,8 +226,8 @@
     def on_body(self, body: bytes) -> None:
         """Collects the body up to its limit."""
         self.body_bytes += len(body)
-        if self.body_bytes > MAX_BODY_BYTES:
-            raise ValueError('the body exceeds its limit')
+        if self.body_bytes > self.limits.body_bytes:
+            raise BodySizeError('the body exceeds its limit')
         self.chunks.append(body)
 
     def on_message_complete(self) -> None:
@@ -215,8 +252,8 @@
     def limit_headers(self, size: int) -> None:
         """Counts header bytes against their limit."""
         self.header_bytes += size
-        if self.header_bytes > MAX_HEADER_BYTES:
-            raise ValueError('the headers exceed their limit')
+        if self.header_bytes > self.limits.header_bytes:
+            raise HeaderSizeError('the headers exceed their limit')
 
 
 class HttpServerFactory(Factory):
@@ -224,13 +261,20 @@
 
     noisy = False
 
-    def __init__(self, handler: Handler) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
         """Stores the handler.
 
         Args:
             handler: Called with each whole request.
+            clock: Returns the time, seconds.
         """
         self.handler = handler
+        self.clock = clock
+        self.limits = HttpLimits()
         self.connections: set[HttpServer] = set()
         self.leaving = False
 
@@ -238,6 +282,12 @@
         """Builds the protocol of one connection."""
         return HttpServer(self)
 
+    def check_times(self) -> None:
+        """Ends connections whose callers are idle or slow for too long."""
+        now = self.clock()
+        for connection in tuple(self.connections):
+            connection.check_time(now)
+
     def drain(self) -> None:
         """Closes each connection once its requests are answered."""
         for connection in tuple(self.connections):
--- a/egretlanding/ingress.py
+++ b/egretlanding/ingress.py
@@ -1,6 +1,7 @@
 """Takes calls from callers and sends them to targets."""
 
 import itertools
+import random
 from collections import Counter
 from collections.abc import Callable
 from typing import Any
@@ -8,7 +9,13 @@
 import attrs
 
 from egretlanding.attempts import Attempt, CallRun
-from egretlanding.callheaders import CallMeta, malformed, response_of
+from egretlanding.callheaders import (
+    CallMeta,
+    domain_of,
+    malformed,
+    response_of,
+)
+from egretlanding.dialect import OWN_DIALECT, Dialect
 from egretlanding.egress import Egress
 from egretlanding.exceptions import CallHeaderError, KeyFormatError
 from egretlanding.frames import (
@@ -22,7 +29,7 @@
 from egretlanding.httpserver import Exchange
 from egretlanding.jobs import MS_PER_S
 from egretlanding.keys import parse_key
-from egretlanding.objects import WorkClass
+from egretlanding.objects import Branch, WorkClass
 from egretlanding.outcomes import Reason, Refusal
 from egretlanding.ownership import locate_owner
 from egretlanding.peerlinks import (
@@ -59,6 +66,9 @@
         numbers: Source of attempt numbers.
         outcomes: Calls answered, by whether they ran and why not.
         hedges: Second attempts made beside late first ones.
+        dialect: The names of the headers.
+        service: The service of the target beside the daemon, which the calls
+            that enter here come from.
     """
 
     reactor: Any
@@ -74,6 +84,8 @@
     numbers: Any = attrs.field(factory=lambda: itertools.count(1))
     outcomes: Counter[tuple[str, str]] = attrs.field(factory=Counter)
     hedges: int = 0
+    dialect: Dialect = OWN_DIALECT
+    service: str = ''
 
     def next_number(self) -> int:
         """Returns a number for an attempt."""
@@ -95,16 +107,24 @@
                 ),
             )
             return
-        match = view.routes.match(entry.request.method, entry.request.path)
+        request = entry.request
+        match = view.routes.match(
+            request.method,
+            request.path,
+            domain_of(request),
+        )
         if match is None:
-            detail = f'no Route takes {entry.request.method} on this path'
+            detail = f'no Route takes {request.method} on this path'
             self.refuse(entry, Refusal.not_run(Reason.NO_ROUTE, detail))
             return
         try:
-            meta = CallMeta.from_request(entry.request)
+            meta = CallMeta.from_request(request, self.dialect)
         except CallHeaderError as error:
             self.refuse(entry, malformed(error))
             return
+        branches = view.routes.branches.get(match.route_name)
+        if branches:
+            match = on_branch(view, match, branches, self.routes.rng)
         self.run(entry, view, match, meta)
 
     def run(
@@ -214,7 +234,7 @@
             refusal = refusal.of_keyed_call()
         reply = refusal_reply(0, refusal)
         self.count(reply)
-        entry.respond(response_of(reply))
+        entry.respond(response_of(reply, self.dialect))
 
     def count(self, reply: CallReply) -> None:
         """Counts an answered call."""
@@ -227,3 +247,28 @@
     def answered(self) -> int:
         """Returns the number of calls that a target answered."""
         return self.outcomes[Ran.YES.value, '']
+
+
+def on_branch(
+    view: View,
+    match: Match,
+    branches: tuple[Branch, ...],
+    rng: random.Random,
+) -> Match:
+    """Returns the match with the service that gets this call of a route.
+
+    Args:
+        view: The configuration in force.
+        match: What the route says of the call.
+        branches: The services that share the calls of the route.
+        rng: Source of the random choice.
+    """
+    weights = [branch.weight for branch in branches]
+    if not any(weights):
+        return match
+    service = rng.choices(branches, weights)[0].service
+    return attrs.evolve(
+        match,
+        service_name=service,
+        service=view.routes.services[service],
+    )
--- a/egretlanding/jobs.py
+++ b/egretlanding/jobs.py
@@ -1,6 +1,7 @@
 """The calls that one daemon runs at its own target."""
 
 from collections.abc import Callable
+from typing import Any
 
 import attrs
 
@@ -27,6 +28,7 @@
         key: Its idempotency key, or None.
         waiters: Who wants the reply, by ticket.
         running: Whether the target has it.
+        ticket: The request at the target, None before it is sent.
     """
 
     job_id: int
@@ -37,6 +39,7 @@
     key: Key | None = None
     waiters: dict[int, OnReply] = attrs.field(factory=dict)
     running: bool = False
+    ticket: Any = None
 
     def queued_call(self) -> QueuedCall:
         """Returns the call as the admission sees it."""
--- a/egretlanding/objects.py
+++ b/egretlanding/objects.py
@@ -18,8 +18,11 @@
 
 KINDS: dict[str, type] = {}
 
-PATH_PATTERN = r'/|(/[A-Za-z0-9._~%@:+-]{1,63}){1,8}'
-PATH_FORM = 'segments that each start with a slash, without a slash at the end'
+PATH_PATTERN = r'/|(/[A-Za-z0-9._~%@:+-]{1,63}){1,8}/?'
+PATH_FORM = 'segments that each start with a slash'
+# A route without a domain takes calls to all of them.
+DOMAIN_PATTERN = '|[a-z0-9]([a-z0-9.-]{0,251}[a-z0-9])?'
+DOMAIN_FORM = 'a domain name in lower case, without a port'
 
 Spec = TypeVar('Spec')
 
@@ -98,6 +101,9 @@
         hedge_ms: Wait before a second attempt of an idempotent call, ms;
             zero turns hedging off.
         short_wait_ms: Longest wait of a short call behind long ones, ms.
+        target_latency_ms: Time within which an answer is worth most, ms;
+            zero if the operator names none.
+        priority: Rank of the calls where not all can be served, 0 first.
     """
 
     extends: str = link('Policy', default='')
@@ -106,6 +112,8 @@
     retry_percent: int = bounded(0, 100, 'percent', default=10)
     hedge_ms: int = bounded(0, 60_000, 'ms', default=0)
     short_wait_ms: int = bounded(1, 60_000, 'ms', default=50)
+    target_latency_ms: int = bounded(0, 3_600_000, 'ms', default=0)
+    priority: int = bounded(0, 1_000, 'rank', default=0)
 
 
 @kind('Route')
@@ -114,7 +122,8 @@
     """Sends calls whose path starts with a prefix to a service.
 
     A prefix covers whole segments: `/stock` covers `/stock/7`, but not
-    `/stocks`. Of the routes that take a call's method, the one with the
+    `/stocks`. A prefix that ends in a slash covers only what lies below it.
+    Of the routes that take a call's domain and method, the one with the
     longest prefix gets the call.
 
     Attributes:
@@ -123,6 +132,7 @@
         policy: Name of the policy that applies.
         methods: HTTP methods that the route takes; empty means all.
         work: The class of work that the calls are.
+        domain: Domain name that the calls are sent to; empty means all.
     """
 
     path_prefix: str = form(PATH_PATTERN, PATH_FORM)
@@ -130,6 +140,26 @@
     policy: str = link('Policy')
     methods: tuple[str, ...] = method_list()
     work: WorkClass = WorkClass.LEARNED
+    domain: str = form(DOMAIN_PATTERN, DOMAIN_FORM, default='')
+
+
+@kind('Branch')
+@attrs.frozen(kw_only=True)
+class Branch:
+    """Gives a share of a route's calls to one of several services.
+
+    A route with branches divides its calls among their services in the
+    proportions of the weights. One without sends all to its own service.
+
+    Attributes:
+        route: Name of the route.
+        service: Name of the service that gets the share.
+        weight: The share, relative to the other branches of the route.
+    """
+
+    route: str = link('Route')
+    service: str = link('Service')
+    weight: int = bounded(0, 1_000_000, 'parts', default=1)
 
 
 @kind('IdempotencyRule')
--- a/egretlanding/outcomes.py
+++ b/egretlanding/outcomes.py
@@ -51,6 +51,8 @@
     KEY_VIEW_STALE = 'key-view-stale'
     KEY_UNSETTLED = 'key-unsettled'
     ANSWER_DROPPED = 'answer-dropped'
+    OTHER_INSTANCE = 'other-instance'
+    GARBLED = 'garbled'
 
 
 @attrs.frozen
@@ -143,6 +145,8 @@
         HTTPStatus.CONFLICT,
         'do not send it again; the call ran and its answer is not kept',
     ),
+    Reason.OTHER_INSTANCE: ReasonTraits(HTTPStatus.SERVICE_UNAVAILABLE, _LATER),
+    Reason.GARBLED: ReasonTraits(HTTPStatus.BAD_GATEWAY, _CHECK_FIRST),
 }
 
 NEVER_ACCEPTED = frozenset((Reason.KEY_MALFORMED, Reason.HEADER_MALFORMED))
@@ -207,6 +211,8 @@
             by way of another host, may have run it.
         retried_below: Whether a level below has made retries already.
         detail: What was found, in one clause.
+        arrived: Whether the call may have reached a target, even one that
+            refused it.
     """
 
     reason: Reason
@@ -215,6 +221,7 @@
     keyed: bool = False
     retried_below: bool = False
     detail: str = ''
+    arrived: bool = True
 
     @property
     def execution(self) -> Execution:
--- a/egretlanding/peers.py
+++ b/egretlanding/peers.py
@@ -5,11 +5,12 @@
 from typing import Any
 
 import attrs
+import msgspec
 from twisted.internet.protocol import Factory, connectionDone
 from twisted.protocols.basic import Int32StringReceiver
 from twisted.python.failure import Failure
 
-from egretlanding.eagerwrites import write_now
+from egretlanding.eagerwrites import watch_silence, write_now
 from egretlanding.exceptions import FrameError
 from egretlanding.frames import (
     MAX_FRAME_BYTES,
@@ -22,6 +23,9 @@
     Ping,
     Pong,
     Readiness,
+    RecordsHeld,
+    RecordsSent,
+    RecordsWanted,
     Suspicion,
     decode_frame,
     encode_frame,
@@ -34,6 +38,8 @@
 OnCall = Callable[['PeerConnection', CallRequest], None]
 OnReadiness = Callable[['PeerConnection', bool], None]
 OnHostsHeld = Callable[['PeerConnection', HostsHeld], None]
+RecordsFrame = RecordsHeld | RecordsWanted | RecordsSent
+OnRecords = Callable[['PeerConnection', RecordsFrame], None]
 OnConnection = Callable[['PeerConnection'], None]
 
 
@@ -70,7 +76,7 @@
         """Introduces this daemon to the other one."""
         transport: Any = self.transport
         transport.setTcpNoDelay(True)
-        transport.setTcpKeepAlive(True)
+        watch_silence(transport)
         self.node.connections.add(self)
         self.send(self.node.hello)
 
@@ -108,7 +114,7 @@
         """
         call_id = next(self.call_ids)
         self.waiting[call_id] = on_reply
-        self.send(renumber(request, call_id))
+        self.send(msgspec.structs.replace(request, call_id=call_id))
         return call_id
 
     def cancel(self, call_id: int) -> None:
@@ -170,6 +176,8 @@
                 self.node.on_suspicion(frame)
             case HostsHeld():
                 self.node.on_hosts_held(self, frame)
+            case RecordsHeld() | RecordsWanted() | RecordsSent():
+                self.node.on_records(self, frame)
             case Ping():
                 self.send(Pong())
             case Hello() | Readiness():
@@ -196,6 +204,8 @@
             calls.
         on_suspicion: Called with what another daemon knows of a request.
         on_hosts_held: Called with which host list another daemon holds.
+        on_records: Called with what another daemon tells or asks of the
+            store's records.
         connections: The connections that are open, in both directions.
     """
 
@@ -206,6 +216,7 @@
     on_readiness: OnReadiness = lambda _connection, _ready: None
     on_suspicion: Callable[[Suspicion], None] = lambda _frame: None
     on_hosts_held: OnHostsHeld = lambda _connection, _frame: None
+    on_records: OnRecords = lambda _connection, _frame: None
     connections: set[PeerConnection] = attrs.field(factory=set)
 
     def announce(self, ready: bool) -> None:
@@ -239,23 +250,6 @@
         return PeerConnection(self.node)
 
 
-def renumber(request: CallRequest, call_id: int) -> CallRequest:
-    """Returns a call with another number."""
-    return CallRequest(
-        call_id,
-        request.method,
-        request.path,
-        request.headers,
-        request.body,
-        request.route,
-        request.remaining_ms,
-        request.short_wait_ms,
-        request.work,
-        request.idempotent,
-        request.key,
-    )
-
-
 def lost_reply(call_id: int) -> CallReply:
     """Returns the answer to a call whose connection was lost."""
     return refusal_reply(
--- a/egretlanding/peerserver.py
+++ b/egretlanding/peerserver.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 import attrs
+import msgspec
 
 from egretlanding.egress import Egress
 from egretlanding.frames import CallReply, CallRequest
@@ -29,7 +30,9 @@
             nonlocal replied
             replied = True
             connection.served.pop(call.call_id, None)
-            connection.send(renumber_reply(reply, call.call_id))
+            connection.send(
+                msgspec.structs.replace(reply, call_id=call.call_id),
+            )
 
         ticket = self.egress.run(call, self.late_s(), on_reply)
         if not replied:
@@ -45,17 +48,3 @@
         """Abandons the calls of a connection that is gone."""
         for call_id in tuple(connection.served):
             self.take_cancel(connection, call_id)
-
-
-def renumber_reply(reply: CallReply, call_id: int) -> CallReply:
-    """Returns a reply with another number."""
-    return CallReply(
-        call_id,
-        reply.status,
-        reply.headers,
-        reply.body,
-        reply.ran,
-        reply.reason,
-        reply.detail,
-        reply.load,
-    )
--- /dev/null
+++ b/egretlanding/platform/__main__.py
@@ -0,0 +1,54 @@
+"""Runs the daemon on the platform."""
+
+import os
+import sys
+import time
+from typing import Any
+
+# The libraries go without TLS, which the platform does not use.
+sys.modules.update(dict.fromkeys(('OpenSSL', 'ssl')))  # type: ignore[arg-type]
+
+from absl import logging  # noqa: E402
+from twisted.internet import reactor as default_reactor  # noqa: E402
+
+from egretlanding.platform.names import (  # noqa: E402
+    DIALECT,
+    READINESS_PATH,
+)
+from egretlanding.platform.records import RecordDecoder  # noqa: E402
+from egretlanding.platform.store import PlatformStore  # noqa: E402
+from egretlanding.sidecar import Surroundings, serve  # noqa: E402
+from egretlanding.sidecarconfig import SidecarConfig  # noqa: E402
+
+SETTINGS_VARIABLE = 'EGRETLANDING_CONFIG'
+
+
+def steady_time() -> float:
+    """Returns seconds of a clock that runs on while the machine sleeps."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def main() -> None:
+    """Runs the daemon."""
+    logging.set_verbosity(logging.INFO)
+    config = SidecarConfig.from_file(os.environ[SETTINGS_VARIABLE])
+    reactor: Any = default_reactor
+    reactor.seconds = steady_time
+    address, _, port = config.store.rpartition(':')
+    decoder = RecordDecoder(
+        config.region_of,
+        config.retry_percent,
+        config.cold_start_ms,
+        config.queue_limit,
+    )
+    surroundings = Surroundings(
+        DIALECT,
+        PlatformStore.from_address(reactor, address, int(port)),
+        decoder,
+        READINESS_PATH,
+    )
+    serve(reactor, config, surroundings)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/egretlanding/platform/names.py
@@ -0,0 +1,24 @@
+"""The headers and paths of the platform."""
+
+from egretlanding.dialect import Dialect
+
+DIALECT = Dialect(
+    caller_deadline='deadline-ms',
+    target_deadline='deadline-ms',
+    target_call='',
+    not_run='not-run',
+    request_id='request-id',
+    # Who calls: the service of the machine where the request began.
+    origin='caller',
+    wanted_instance='expect-instance',
+    found_instance='instance',
+    seal='server-stamp',
+    repeat_hops=False,
+    tells_reason=False,
+    truthful_statuses=True,
+)
+READINESS_PATH = '/-/readiness'
+CONFIG_KEY = 'op/config'
+ENTRY_PREFIX = 'servers/'
+ITEM_LIST_PATH = '/-/kv-range'
+WATCH_PATH = '/-/kv-watch'
--- a/egretlanding/retries.py
+++ b/egretlanding/retries.py
@@ -1,6 +1,7 @@
 """Whether a failed attempt is retried, and when a call is hedged."""
 
 import math
+from collections.abc import Iterable
 
 import attrs
 
@@ -20,6 +21,8 @@
 KEY_HEADER = 'idempotency-key'
 
 MAX_DEPTH = 8
+# Daemons that may refuse a call before it is given up.
+MAX_TRIES = 8
 PERCENT = 100
 SPARE_TOKENS = 3
 SPARE_TOKENS_PER_S = 0.1
@@ -178,13 +181,23 @@
         refusal.reason in FINAL_REASONS,
         context.is_retry,
         any(attempt.retried_below for attempt in failed),
-        len(failed) >= policy.max_attempts,
+        sum(attempt.arrived for attempt in failed) >= policy.max_attempts,
+        len(failed) >= MAX_TRIES,
         now >= context.deadline,
-        not budget.allows(policy, now),
+        needs_budget(failed) and not budget.allows(policy, now),
     )
     return GiveUp(refusal) if any(stops) else Retry(context.key_owner)
 
 
+def needs_budget(failed: Iterable[FailedAttempt]) -> bool:
+    """Tells whether the next attempt adds to the work of targets.
+
+    The first attempt that arrives at a target isn't a retry for it, whatever
+    number of daemons refused the call before.
+    """
+    return any(attempt.arrived for attempt in failed)
+
+
 @attrs.define
 class HedgeTimer:
     """Learns how long almost all calls of a route take.
--- a/egretlanding/routing.py
+++ b/egretlanding/routing.py
@@ -1,11 +1,13 @@
 """The route, policy and idempotency that a call has under a release."""
 
+import itertools
 from collections.abc import Callable, Mapping
 from typing import Any
 
 import attrs
 
 from egretlanding.objects import (
+    Branch,
     IdempotencyRule,
     Policy,
     Route,
@@ -81,21 +83,24 @@
 
     Attributes:
         release: Number of the release.
-        by_prefix: Names of the routes by path prefix, in order of name.
+        by_prefix: Names of the routes by domain and path prefix, in order
+            of name.
         prefix_lengths: Lengths of the prefixes, greatest first.
         routes: The routes by name.
         rules: The idempotency rules by the name of their route.
         policies: The effective policies by name.
         services: The services by name.
+        branches: The services that share the calls of a route, by route.
     """
 
     release: int
-    by_prefix: Mapping[str, tuple[str, ...]]
+    by_prefix: Mapping[tuple[str, str], tuple[str, ...]]
     prefix_lengths: tuple[int, ...]
     routes: Mapping[str, Route]
     rules: Mapping[str, tuple[NamedRule, ...]]
     policies: Mapping[str, Policy]
     services: Mapping[str, Service]
+    branches: Mapping[str, tuple[Branch, ...]] = attrs.field(factory=dict)
 
     @classmethod
     def from_release(
@@ -110,43 +115,43 @@
             resolve: Returns the effective policy of a name.
         """
         routes: dict[str, Route] = _specs(release, 'Route')
-        prefixes = {route.path_prefix for route in routes.values()}
         rules: dict[str, IdempotencyRule] = _specs(release, 'IdempotencyRule')
         return cls(
             release=release.number,
-            by_prefix={
-                prefix: tuple(
-                    name
-                    for name, route in routes.items()
-                    if route.path_prefix == prefix
-                )
-                for prefix in prefixes
-            },
+            by_prefix=_by_prefix(routes),
             prefix_lengths=tuple(
-                sorted(set(map(len, prefixes)), reverse=True),
+                sorted(
+                    {len(route.path_prefix) for route in routes.values()},
+                    reverse=True,
+                ),
             ),
             routes=routes,
-            rules={name: _rules_of(name, rules) for name in routes},
-            policies={
-                route.policy: resolve(release, route.policy)
-                for route in routes.values()
-            },
+            rules=_rules_by_route(routes, rules),
+            policies=_policies_of(release, routes, resolve),
             services=_specs(release, 'Service'),
+            branches=_branches_of(release),
         )
 
-    def match(self, method: str, path: str) -> Match | None:
+    def match(
+        self,
+        method: str,
+        path: str,
+        domain: str = '',
+    ) -> Match | None:
         """Finds the route of a call: the longest prefix that takes it.
 
-        Of two routes with one prefix, the one that names the method wins.
+        Of two routes with one prefix, the one that names the domain wins,
+        then the one that names the method.
 
         Args:
             method: The HTTP method, in capitals.
             path: The path, with or without a query.
+            domain: The domain name that the call was sent to, in lower case.
 
         Returns:
             What the release says of the call, or None without a route.
         """
-        name = self.find_route(method, path.partition('?')[0])
+        name = self.find_route(method, path.partition('?')[0], domain)
         if name is None:
             return None
         route = self.routes[name]
@@ -161,13 +166,21 @@
             rule_name='' if deciding is None else deciding.name,
         )
 
-    def find_route(self, method: str, path: str) -> str | None:
+    def find_route(
+        self,
+        method: str,
+        path: str,
+        domain: str = '',
+    ) -> str | None:
         """Returns the name of the route that takes a call, or None."""
-        candidates = (
-            name
+        fitting = (
+            path[:length]
             for length in self.prefix_lengths
             if _ends_segment(path, length)
-            for name in self._by_method(method, path[:length])
+        )
+        taken = itertools.product(fitting, dict.fromkeys((domain, '')))
+        candidates = itertools.chain.from_iterable(
+            self._by_method(method, (each, prefix)) for prefix, each in taken
         )
         return next(candidates, None)
 
@@ -220,10 +233,10 @@
             reasons=_reasons(match),
         )
 
-    def _by_method(self, method: str, prefix: str) -> list[str]:
+    def _by_method(self, method: str, taken: tuple[str, str]) -> list[str]:
         taking = [
             name
-            for name in self.by_prefix.get(prefix, ())
+            for name in self.by_prefix.get(taken, ())
             if not self.routes[name].methods
             or method in self.routes[name].methods
         ]
@@ -234,10 +247,46 @@
     # "/stock" takes "/stock" and "/stock/7", but not "/stocks".
     rest = path[length:]
     return len(path) >= length and (
-        length == len(ROOT) or not rest or rest.startswith(ROOT)
+        path[length - 1] == ROOT or not rest or rest.startswith(ROOT)
     )
 
 
+def _by_prefix(
+    routes: Mapping[str, Route],
+) -> dict[tuple[str, str], tuple[str, ...]]:
+    grouped: dict[tuple[str, str], list[str]] = {}
+    for name, route in routes.items():
+        key = (route.domain, route.path_prefix)
+        grouped.setdefault(key, []).append(name)
+    return {key: tuple(names) for key, names in grouped.items()}
+
+
+def _policies_of(
+    release: Release,
+    routes: Mapping[str, Route],
+    resolve: PolicyResolver,
+) -> dict[str, Policy]:
+    used = {route.policy for route in routes.values()}
+    return {policy: resolve(release, policy) for policy in used}
+
+
+def _rules_by_route(
+    routes: Mapping[str, Route],
+    rules: Mapping[str, IdempotencyRule],
+) -> dict[str, tuple[NamedRule, ...]]:
+    grouped: dict[str, list[NamedRule]] = {route: [] for route in routes}
+    for name, rule in rules.items():
+        grouped[rule.route].append(NamedRule(name, rule))
+    return {route: tuple(named) for route, named in grouped.items()}
+
+
+def _branches_of(release: Release) -> dict[str, tuple[Branch, ...]]:
+    grouped: dict[str, list[Branch]] = {}
+    for branch in _specs(release, 'Branch').values():
+        grouped.setdefault(branch.route, []).append(branch)
+    return {name: tuple(branches) for name, branches in grouped.items()}
+
+
 def _specs(release: Release, kind: str) -> dict[str, Any]:
     return {
         name: entry.spec
@@ -246,17 +295,6 @@
     }
 
 
-def _rules_of(
-    route: str,
-    rules: Mapping[str, IdempotencyRule],
-) -> tuple[NamedRule, ...]:
-    return tuple(
-        NamedRule(name, rule)
-        for name, rule in rules.items()
-        if rule.route == route
-    )
-
-
 def _reasons(match: Match) -> tuple[str, ...]:
     runs = 'idempotent' if match.idempotent else 'non-idempotent'
     source = match.rule_name or 'no rule, which counts as non-idempotent'
--- a/egretlanding/setchecks.py
+++ b/egretlanding/setchecks.py
@@ -67,10 +67,10 @@
 @check('routes')
 def check_routes(whole: ObjectSet) -> Iterator[Fault]:
     """Finds routes that another route keeps from being reached."""
-    owners: dict[tuple[str, str], str] = {}
+    owners: dict[tuple[str, str, str], str] = {}
     for route in whole.of_kind(Route.__name__):
         claims = [
-            (route.spec.path_prefix, method)
+            (route.spec.domain, route.spec.path_prefix, method)
             for method in _covered(route.spec.methods)
         ]
         rivals = {owners.setdefault(claim, route.name) for claim in claims}
--- /dev/null
+++ b/egretlanding/sidecar.py
@@ -0,0 +1,339 @@
+"""Joins the tasks of a daemon that reads a store of records."""
+
+import random
+import signal
+import time
+from http import HTTPStatus
+from typing import Any, Protocol
+
+import attrs
+from twisted.internet.defer import Deferred
+from twisted.internet.task import LoopingCall
+
+from egretlanding.calls import CallService
+from egretlanding.check import find_faults
+from egretlanding.dialect import Dialect
+from egretlanding.events import Event, Severity, log_event
+from egretlanding.exceptions import PlatformError
+from egretlanding.hosts import Host
+from egretlanding.httpmessages import HttpResponse
+from egretlanding.httpserver import Exchange, HttpServerFactory
+from egretlanding.life import Life, LifeCore, Phase, build_machine
+from egretlanding.publication import Publication
+from egretlanding.recordfeed import RecordFeed, RecordStore
+from egretlanding.recordrelay import RecordRelay
+from egretlanding.records import Record
+from egretlanding.roster import Roster, TargetEntry
+from egretlanding.sidecarconfig import SidecarConfig, port_of
+from egretlanding.views import View
+
+TICK_S = 0.5
+# Two questions without a yes take a daemon out; they come once per second.
+DRAIN_NOTICE_S = 2.6
+
+
+class Decoder(Protocol):
+    """Decodes the records of a store; raises PlatformError."""
+
+    def is_publication(self, record: Record) -> bool:
+        """Tells whether a record holds the configuration."""
+
+    def target_of(self, record: Record) -> str:
+        """Returns the target that a record is the entry of, or nothing."""
+
+    def decode_publication(self, record: Record) -> Publication:
+        """Decodes the configuration."""
+
+    def decode_entry(self, record: Record) -> TargetEntry:
+        """Decodes the entry of a target."""
+
+
+@attrs.frozen
+class Surroundings:
+    """What a daemon runs in.
+
+    Attributes:
+        dialect: The names of the HTTP headers.
+        store: The store of records.
+        decoder: Decodes the records.
+        readiness_path: The path that is asked whether the daemon is ready.
+    """
+
+    dialect: Dialect
+    store: RecordStore
+    decoder: Decoder
+    readiness_path: str
+
+
+@attrs.define(eq=False)
+class Sidecar:
+    """Composes the tasks of one process.
+
+    Attributes:
+        reactor: The reactor that runs everything.
+        config: The settings.
+        surroundings: What the daemon runs in.
+        calls: The call path.
+        feed: Keeps the records of the store current.
+        relay: Passes them on between daemons.
+        roster: The targets that are believed to run.
+        life: The machine that leads the daemon through its life.
+        core: Where the daemon is in its life.
+        view: The configuration in force, None until there is one.
+        publication: The configuration as it was published.
+        applied_hosts: Revision of the roster that calls are served with.
+        ticker: The periodic duties.
+    """
+
+    reactor: Any
+    config: SidecarConfig
+    surroundings: Surroundings
+    calls: CallService
+    roster: Roster
+    feed: RecordFeed = attrs.field(init=False)
+    relay: RecordRelay = attrs.field(init=False)
+    core: LifeCore = attrs.field(init=False)
+    life: Life = attrs.field(init=False)
+    view: View | None = None
+    publication: Publication | None = None
+    applied_hosts: int = -1
+    ticker: Any = None
+
+    @classmethod
+    def from_config(
+        cls,
+        reactor: Any,
+        config: SidecarConfig,
+        surroundings: Surroundings,
+    ) -> 'Sidecar':
+        """Builds a daemon without opening a socket."""
+        calls: Any = CallService.from_config(
+            reactor,
+            config,  # type: ignore[arg-type]
+            time.time_ns(),
+            surroundings.dialect,
+        )
+        calls.drain_notice_s = DRAIN_NOTICE_S
+        sidecar = cls(
+            reactor,
+            config,
+            surroundings,
+            calls,
+            Roster(config.peer_port),
+        )
+        sidecar.feed = RecordFeed(
+            reactor,
+            surroundings.store,
+            random.Random(config.address),
+        )
+        sidecar.relay = RecordRelay(
+            reactor,
+            config.address,
+            calls.links,
+            tuple(map(seed_host, config.seeds)),
+            sidecar.feed,
+        )
+        sidecar.feed.on_change = [sidecar.take_records, sidecar.relay.announce]
+        calls.links.node.on_records = sidecar.relay.take
+        sidecar.core = LifeCore(sidecar.begin_drain, reactor.stop)
+        sidecar.life = build_machine(sidecar.core)
+        return sidecar
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether clients should send calls here."""
+        return self.core.phase is Phase.READY
+
+    def start(self) -> None:
+        """Opens the ports and starts the tasks."""
+        self.calls.listen()
+        self.reactor.listenTCP(
+            port_of(self.config.readiness),
+            HttpServerFactory(self.answer_readiness, self.reactor.seconds),
+            interface=self.config.address,
+        )
+        self.life.opened()
+        self.feed.start()
+        self.ticker = LoopingCall(self.tick)
+        self.ticker.clock = self.reactor
+        self.ticker.start(TICK_S, now=False)
+
+    def answer_readiness(self, entry: Exchange) -> None:
+        """Says whether clients should send calls here."""
+        if entry.request.path != self.surroundings.readiness_path:
+            status = HTTPStatus.NOT_FOUND
+        elif self.is_ready:
+            status = HTTPStatus.OK
+        else:
+            status = HTTPStatus.SERVICE_UNAVAILABLE
+        entry.respond(HttpResponse(status, [], b''))
+
+    def tick(self) -> None:
+        """Does what is due twice a second."""
+        self.feed.beat()
+        self.relay.tick()
+        expired = self.roster.expire(self.reactor.seconds())
+        for instance in expired:
+            log_event(
+                Event.TARGET_GONE,
+                'the entry did not come back after the store did',
+                instance=instance,
+            )
+        self.refresh()
+
+    def take_records(self, records: list[Record]) -> None:
+        """Takes over what changed in the store."""
+        decoder = self.surroundings.decoder
+        for record in records:
+            try:
+                if decoder.is_publication(record):
+                    self.take_publication(record)
+                elif decoder.target_of(record):
+                    self.take_entry(record)
+            except PlatformError as error:
+                log_event(
+                    Event.ENTRY_REFUSED,
+                    str(error),
+                    Severity.WARNING,
+                    revision=record.revision,
+                )
+        self.refresh()
+
+    def take_publication(self, record: Record) -> None:
+        """Takes over a configuration that is later and without faults.
+
+        Raises:
+            PlatformError: It can't be read.
+        """
+        if record.deleted:
+            return
+        decoded = self.surroundings.decoder.decode_publication(record)
+        if self.publication and decoded.position <= self.publication.position:
+            log_event(
+                Event.RELEASE_REFUSED,
+                'the configuration is older than the one in force',
+                Severity.WARNING,
+                number=decoded.number,
+                in_force=self.publication.number,
+            )
+            return
+        faults = find_faults(decoded.objects)
+        if faults:
+            raise PlatformError(
+                f'configuration {decoded.number} is refused ({faults[0]})',
+                'publish one without the fault',
+            )
+        self.publication = decoded
+        self.view = View.from_release(
+            decoded.to_release(),
+            self.roster.host_list(),
+        )
+        self.applied_hosts = -1
+        self.calls.http.limits = decoded.limits
+        log_event(
+            Event.RELEASE_APPLIED,
+            'configuration in force',
+            number=decoded.number,
+            revision=decoded.revision,
+        )
+
+    def take_entry(self, record: Record) -> None:
+        """Takes over what a target wrote of itself.
+
+        Raises:
+            PlatformError: It can't be read.
+        """
+        now = self.reactor.seconds()
+        instance = self.surroundings.decoder.target_of(record)
+        if record.deleted:
+            lapsed = self.feed.was_away(now)
+            self.roster.remove(instance, now, lapsed=lapsed)
+            log_event(
+                Event.TARGET_GONE,
+                'the entry is gone',
+                instance=instance,
+                revision=record.revision,
+                store_was_away=lapsed,
+            )
+            return
+        try:
+            entry = self.surroundings.decoder.decode_entry(record)
+        except PlatformError:
+            # What another writer put there names no target to use.
+            self.roster.remove(instance, now, lapsed=False)
+            raise
+        self.roster.update(entry, record.revision)
+        log_event(
+            Event.TARGET_LISTED,
+            'entry of a target',
+            instance=instance,
+            address=entry.address,
+            service=entry.service,
+            draining=entry.draining,
+            revision=record.revision,
+        )
+
+    def refresh(self) -> None:
+        """Serves calls with what is known now."""
+        if self.core.phase in {Phase.DRAINING, Phase.STOPPED}:
+            return
+        if self.view is None or not self.feed.table.complete_to:
+            return
+        if self.applied_hosts != self.roster.revision:
+            self.applied_hosts = self.roster.revision
+            hosts = self.roster.host_list()
+            self.view = self.view.with_hosts(hosts)
+            self.relay.update_hosts(hosts.hosts.values(), self.config.region)
+            self.calls.apply(self.view)
+            self.follow_own_target()
+        self.life.synced()
+
+    def follow_own_target(self) -> None:
+        """Takes over what the store says of the target beside the daemon."""
+        config = self.config
+        own = self.roster.at(config.target_address, config.target_port)
+        if own:
+            health = self.calls.egress.health
+            health.update(up=health.up, draining=own.draining)
+            self.calls.egress.admission.slots.limit.slots = own.slots
+
+    def stop(self) -> None:
+        """Starts a graceful stop."""
+        self.life.stop_requested()
+
+    def begin_drain(self) -> None:
+        """Ends the call path without cutting a call."""
+        drained: Deferred[None] = self.calls.drain()
+        drained.addCallback(lambda _nothing: self.life.drained())
+
+
+def seed_host(text: str) -> Host:
+    """Returns a host of which only the daemon's address is known."""
+    address, _, port = text.rpartition(':')
+    return Host(
+        host_id=address,
+        address=address,
+        call_port=0,
+        peer_port=int(port),
+        exchange_port=0,
+        region='',
+        failure_domain='',
+        service='',
+    )
+
+
+def serve(
+    reactor: Any,
+    config: SidecarConfig,
+    surroundings: Surroundings,
+) -> None:
+    """Runs the daemon until it is told to stop."""
+    sidecar = Sidecar.from_config(reactor, config, surroundings)
+
+    def stop(*_args: Any) -> None:
+        reactor.callFromThread(sidecar.stop)
+
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
+    reactor.callWhenRunning(sidecar.start)
+    reactor.run(installSignalHandlers=False)
--- /dev/null
+++ b/egretlanding/sidecarconfig.py
@@ -0,0 +1,119 @@
+"""The checked settings of a daemon that reads a store of records."""
+
+import attrs
+
+from egretlanding.config import (
+    HOST_FORM,
+    HOST_PATTERN,
+    SEED_FORM,
+    SEED_PATTERN,
+    Settings,
+    ip_address,
+    required_name,
+    tcp_port,
+)
+from egretlanding.durations import milliseconds
+from egretlanding.schema import bounded, choice, form
+
+MS_PER_S = 1_000
+PERCENT = 100
+PAIR_PATTERN = '[a-z0-9-]+=[a-z0-9-]+'
+PAIR_FORM = 'failure-domain=region'
+RATIO_PATTERN = r'[01](\.\d{1,6})?'
+RATIO_FORM = 'a share from 0 to 1, such as 0.2'
+DURATION_PATTERN = r'\d{1,9}(\.\d{1,3})?(ms|s)'
+DURATION_FORM = 'a time such as 1500ms or 2.5s'
+
+
+def port_of(text: str) -> int:
+    """Returns the port of an address and port."""
+    return int(text.rpartition(':')[2])
+
+
+@attrs.frozen(kw_only=True)
+class SidecarConfig(Settings):
+    """The settings of one daemon.
+
+    Attributes:
+        host_id: The name of the host, as logs show it.
+        address: The IP address that the daemon listens on.
+        callers: Address and port for calls from callers.
+        peers: Address and port for other daemons.
+        readiness: Address and port that is asked whether the daemon is ready.
+        metrics_port: TCP port for metrics and the dump of state.
+        target: Address and port of the target beside the daemon.
+        region: The region that the host is in.
+        failure_domain: The failure domain that the host is in.
+        regions: The region of each failure domain.
+        service: The service that the target runs.
+        store: Address and port of the store.
+        seeds: Addresses and ports of daemons to ask at start.
+        retry_ratio: Retries that all daemons may make, as a share of the
+            calls to a service.
+        retry_slack: Retries that all daemons may make besides, in the window.
+        retry_window: Window in which retries are counted.
+        grace: Time from the signal to stop until the process is killed.
+        cold_start_ms: Time over which a new target's share ramps up, ms.
+        queue_limit: Calls that may wait in front of the target.
+        balancing: How targets are chosen; "random" is a baseline for
+            measurements only.
+        target_check: How it is found out whether the target takes calls.
+    """
+
+    host_id: str = form(HOST_PATTERN, HOST_FORM)
+    address: str = ip_address()
+    callers: str = form(SEED_PATTERN, SEED_FORM)
+    peers: str = form(SEED_PATTERN, SEED_FORM)
+    readiness: str = form(SEED_PATTERN, SEED_FORM)
+    metrics_port: int = tcp_port()
+    target: str = form(SEED_PATTERN, SEED_FORM)
+    region: str = required_name()
+    failure_domain: str = required_name()
+    regions: tuple[str, ...] = form(PAIR_PATTERN, PAIR_FORM)
+    service: str = required_name()
+    store: str = form(SEED_PATTERN, SEED_FORM)
+    seeds: tuple[str, ...] = form(SEED_PATTERN, SEED_FORM, default=())
+    retry_ratio: str = form(RATIO_PATTERN, RATIO_FORM, default='0.1')
+    retry_slack: int = bounded(0, 1_000_000, 'retries', default=0)
+    retry_window: str = form(DURATION_PATTERN, DURATION_FORM, default='10s')
+    grace: str = form(DURATION_PATTERN, DURATION_FORM, default='10s')
+    cold_start_ms: int = bounded(0, 600_000, 'ms', default=3_000)
+    queue_limit: int = bounded(0, 10_000, 'calls', default=64)
+    balancing: str = choice(('p2c', 'random'), default='p2c')
+    target_check: str = choice(('report', 'connect'), default='connect')
+
+    @property
+    def call_port(self) -> int:
+        """TCP port for calls from callers."""
+        return port_of(self.callers)
+
+    @property
+    def peer_port(self) -> int:
+        """TCP port for other daemons."""
+        return port_of(self.peers)
+
+    @property
+    def target_address(self) -> str:
+        """IP address of the target beside the daemon."""
+        return self.target.rpartition(':')[0]
+
+    @property
+    def target_port(self) -> int:
+        """TCP port of the target beside the daemon."""
+        return port_of(self.target)
+
+    @property
+    def region_of(self) -> dict[str, str]:
+        """The region of each failure domain."""
+        pairs = (pair.partition('=') for pair in self.regions)
+        return {domain: region for domain, _, region in pairs}
+
+    @property
+    def retry_percent(self) -> int:
+        """Retries allowed per hundred calls, percent."""
+        return int(float(self.retry_ratio) * PERCENT)
+
+    @property
+    def grace_s(self) -> float:
+        """Time from the signal to stop until the process is killed."""
+        return milliseconds(self.grace) / MS_PER_S
--- a/egretlanding/targetcalls.py
+++ b/egretlanding/targetcalls.py
@@ -4,10 +4,7 @@
 
 import attrs
 
-from egretlanding.callheaders import (
-    TARGET_CALL_HEADER,
-    TARGET_DEADLINE_HEADER,
-)
+from egretlanding.dialect import OWN_DIALECT, Dialect
 from egretlanding.httpmessages import HttpRequest
 from egretlanding.jobs import MS_PER_S, Job
 from egretlanding.outcomes import FailedAttempt, Progress, Reason
@@ -28,6 +25,7 @@
         health: Whether the target takes calls.
         quarantine: Requests that crash targets.
         on_crash: Called after the target crashed.
+        dialect: The names of the headers.
     """
 
     process: str
@@ -35,24 +33,35 @@
     health: TargetHealth
     quarantine: Quarantine
     on_crash: Callable[[], None] = lambda: None
+    dialect: Dialect = OWN_DIALECT
 
     def send(self, job: Job, now: float, on_outcome: OnOutcome) -> None:
         """Sends a call that has a slot."""
-        call = job.call
+        call, dialect = job.call, self.dialect
         remaining_ms = max(1, int((job.deadline - now) * MS_PER_S))
-        self.pool.run(
+        extra = [(dialect.target_deadline, str(remaining_ms))]
+        if dialect.target_call:
+            extra.append((dialect.target_call, self.name_of(job)))
+        if dialect.wanted_instance and call.instance:
+            extra.append((dialect.wanted_instance, call.instance))
+        job.ticket = self.pool.run(
             HttpRequest(call.method, call.path, call.headers, call.body),
-            [
-                (TARGET_CALL_HEADER, self.name_of(job)),
-                (TARGET_DEADLINE_HEADER, str(remaining_ms)),
-            ],
+            extra,
             on_outcome,
+            echoed=dialect.request_id,
         )
 
     def cancel(self, job: Job) -> None:
-        """Asks the target to end a call."""
+        """Ends a call at the target.
+
+        A target that gives calls no names ends those whose connection closes.
+        """
+        if not self.dialect.target_call:
+            if job.ticket:
+                job.ticket.cancel()
+            return
         request = HttpRequest('POST', CANCEL_PATH, [], b'')
-        header = (TARGET_CALL_HEADER, self.name_of(job))
+        header = (self.dialect.target_call, self.name_of(job))
         self.pool.run(request, [header], lambda _outcome: None)
 
     def name_of(self, job: Job) -> str:
--- a/egretlanding/targethealth.py
+++ b/egretlanding/targethealth.py
@@ -8,10 +8,10 @@
 import msgspec
 
 from egretlanding.events import Event, Severity, log_event
-from egretlanding.httpclient import encode_request
+from egretlanding.httpclient import HttpClient, encode_request
 from egretlanding.httpmessages import HttpRequest
 from egretlanding.outcomes import Progress
-from egretlanding.targetpool import TargetOutcome, TargetPool
+from egretlanding.targetpool import Outgoing, TargetOutcome, TargetPool
 
 CHECK_S = 1
 CHECK_DOWN_S = 0.2
@@ -19,6 +19,27 @@
 LOAD_PATH = '/load'
 MISSES_TO_DOWN = 3
 
+HEALTH: dict[str, type['TargetHealth']] = {}
+
+
+def health_check(
+    name: str,
+) -> Callable[[type['TargetHealth']], type['TargetHealth']]:
+    """Registers a way to find out whether the target takes calls.
+
+    Args:
+        name: The value of the setting `target_check`.
+
+    Returns:
+        A decorator that records the class and returns it unchanged.
+    """
+
+    def register(cls: type['TargetHealth']) -> type['TargetHealth']:
+        HEALTH[name] = cls
+        return cls
+
+    return register
+
 
 class LoadReport(msgspec.Struct):
     """What the target says of itself; it may lag.
@@ -30,6 +51,7 @@
     draining: bool = False
 
 
+@health_check('report')
 @attrs.define(eq=False)
 class TargetHealth:
     """Whether the target takes calls, by its port and its own report.
@@ -47,6 +69,7 @@
         epoch: Times that it came up, which tells its processes apart.
         misses: Checks without an answer in a row.
         checking: Whether a check is under way.
+        timer: Starts the next check.
     """
 
     reactor: Any
@@ -106,8 +129,8 @@
             give(outcome.response is not None)
 
         request = HttpRequest('GET', LOAD_PATH, [], b'')
-        encoded = encode_request(request, self.pool.address)
-        self.pool.send_fresh(encoded, False, take)
+        outgoing = Outgoing(encode_request(request, self.pool.address))
+        self.pool.send_fresh(outgoing, take)
 
     def miss(self) -> None:
         """Counts a check without an answer."""
@@ -154,6 +177,57 @@
             )
 
 
+@health_check('connect')
+@attrs.define(eq=False)
+class ConnectHealth(TargetHealth):
+    """Whether the target takes calls, by whether it takes connections.
+
+    For targets whose reports cost a slot or mislead. Connections are opened
+    only after a call was lost, and until one succeeds.
+    """
+
+    def start(self) -> None:
+        """Counts the target as up until a call shows otherwise."""
+        self.update(up=True, draining=False)
+
+    def check(self) -> None:
+        """Tries a connection unless one is being tried."""
+        if self.checking:
+            return
+        self.checking = True
+        self.probe(self.take_verdict)
+
+    def probe(self, on_verdict: Callable[[bool], None]) -> None:
+        """Finds out whether the target's process takes connections."""
+
+        def connected(client: HttpClient) -> None:
+            self.pool.keep(client)
+            on_verdict(True)
+
+        self.pool.connect().addCallbacks(
+            connected,
+            lambda _failure: on_verdict(False),
+        )
+
+    def take_verdict(self, alive: bool) -> None:
+        """Takes over what a connection showed, and tries again if it failed."""
+        self.checking = False
+        self.update(up=alive, draining=self.draining)
+        if not alive:
+            self.watch_return()
+
+    def watch_return(self) -> None:
+        """Tries connections until the target takes one."""
+        if not (self.timer and self.timer.active()):
+            self.timer = self.reactor.callLater(CHECK_DOWN_S, self.check)
+
+    def update(self, *, up: bool, draining: bool) -> None:
+        """Takes over a new state, and watches for the return of a target."""
+        super().update(up=up, draining=draining)
+        if not up:
+            self.watch_return()
+
+
 def decode_report(body: bytes) -> LoadReport:
     """Returns a load report; one that can't be read says nothing."""
     try:
--- a/egretlanding/targetpool.py
+++ b/egretlanding/targetpool.py
@@ -18,6 +18,23 @@
 # Targets close connections that are idle for long; a request that crosses
 # such a close may or may not have run.
 REUSE_LIMIT_S = 20
+# Share of the time a target keeps idle connections in which they are used.
+KEEP_SHARE = 0.8
+
+
+@attrs.frozen
+class Outgoing:
+    """A request on its way to the target.
+
+    Attributes:
+        encoded: The request as bytes.
+        is_head: Whether the response has no body.
+        echo: Header and value that the response must repeat if it has it.
+    """
+
+    encoded: bytes
+    is_head: bool = False
+    echo: tuple[str, str] | None = None
 
 
 @attrs.frozen
@@ -27,16 +44,37 @@
     Attributes:
         response: The whole response, or None if there was none.
         progress: How far the request got.
+        cancelled: Whether it was ended because nobody wants the response.
     """
 
     response: HttpResponse | None
     progress: Progress
+    cancelled: bool = False
 
 
 OnOutcome = Callable[[TargetOutcome], None]
 UNSENT = TargetOutcome(None, Progress.UNSENT)
 
 
+@attrs.define(eq=False)
+class Ticket:
+    """One request at the target.
+
+    Attributes:
+        client: The connection that carries it, None before it is sent.
+        cancelled: Whether nobody wants the response.
+    """
+
+    client: HttpClient | None = None
+    cancelled: bool = False
+
+    def cancel(self) -> None:
+        """Closes the connection, so that the target ends the request."""
+        self.cancelled = True
+        if self.client:
+            self.client.close()
+
+
 @attrs.define(eq=False)
 class TargetPool:
     """Kept connections to one target, each running one request at a time.
@@ -48,6 +86,9 @@
         limit: The most connections to hold open.
         idle: Connections that run no request, the last used first.
         opened: Connections that are open or being opened.
+        connects: Connections opened so far.
+        connect_timeout_s: Longest wait for a connection, seconds.
+        reuse_limit_s: Longest time that a connection is kept idle, seconds.
     """
 
     reactor: Any
@@ -56,50 +97,63 @@
     limit: int
     idle: deque[HttpClient] = attrs.field(factory=deque)
     opened: int = 0
+    connects: int = 0
+    connect_timeout_s: float = CONNECT_TIMEOUT_S
+    reuse_limit_s: float = REUSE_LIMIT_S
 
     def run(
         self,
         request: HttpRequest,
         extra: Headers,
         on_outcome: OnOutcome,
-    ) -> None:
+        *,
+        echoed: str = '',
+    ) -> Ticket:
         """Sends a request on an idle connection or a new one.
 
         Args:
             request: The request.
             extra: Headers to add to it.
             on_outcome: Called once with what came of it.
+            echoed: Header that the response must repeat if it has it.
+
+        Returns:
+            What cancels the request.
         """
-        encoded = encode_request(request, f'{self.address}:{self.port}', extra)
-        is_head = request.method == 'HEAD'
+        outgoing = Outgoing(
+            encode_request(request, f'{self.address}:{self.port}', extra),
+            request.method == 'HEAD',
+            (echoed, request.header(echoed)) if echoed else None,
+        )
         client = self.take_idle()
         if client:
-            self.send(client, encoded, is_head, on_outcome)
-        else:
-            self.send_fresh(encoded, is_head, on_outcome)
+            return self.send(client, outgoing, on_outcome)
+        return self.send_fresh(outgoing, on_outcome)
 
     def send_fresh(
         self,
-        encoded: bytes,
-        is_head: bool,
+        outgoing: Outgoing,
         on_outcome: OnOutcome,
-    ) -> None:
+    ) -> Ticket:
         """Sends an encoded request on a new connection."""
+        ticket = Ticket()
         if self.opened >= self.limit:
             on_outcome(UNSENT)
-            return
+            return ticket
         self.connect().addCallbacks(
             self.send,
             lambda _failure: on_outcome(UNSENT),
-            callbackArgs=(encoded, is_head, on_outcome),
+            callbackArgs=(outgoing, on_outcome, ticket),
         )
+        return ticket
 
     def take_idle(self) -> HttpClient | None:
         """Returns a connection that can be used, and drops old ones."""
-        oldest = self.reactor.seconds() - REUSE_LIMIT_S
+        now = self.reactor.seconds()
         while self.idle:
             client = self.idle.popleft()
-            if client.usable and client.idle_since > oldest:
+            limit = min(self.reuse_limit_s, client.keep_s * KEEP_SHARE)
+            if client.usable and now - client.idle_since < limit:
                 return client
             client.close()
         return None
@@ -107,11 +161,12 @@
     def connect(self) -> Deferred[HttpClient]:
         """Opens a connection."""
         self.opened += 1
+        self.connects += 1
         endpoint = TCP4ClientEndpoint(
             self.reactor,
             self.address,
             self.port,
-            timeout=CONNECT_TIMEOUT_S,
+            timeout=self.connect_timeout_s,
         )
         connected = connectProtocol(endpoint, HttpClient(self.forget))
         connected.addErrback(self.take_failure)
@@ -131,19 +186,32 @@
     def send(
         self,
         client: HttpClient,
-        encoded: bytes,
-        is_head: bool,
+        outgoing: Outgoing,
         on_outcome: OnOutcome,
-    ) -> None:
+        ticket: Ticket | None = None,
+    ) -> Ticket:
         """Sends a request and keeps the connection afterwards."""
+        ticket = ticket or Ticket()
+        if ticket.cancelled:
+            self.keep(client)
+            on_outcome(TargetOutcome(None, Progress.UNSENT, cancelled=True))
+            return ticket
+        ticket.client = client
 
         def finished(response: HttpResponse | None) -> None:
             answering = client.header_bytes > 0
             progress = Progress.ANSWERING if answering else Progress.SENT
+            ticket.client = None
             self.keep(client)
-            on_outcome(TargetOutcome(response, progress))
+            on_outcome(TargetOutcome(response, progress, ticket.cancelled))
 
-        client.send(encoded, finished, is_head=is_head)
+        client.send(
+            outgoing.encoded,
+            finished,
+            is_head=outgoing.is_head,
+            echo=outgoing.echo,
+        )
+        return ticket
 
     def keep(self, client: HttpClient) -> None:
         """Keeps a connection for the next request, or closes it."""
