Handle SIGHUP, order queued calls by the time their answer is wanted, write lines of JSON

Ruled out: memory (peak 29.6 MB) and own exceptions (none logged). Change: SIGHUP reads the settings again. Besides: events are lines of JSON on standard output, bounded for each event and never blocking; metrics and the dump of state are served; the queue beside a target is ordered by the time until which an answer is worth most, and by rank.

--- a/egretlanding/admission.py
+++ b/egretlanding/admission.py
@@ -143,7 +143,7 @@
         """Refuses what has waited too long and fills the free slots."""
         refused = [*self._drop_late(now), *self._drop_held_up(now)]
         started = []
-        while (queued := self._next()) is not None:
+        while (queued := self._next(now)) is not None:
             self._queue(queued.is_long).remove(queued.call.call_id)
             self.slots.occupy(queued, now)
             started.append(Start(queued.call))
@@ -205,12 +205,12 @@
         # Less than the clock can tell apart would wake the daemon in a loop.
         return patience if patience > CLOCK_STEP_S else 0
 
-    def _next(self) -> Waiting | None:
+    def _next(self, now: float) -> Waiting | None:
         order = [self.short, self.long]
         # One slot of several is kept for long work, which would starve else.
         if self.slots.is_long_starved:
             order.reverse()
-        heads = [queue.first() for queue in order]
+        heads = [queue.most_urgent(self.times, now) for queue in order]
         startable = (
             head
             for head in heads
--- a/egretlanding/attempts.py
+++ b/egretlanding/attempts.py
@@ -7,6 +7,7 @@
 
 from egretlanding.balancing import Choice, Wanted
 from egretlanding.callheaders import passed_on, response_of
+from egretlanding.events import Event, Severity, log_event
 from egretlanding.frames import (
     CallReply,
     CallRequest,
@@ -17,6 +18,7 @@
 from egretlanding.httpserver import Exchange
 from egretlanding.jobs import MS_PER_S
 from egretlanding.outcomes import (
+    Execution,
     FailedAttempt,
     Progress,
     Reason,
@@ -79,6 +81,7 @@
         tried: Ids of the hosts that got an attempt.
         timers: Timers of the deadline and the hedge.
         done: Whether the caller was answered or is gone.
+        arrived: When it arrived, seconds.
     """
 
     ingress: 'Ingress'
@@ -93,15 +96,29 @@
     tried: frozenset[str] = frozenset()
     timers: list[Any] = attrs.field(factory=list)
     done: bool = False
+    arrived: float = 0
 
     @property
     def now(self) -> float:
         """Returns the monotonic time, seconds."""
         return float(self.ingress.reactor.seconds())
 
+    def patience_ms(self) -> int:
+        """Returns the time left in which an answer is worth most, ms.
+
+        Returns:
+            Zero if the operator names no such time.
+        """
+        wanted_ms = self.match.policy.target_latency_ms
+        if not wanted_ms:
+            return 0
+        spent_ms = int((self.now - self.arrived) * MS_PER_S)
+        return max(1, wanted_ms - spent_ms)
+
     def start(self) -> None:
         """Makes the first attempt."""
         self.entry.on_abandon = self.abandon
+        self.arrived = self.now
         refusal = (
             self.context.check_depth()
             or late_refusal(self.context, self.now)
@@ -228,6 +245,17 @@
             self.now,
         )
         if isinstance(decision, Retry):
+            last = self.failed[-1]
+            self.ingress.retries += 1
+            log_call(
+                self,
+                Event.CALL_RETRIED,
+                'sent again after an attempt failed',
+                reason=last.reason.value,
+                may_have_run=last.execution is Execution.UNKNOWN,
+                detail=last.detail,
+                budget=round(budget.tokens.available(self.now), 1),
+            )
             if needs_budget(self.failed):
                 budget.take(policy, self.now)
             self.attempt()
@@ -244,6 +272,14 @@
             return
         if self.known.budget.take(self.match.policy, now):
             self.ingress.hedges += 1
+            first = next(iter(self.open.values()))
+            log_call(
+                self,
+                Event.CALL_HEDGED,
+                'sent to a second target while the first is late',
+                first=first.host.host_id,
+                waited_ms=int((self.now - first.started) * MS_PER_S),
+            )
             self.attempt()
 
     def give_up(self) -> None:
@@ -262,6 +298,12 @@
 
     def abandon(self) -> None:
         """Stops a call whose caller is gone."""
+        log_call(
+            self,
+            Event.CALL_ABANDONED,
+            'the caller left before the answer',
+            attempts_open=len(self.open),
+        )
         self.cancel_open()
         self.end()
 
@@ -279,6 +321,8 @@
         if self.done:
             return
         self.end()
+        log_answer(self, reply)
+        self.ingress.times.observe(self.now - self.arrived)
         self.ingress.count(reply)
         self.entry.respond(response_of(reply, self.ingress.dialect))
 
@@ -323,7 +367,48 @@
         hedge=attempt.is_hedge,
         instance=attempt.host.instance,
         priority=run.match.policy.priority,
-        patience_ms=run.match.policy.target_latency_ms,
+        patience_ms=run.patience_ms(),
+    )
+
+
+def log_call(
+    run: CallRun,
+    event: Event,
+    message: str,
+    **fields: object,
+) -> None:
+    """Writes a decision on a call of a caller."""
+    request = run.entry.request
+    view = run.ingress.routes.view
+    log_event(
+        event,
+        message,
+        Severity.INFO,
+        request=request.header(run.ingress.dialect.request_id),
+        route=run.match.route_name,
+        service=run.match.service_name,
+        release=view.release.number if view else 0,
+        tried=sorted(run.tried),
+        age_ms=int((run.now - run.arrived) * MS_PER_S),
+        left_ms=int((run.context.deadline - run.now) * MS_PER_S),
+        **fields,
+    )
+
+
+def log_answer(run: CallRun, reply: CallReply) -> None:
+    """Writes how a call of a caller ended."""
+    if not reply.reason:
+        message = 'answered by a target'
+        log_call(run, Event.CALL_ANSWERED, message, status=reply.status)
+        return
+    refused = reply.ran is Ran.NOT_RUN
+    log_call(
+        run,
+        Event.CALL_REFUSED if refused else Event.CALL_FAILED,
+        'refused; it did not run' if refused else 'failed; it may have run',
+        reason=reply.reason,
+        detail=reply.detail,
+        attempts=len(run.failed),
     )
 
 
--- a/egretlanding/callqueue.py
+++ b/egretlanding/callqueue.py
@@ -1,4 +1,4 @@
-"""A queue of calls of one class, ordered by deadline."""
+"""A queue of calls of one class, ordered by urgency."""
 
 import collections
 import heapq
@@ -35,6 +35,21 @@
         """Returns the call with the earliest deadline."""
         return self._head(self.by_deadline)
 
+    def most_urgent(
+        self,
+        times: ServiceTimes,
+        now: float,
+    ) -> Waiting | None:
+        """Returns the call that should run next."""
+        return min(
+            self.waiting.values(),
+            key=lambda queued: queued.call.urgency(
+                times.expected(queued.call.route),
+                now,
+            ),
+            default=None,
+        )
+
     def first_bound(self) -> Waiting | None:
         """Returns the call that may wait least behind long work."""
         return self._head(self.by_bound)
--- a/egretlanding/egress.py
+++ b/egretlanding/egress.py
@@ -15,8 +15,10 @@
     own_headers_removed,
 )
 from egretlanding.dialect import OWN_DIALECT, Dialect
+from egretlanding.events import Event, Severity, log_event
 from egretlanding.exceptions import KeyFormatError
 from egretlanding.frames import CallReply, CallRequest, refusal_reply
+from egretlanding.histograms import Histogram
 from egretlanding.httpmessages import HttpResponse
 from egretlanding.idempotency import (
     Answer,
@@ -58,6 +60,8 @@
         timer: Wakes the queue when a wait ends.
         abandoned: Calls that were cancelled while they ran.
         dialect: The names of the headers.
+        queue_times: Times that calls waited for a slot.
+        run_times: Times that the target took.
     """
 
     reactor: Any
@@ -71,6 +75,8 @@
     timer: Any = None
     abandoned: int = 0
     dialect: Dialect = OWN_DIALECT
+    queue_times: Histogram = attrs.field(factory=Histogram)
+    run_times: Histogram = attrs.field(factory=Histogram)
 
     def moment(self) -> Moment:
         """Returns the current time on both clocks."""
@@ -159,9 +165,11 @@
     def start(self, job: Job) -> None:
         """Sends a call that has a slot to the target."""
         job.running = True
+        job.started = self.reactor.seconds()
+        self.queue_times.observe(job.started - job.arrived)
         self.target.send(
             job,
-            self.reactor.seconds(),
+            job.started,
             lambda outcome: self.finish(job, outcome),
         )
 
@@ -169,6 +177,7 @@
         """Frees the slot of a call that the target is done with."""
         now = self.reactor.seconds()
         refusal = refusal_of_answer(outcome.response, self.dialect)
+        self.run_times.observe(now - job.started)
         unsent = outcome.progress is Progress.UNSENT
         job.running = not unsent
         if unsent or (refusal and refusal.execution is Execution.NOT_RUN):
@@ -214,6 +223,8 @@
         """Passes a refusal to all who wait for an answer."""
         if job.key:
             self.keys.record_refusal(job.key, refusal)
+        event = Event.RUN_LOST if job.running else Event.RUN_REFUSED
+        log_run(self, event, refusal.detail, job, refusal.reason.value)
         self.table.remove(job)
         job.reply(self.refuse(refusal, arrived=job.running))
 
@@ -236,6 +247,8 @@
             self.table.remove(job)
         elif job.running:
             self.abandoned += 1
+            message = 'nobody waits for the answer any more'
+            log_run(self, Event.RUN_CANCELLED, message, job)
             self.target.cancel(job)
 
     def advance(self) -> None:
@@ -297,6 +310,31 @@
     return None
 
 
+def log_run(
+    egress: Egress,
+    event: Event,
+    message: str,
+    job: Job,
+    reason: str = '',
+) -> None:
+    """Writes a decision on a call at the target."""
+    name = egress.dialect.request_id
+    now = egress.reactor.seconds()
+    found = (text for key, text in job.call.headers if key == name)
+    log_event(
+        event,
+        message,
+        Severity.INFO,
+        request=next(found, ''),
+        route=job.call.route,
+        instance=job.call.instance,
+        at_target=len(egress.table.jobs),
+        age_ms=int((now - job.arrived) * MS_PER_S),
+        left_ms=int((job.deadline - now) * MS_PER_S),
+        reason=reason,
+    )
+
+
 def replayed(answer: Answer) -> CallReply:
     """Returns the reply that repeats a stored answer."""
     headers = [*answer.headers, (REPLAYED_HEADER, 'yes')]
--- a/egretlanding/events.py
+++ b/egretlanding/events.py
@@ -1,6 +1,7 @@
 """The numbered log events and the function that writes them."""
 
 import enum
+from collections.abc import Callable
 
 from absl import logging
 
@@ -15,6 +16,8 @@
     DAEMON_WOKE = 104
     SETTINGS_REFUSED = 110
     TASK_FAILED = 111
+    LINES_LEFT_OUT = 113
+    SETTINGS_RELOADED = 114
     EXCHANGE_PORT_TAKEN = 112
     RELEASE_APPLIED = 200
     RELEASE_REFUSED = 201
@@ -38,6 +41,15 @@
     TARGET_SHUNNED = 302
     TARGET_RESTORED = 303
     CALL_QUARANTINED = 310
+    CALL_ANSWERED = 400
+    CALL_REFUSED = 401
+    CALL_FAILED = 402
+    CALL_RETRIED = 403
+    CALL_HEDGED = 404
+    CALL_ABANDONED = 405
+    RUN_REFUSED = 410
+    RUN_LOST = 411
+    RUN_CANCELLED = 412
 
 
 class Severity(enum.Enum):
@@ -48,25 +60,42 @@
     ERROR = logging.ERROR
 
 
+Sink = Callable[[Event, str, Severity, dict[str, object]], None]
+
+
+def log_by_absl(
+    event: Event,
+    message: str,
+    severity: Severity,
+    fields: dict[str, object],
+) -> None:
+    """Writes one event as `E<number> <message> key=value ...`."""
+    details = ''.join(f' {key}={value}' for key, value in fields.items())
+    logging.log(
+        severity.value,
+        'E%d %s%s',
+        event.value,
+        message,
+        details,
+    )
+
+
+# Where events go; a daemon that writes lines of its own puts its sink first.
+SINKS: list[Sink] = [log_by_absl]
+
+
 def log_event(
     event: Event,
     message: str,
     severity: Severity = Severity.INFO,
     **fields: object,
 ) -> None:
-    """Writes one event as `E<number> <message> key=value ...`.
+    """Writes one event to the first sink.
 
     Args:
         event: The event's number.
         message: What happened, in one clause.
         severity: How urgent it is.
-        fields: Details, written as key=value in the order given.
+        fields: Details, in the order given.
     """
-    details = ''.join(f' {key}={value}' for key, value in fields.items())
-    logging.log(
-        severity.value,
-        'E%d %s%s',
-        event.value,
-        message,
-        details,
-    )
+    SINKS[0](event, message, severity, fields)
--- /dev/null
+++ b/egretlanding/histograms.py
@@ -0,0 +1,36 @@
+"""Counts of durations by size, for the metrics of a process."""
+
+import bisect
+import itertools
+
+import attrs
+
+# Upper bounds of the buckets, seconds; the last bucket has none.
+BOUNDS = (
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5,
+)  # fmt: skip
+
+
+@attrs.define
+class Histogram:
+    """Counts durations in buckets.
+
+    Attributes:
+        counts: Durations by bucket, one more than there are bounds.
+        total: Sum of all durations, seconds.
+    """
+
+    counts: list[int] = attrs.field(factory=lambda: [0] * (len(BOUNDS) + 1))
+    total: float = 0
+
+    def observe(self, seconds: float) -> None:
+        """Counts one duration."""
+        self.counts[bisect.bisect_left(BOUNDS, seconds)] += 1
+        self.total += seconds
+
+    def cumulative(self) -> list[tuple[str, int]]:
+        """Returns for each bound how many durations are up to it."""
+        labels = (*map(str, BOUNDS), '+Inf')
+        return list(
+            zip(labels, itertools.accumulate(self.counts), strict=True),
+        )
--- a/egretlanding/ingress.py
+++ b/egretlanding/ingress.py
@@ -17,6 +17,7 @@
 )
 from egretlanding.dialect import OWN_DIALECT, Dialect
 from egretlanding.egress import Egress
+from egretlanding.events import Event, log_event
 from egretlanding.exceptions import CallHeaderError, KeyFormatError
 from egretlanding.frames import (
     CallReply,
@@ -24,6 +25,7 @@
     Ran,
     refusal_reply,
 )
+from egretlanding.histograms import Histogram
 from egretlanding.hosts import Host
 from egretlanding.httpmessages import HttpRequest
 from egretlanding.httpserver import Exchange
@@ -66,6 +68,8 @@
         numbers: Source of attempt numbers.
         outcomes: Calls answered, by whether they ran and why not.
         hedges: Second attempts made beside late first ones.
+        retries: Attempts made after failed ones.
+        times: Times from a call to its answer.
         dialect: The names of the headers.
         service: The service of the target beside the daemon, which the calls
             that enter here come from.
@@ -84,6 +88,8 @@
     numbers: Any = attrs.field(factory=lambda: itertools.count(1))
     outcomes: Counter[tuple[str, str]] = attrs.field(factory=Counter)
     hedges: int = 0
+    retries: int = 0
+    times: Histogram = attrs.field(factory=Histogram)
     dialect: Dialect = OWN_DIALECT
     service: str = ''
 
@@ -233,6 +239,13 @@
         if entry.request.header(KEY_HEADER):
             refusal = refusal.of_keyed_call()
         reply = refusal_reply(0, refusal)
+        log_event(
+            Event.CALL_REFUSED,
+            refusal.detail,
+            request=entry.request.header(self.dialect.request_id),
+            path=entry.request.path,
+            reason=refusal.reason.value,
+        )
         self.count(reply)
         entry.respond(response_of(reply, self.dialect))
 
--- a/egretlanding/jobs.py
+++ b/egretlanding/jobs.py
@@ -1,5 +1,6 @@
 """The calls that one daemon runs at its own target."""
 
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -28,6 +29,7 @@
         key: Its idempotency key, or None.
         waiters: Who wants the reply, by ticket.
         running: Whether the target has it.
+        started: When the target got it, seconds.
         ticket: The request at the target, None before it is sent.
     """
 
@@ -39,10 +41,12 @@
     key: Key | None = None
     waiters: dict[int, OnReply] = attrs.field(factory=dict)
     running: bool = False
+    started: float = 0
     ticket: Any = None
 
     def queued_call(self) -> QueuedCall:
         """Returns the call as the admission sees it."""
+        patience_s = self.call.patience_ms / MS_PER_S or math.inf
         return QueuedCall(
             self.job_id,
             self.call.route,
@@ -51,6 +55,8 @@
             self.call.short_wait_ms / MS_PER_S,
             self.arrived,
             is_hedge=self.call.hedge,
+            wanted_by=self.arrived + patience_s,
+            priority=self.call.priority,
         )
 
     def reply(self, reply: CallReply) -> None:
--- a/egretlanding/platform/__main__.py
+++ b/egretlanding/platform/__main__.py
@@ -17,8 +17,9 @@
 )
 from egretlanding.platform.records import RecordDecoder  # noqa: E402
 from egretlanding.platform.store import PlatformStore  # noqa: E402
-from egretlanding.sidecar import Surroundings, serve  # noqa: E402
+from egretlanding.sidecar import Surroundings  # noqa: E402
 from egretlanding.sidecarconfig import SidecarConfig  # noqa: E402
+from egretlanding.sidecarprocess import serve  # noqa: E402
 
 SETTINGS_VARIABLE = 'EGRETLANDING_CONFIG'
 
@@ -31,7 +32,8 @@
 def main() -> None:
     """Runs the daemon."""
     logging.set_verbosity(logging.INFO)
-    config = SidecarConfig.from_file(os.environ[SETTINGS_VARIABLE])
+    settings = os.environ[SETTINGS_VARIABLE]
+    config = SidecarConfig.from_file(settings)
     reactor: Any = default_reactor
     reactor.seconds = steady_time
     address, _, port = config.store.rpartition(':')
@@ -47,7 +49,7 @@
         decoder,
         READINESS_PATH,
     )
-    serve(reactor, config, surroundings)
+    serve(reactor, settings, config, surroundings)
 
 
 if __name__ == '__main__':
--- a/egretlanding/sidecar.py
+++ b/egretlanding/sidecar.py
@@ -1,7 +1,7 @@
 """Joins the tasks of a daemon that reads a store of records."""
 
 import random
-import signal
+import sys
 import time
 from http import HTTPStatus
 from typing import Any, Protocol
@@ -14,11 +14,12 @@
 from egretlanding.check import find_faults
 from egretlanding.dialect import Dialect
 from egretlanding.events import Event, Severity, log_event
-from egretlanding.exceptions import PlatformError
+from egretlanding.exceptions import PlatformError, SettingsError
 from egretlanding.hosts import Host
 from egretlanding.httpmessages import HttpResponse
 from egretlanding.httpserver import Exchange, HttpServerFactory
 from egretlanding.life import Life, LifeCore, Phase, build_machine
+from egretlanding.linelog import LineLog
 from egretlanding.publication import Publication
 from egretlanding.recordfeed import RecordFeed, RecordStore
 from egretlanding.recordrelay import RecordRelay
@@ -71,6 +72,7 @@
 
     Attributes:
         reactor: The reactor that runs everything.
+        settings: Path of the settings file.
         config: The settings.
         surroundings: What the daemon runs in.
         calls: The call path.
@@ -83,9 +85,11 @@
         publication: The configuration as it was published.
         applied_hosts: Revision of the roster that calls are served with.
         ticker: The periodic duties.
+        log: Where events are written.
     """
 
     reactor: Any
+    settings: str
     config: SidecarConfig
     surroundings: Surroundings
     calls: CallService
@@ -98,11 +102,13 @@
     publication: Publication | None = None
     applied_hosts: int = -1
     ticker: Any = None
+    log: LineLog = attrs.field(init=False)
 
     @classmethod
     def from_config(
         cls,
         reactor: Any,
+        settings: str,
         config: SidecarConfig,
         surroundings: Surroundings,
     ) -> 'Sidecar':
@@ -116,11 +122,18 @@
         calls.drain_notice_s = DRAIN_NOTICE_S
         sidecar = cls(
             reactor,
+            settings,
             config,
             surroundings,
             calls,
             Roster(config.peer_port),
         )
+        sidecar.log = LineLog(
+            sys.stdout.fileno(),
+            reactor.seconds,
+            time.time,
+            config.host_id,
+        )
         sidecar.feed = RecordFeed(
             reactor,
             surroundings.store,
@@ -144,6 +157,30 @@
         """Whether clients should send calls here."""
         return self.core.phase is Phase.READY
 
+    @property
+    def number(self) -> int:
+        """Number of the configuration in force, zero if there is none."""
+        return self.publication.number if self.publication else 0
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the whole state; it holds no secrets and is bounded."""
+        return {
+            'settings': attrs.asdict(self.config),
+            'phase': self.core.phase.value,
+            'release': self.number,
+            'records': {
+                'revision': self.feed.table.complete_to,
+                'count': len(self.feed.table.records),
+                'age_s': self.feed.age(self.reactor.seconds()),
+                'is_reader': self.feed.is_reader,
+                'store_reachable': self.feed.reachable,
+            },
+            'targets': [
+                attrs.asdict(known) for known in self.roster.targets.values()
+            ],
+            'calls': self.calls.dump(),
+        }
+
     def start(self) -> None:
         """Opens the ports and starts the tasks."""
         self.calls.listen()
@@ -170,6 +207,7 @@
 
     def tick(self) -> None:
         """Does what is due twice a second."""
+        self.log.summarize()
         self.feed.beat()
         self.relay.tick()
         expired = self.roster.expire(self.reactor.seconds())
@@ -297,6 +335,26 @@
             health.update(up=health.up, draining=own.draining)
             self.calls.egress.admission.slots.limit.slots = own.slots
 
+    def reload(self) -> None:
+        """Reads the settings again; what can change at work is taken over."""
+        try:
+            config = self.config.from_file(self.settings)
+        except SettingsError as error:
+            log_event(Event.SETTINGS_REFUSED, str(error), Severity.ERROR)
+            return
+        self.relay.seeds = tuple(map(seed_host, config.seeds))
+        changed = sorted(
+            field.name
+            for field in attrs.fields(SidecarConfig)
+            if getattr(config, field.name) != getattr(self.config, field.name)
+        )
+        self.config = config
+        log_event(
+            Event.SETTINGS_RELOADED,
+            'the settings were read again',
+            changed=changed,
+        )
+
     def stop(self) -> None:
         """Starts a graceful stop."""
         self.life.stop_requested()
@@ -304,7 +362,12 @@
     def begin_drain(self) -> None:
         """Ends the call path without cutting a call."""
         drained: Deferred[None] = self.calls.drain()
-        drained.addCallback(lambda _nothing: self.life.drained())
+        drained.addCallback(lambda _nothing: self.end())
+
+    def end(self) -> None:
+        """Stops the process once nothing is in flight."""
+        self.life.drained()
+        self.log.flush()
 
 
 def seed_host(text: str) -> Host:
@@ -320,20 +383,3 @@
         failure_domain='',
         service='',
     )
-
-
-def serve(
-    reactor: Any,
-    config: SidecarConfig,
-    surroundings: Surroundings,
-) -> None:
-    """Runs the daemon until it is told to stop."""
-    sidecar = Sidecar.from_config(reactor, config, surroundings)
-
-    def stop(*_args: Any) -> None:
-        reactor.callFromThread(sidecar.stop)
-
-    signal.signal(signal.SIGTERM, stop)
-    signal.signal(signal.SIGINT, stop)
-    reactor.callWhenRunning(sidecar.start)
-    reactor.run(installSignalHandlers=False)
--- /dev/null
+++ b/egretlanding/sidecarmetrics.py
@@ -0,0 +1,170 @@
+"""The metrics of a daemon that reads a store of records."""
+
+import functools
+import resource
+from collections.abc import Callable, Iterable
+
+from egretlanding.histograms import Histogram
+from egretlanding.metrics import Metric, Sample
+from egretlanding.sidecar import Sidecar
+
+BYTES_PER_KBYTE = 1_024
+
+Observe = Callable[[], Iterable[Sample]]
+
+
+def sidecar_metrics(sidecar: Sidecar) -> tuple[Metric, ...]:
+    """Returns the metrics of one daemon.
+
+    Args:
+        sidecar: The daemon.
+    """
+    return (*counted(sidecar), *measured(sidecar), *timed(sidecar))
+
+
+def counted(sidecar: Sidecar) -> tuple[Metric, ...]:
+    """Returns the metrics that only grow."""
+    ingress, egress = sidecar.calls.ingress, sidecar.calls.egress
+    feed, log = sidecar.feed, sidecar.log
+    counters: tuple[tuple[str, str, Observe], ...] = (
+        (
+            'calls',
+            'calls of callers by whether they ran and why not',
+            lambda: [
+                Sample(count, {'ran': ran, 'reason': reason})
+                for (ran, reason), count in ingress.outcomes.items()
+            ],
+        ),
+        (
+            'retries',
+            'attempts that followed a failed one',
+            lambda: [Sample(ingress.retries)],
+        ),
+        (
+            'hedges',
+            'second attempts beside late first ones',
+            lambda: [Sample(ingress.hedges)],
+        ),
+        (
+            'abandoned_runs',
+            'calls ended at the target because nobody waited for them',
+            lambda: [Sample(egress.abandoned)],
+        ),
+        (
+            'target_connections_opened',
+            'connections opened to the target',
+            lambda: [Sample(egress.target.pool.connects)],
+        ),
+        (
+            'store_calls',
+            'calls to the store, a waiting watch counted as one',
+            lambda: [
+                Sample(feed.answered, {'outcome': 'answered'}),
+                Sample(feed.failed, {'outcome': 'failed'}),
+            ],
+        ),
+        (
+            'log_lines',
+            'lines of the log',
+            lambda: [Sample(log.written)],
+        ),
+        (
+            'log_lines_left_out',
+            'lines left out to bound the volume of the log',
+            lambda: [Sample(log.dropped)],
+        ),
+    )
+    return tuple(
+        Metric(name, '1', description, observe)
+        for name, description, observe in counters
+    )
+
+
+def measured(sidecar: Sidecar) -> tuple[Metric, ...]:
+    """Returns the metrics that rise and fall."""
+    calls, feed = sidecar.calls, sidecar.feed
+    now = sidecar.reactor.seconds
+    gauges: tuple[tuple[str, str, str, Observe], ...] = (
+        (
+            'release',
+            '1',
+            'number of the configuration in force',
+            lambda: [Sample(sidecar.number)],
+        ),
+        (
+            'records_revision',
+            '1',
+            "the store's revision up to which all records are held",
+            lambda: [Sample(feed.table.complete_to)],
+        ),
+        (
+            'records_age',
+            's',
+            'time since the records were what the store holds',
+            lambda: [Sample(round(feed.age(now()), 3))],
+        ),
+        (
+            'targets',
+            '1',
+            'targets that are believed to run',
+            lambda: [Sample(len(sidecar.roster.targets))],
+        ),
+        (
+            'shunned_targets',
+            '1',
+            'targets that get probes only',
+            lambda: [Sample(len(calls.events.shunned.held))],
+        ),
+        (
+            'peers',
+            '1',
+            'open connections to other daemons',
+            lambda: [Sample(len(calls.links.node.connections))],
+        ),
+        (
+            'at_target',
+            '1',
+            'calls that wait or run at the target',
+            lambda: [Sample(len(calls.egress.table.jobs))],
+        ),
+        (
+            'peak_memory',
+            'By',
+            'greatest resident memory of the process',
+            lambda: [Sample(peak_memory())],
+        ),
+    )
+    return tuple(
+        Metric(name, unit, description, observe, monotonic=False)
+        for name, unit, description, observe in gauges
+    )
+
+
+def timed(sidecar: Sidecar) -> tuple[Metric, ...]:
+    """Returns the histograms of durations."""
+    ingress, egress = sidecar.calls.ingress, sidecar.calls.egress
+    durations = (
+        ('call_seconds', 'from a request to its answer', ingress.times),
+        ('queue_seconds', 'in front of the target', egress.queue_times),
+        ('run_seconds', 'at the target', egress.run_times),
+    )
+    return tuple(
+        Metric(
+            f'{name}_bucket',
+            's',
+            f'calls by time {description}',
+            functools.partial(bucket_samples, times),
+        )
+        for name, description, times in durations
+    )
+
+
+def bucket_samples(times: Histogram) -> list[Sample]:
+    """Returns for each bound how many durations are up to it."""
+    return [Sample(count, {'le': bound}) for bound, count in times.cumulative()]
+
+
+def peak_memory() -> int:
+    """Returns the greatest resident memory of the process, bytes."""
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return usage.ru_maxrss * BYTES_PER_KBYTE
--- /dev/null
+++ b/egretlanding/sidecarprocess.py
@@ -0,0 +1,40 @@
+"""The process of a daemon that reads a store of records."""
+
+import os
+import signal
+from typing import Any
+
+from egretlanding.events import SINKS
+from egretlanding.sidecar import Sidecar, Surroundings
+from egretlanding.sidecaradmin import SidecarAdmin
+from egretlanding.sidecarconfig import SidecarConfig
+
+
+def serve(
+    reactor: Any,
+    settings: str,
+    config: SidecarConfig,
+    surroundings: Surroundings,
+) -> None:
+    """Runs the daemon until it is told to stop."""
+    sidecar = Sidecar.from_config(
+        reactor,
+        settings,
+        config,
+        surroundings,
+    )
+    os.set_blocking(sidecar.log.file, False)
+    SINKS.insert(0, sidecar.log.write)
+
+    def stop(*_args: Any) -> None:
+        reactor.callFromThread(sidecar.stop)
+
+    def reload(*_args: Any) -> None:
+        reactor.callFromThread(sidecar.reload)
+
+    signal.signal(signal.SIGHUP, reload)
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
+    reactor.callWhenRunning(sidecar.start)
+    reactor.callWhenRunning(SidecarAdmin.of(sidecar).listen)
+    reactor.run(installSignalHandlers=False)
--- a/egretlanding/slots.py
+++ b/egretlanding/slots.py
@@ -8,6 +8,8 @@
 from egretlanding.objects import WorkClass
 
 RESERVE_DIVISOR = 3
+# How much later a call of the next lower rank comes, seconds.
+PRIORITY_STEP_S = 0.1
 
 
 @attrs.frozen
@@ -22,6 +24,9 @@
         short_wait_s: Longest wait behind long work if it is short, seconds.
         arrived: When it arrived, seconds.
         is_hedge: Whether another attempt of the call is under way.
+        wanted_by: When its answer begins to be worth less, seconds; infinite
+            if that is no earlier than the deadline.
+        priority: Rank where not all can be served in time, 0 first.
     """
 
     call_id: int
@@ -31,6 +36,22 @@
     short_wait_s: float
     arrived: float
     is_hedge: bool = False
+    wanted_by: float = math.inf
+    priority: int = 0
+
+    def urgency(self, expected_s: float, now: float) -> tuple[bool, float]:
+        """Returns what calls are ordered by, the most urgent least.
+
+        Calls that can still be answered while the answer is worth most come
+        before those that are late already.
+
+        Args:
+            expected_s: Time that the call is expected to run, seconds.
+            now: Monotonic time, seconds.
+        """
+        due = min(self.wanted_by, self.deadline)
+        is_late = now + expected_s > self.wanted_by
+        return is_late, due + self.priority * PRIORITY_STEP_S
 
 
 @attrs.frozen
--- /dev/null
+++ b/tests/test_linelog.py
@@ -0,0 +1,57 @@
+"""Tests of the volume and the form of the lines of the log."""
+
+import json
+import os
+
+from egretlanding.events import Event, Severity
+from egretlanding.linelog import LINES_BURST, MAX_WAITING_BYTES, LineLog
+
+
+def open_log() -> tuple[LineLog, int]:
+    """Returns a log that writes into a pipe, and the pipe's other end."""
+    reading, writing = os.pipe()
+    os.set_blocking(writing, False)
+    return LineLog(writing, lambda: 1, lambda: 2, 'host-1'), reading
+
+
+def lines(log: LineLog, reading: int) -> list[dict]:
+    """Returns the lines that were written."""
+    log.flush()
+    return [json.loads(line) for line in os.read(reading, 1 << 20).splitlines()]
+
+
+def write(log: LineLog, **fields: object) -> None:
+    """Writes an event."""
+    log.write(Event.CALL_REFUSED, 'refused', Severity.INFO, fields)
+
+
+def test_a_field_can_not_forge_a_line() -> None:
+    log, reading = open_log()
+    write(log, request='x"}\n{"event": 1}', odd=object)
+    written = lines(log, reading)
+    line = written[0]
+    assert len(written) == 1
+    assert line['request'] == 'x"}\n{"event": 1}'
+    assert line['name'] == 'call_refused'
+
+
+def test_a_flood_is_bounded_and_summed_up() -> None:
+    log, reading = open_log()
+    for _ in range(10 * LINES_BURST):
+        write(log)
+    log.summarize()
+    last = lines(log, reading)[-1]
+    assert last['by_event'] == {'call_refused': 9 * LINES_BURST}
+    assert log.written == LINES_BURST + 1
+
+
+def test_a_reader_that_stalls_costs_lines_and_no_time() -> None:
+    log, reading = open_log()
+    for number in range(20_000):
+        log.append(Event.TASK_FAILED, 'x' * 50, Severity.INFO, {'n': number})
+    assert len(log.waiting) < 2 * MAX_WAITING_BYTES
+    assert log.lost
+    os.read(reading, 1 << 20)
+    log.summarize()
+    assert not log.lost
+    assert log.dropped
--- /dev/null
+++ b/tests/test_platform_records.py
@@ -0,0 +1,194 @@
+"""Tests of what is decoded from the platform's store, and of its names."""
+
+import json
+from pathlib import Path
+
+import pytest
+
+from egretlanding.check import find_faults
+from egretlanding.exceptions import PlatformError
+from egretlanding.hosts import HostList
+from egretlanding.outcomes import Execution, Reason
+from egretlanding.platform.names import DIALECT, ENTRY_PREFIX
+from egretlanding.platform.records import RecordDecoder
+from egretlanding.policies import resolve_policy
+from egretlanding.records import Record
+from egretlanding.routing import RouteTable
+from egretlanding.views import View
+
+PACKAGE = Path(__file__).parent.parent / 'egretlanding'
+DECODER = RecordDecoder({'z1': 'north', 'z2': 'south'}, 20, 3_000, 64)
+CONFIG = {
+    'version': 7,
+    'routes': {
+        'r-1': {
+            'host': 'one.example',
+            'prefix': '/a/',
+            'route-kind': 'unsafe',
+            'timeout': '1.5s',
+            'target-latency': '500ms',
+            'priority': 1,
+            'service': 'orders',
+            'max-attempts': 2,
+        },
+        'r-2': {
+            'host': 'one.example',
+            'prefix': '/a/b/',
+            'route-kind': 'safe',
+            'timeout': '1200ms',
+            'target-latency': '400ms',
+            'priority': 2,
+            'weighted-services': [
+                {'service': 'orders', 'weight': 90},
+                {'service': 'billing', 'weight': 10},
+            ],
+            'max-attempts': 2,
+        },
+    },
+    'services': {
+        'orders': {'health-path': '/h', 'max-connections': 130},
+        'billing': {'health-path': '/h', 'max-connections': 130},
+    },
+    'limits': {
+        'max-header-bytes': 16_384,
+        'max-body-bytes': 67_108_864,
+        'header-timeout': '3000ms',
+        'idle-timeout': '15s',
+    },
+    'base-version': 5,
+}
+ENTRY = {
+    'address': '10.0.0.9:8080',
+    'info': {'service': 'orders', 'version': 'v1', 'zone': 'z2', 'slots': 6},
+    'status': {'state': 'ready', 'sequence': 4, 'cold-remaining': '0ms'},
+    'born': 1_700_000_000_000,
+}
+
+
+def record(key: str, content: object) -> Record:
+    """Returns a record with some content in JSON."""
+    return Record(key, 9, json.dumps(content).encode())
+
+
+def routes() -> RouteTable:
+    """Returns the routes of the example."""
+    published = DECODER.decode_publication(record('op/config', CONFIG))
+    release = published.to_release()
+    return View.from_release(release, HostList()).routes
+
+
+def test_a_configuration_becomes_objects_without_faults() -> None:
+    published = DECODER.decode_publication(record('op/config', CONFIG))
+    assert not find_faults(published.objects)
+    assert (published.number, published.revision) == (7, 9)
+    assert published.limits.header_bytes == 16_384
+    assert published.limits.idle_s == 15
+    release = published.to_release()
+    timing = resolve_policy(
+        release, release.objects['Route', 'r-1'].spec.policy
+    )
+    assert timing.timeout_ms == 1_500
+    assert timing.target_latency_ms == 500
+    assert timing.retry_percent == 20
+
+
+@pytest.mark.parametrize(
+    ('domain', 'path', 'route'),
+    [
+        ('one.example', '/a/x', 'r-1'),
+        ('one.example', '/a/b/x?q=/', 'r-2'),
+        ('one.example', '/a/b', 'r-1'),
+        ('one.example', '/a/', 'r-1'),
+        ('one.example', '/a', None),
+        ('one.example', '/ab/x', None),
+        ('two.example', '/a/x', None),
+    ],
+)
+def test_domain_and_longest_prefix_choose_the_route(
+    domain: str,
+    path: str,
+    route: str | None,
+) -> None:
+    match = routes().match('GET', path, domain)
+    found = match.route_name if match else None
+    assert found == route
+
+
+def test_only_safe_routes_may_be_repeated() -> None:
+    table = routes()
+    unsafe = table.match('GET', '/a/x', 'one.example')
+    safe = table.match('POST', '/a/b/x', 'one.example')
+    assert unsafe
+    assert safe
+    assert not unsafe.idempotent
+    assert safe.idempotent
+
+
+def test_an_entry_names_its_target() -> None:
+    entry = DECODER.decode_entry(record(f'{ENTRY_PREFIX}i-1', ENTRY))
+    assert entry.instance == 'i-1'
+    assert (entry.address, entry.port) == ('10.0.0.9', 8080)
+    assert (entry.region, entry.failure_domain) == ('south', 'z2')
+    assert not entry.draining
+
+
+@pytest.mark.parametrize(
+    'content',
+    [
+        {},
+        {**ENTRY, 'address': 7},
+        {**ENTRY, 'address': 'no port'},
+        {**ENTRY, 'status': {'state': 'asleep'}},
+        {**ENTRY, 'info': {'service': 'orders', 'zone': 'z1', 'slots': 'x'}},
+        'text',
+    ],
+)
+def test_an_entry_of_another_writer_is_refused(content: object) -> None:
+    with pytest.raises(PlatformError):
+        DECODER.decode_entry(record(f'{ENTRY_PREFIX}i-1', content))
+
+
+def test_bytes_that_are_no_text_are_refused() -> None:
+    with pytest.raises(PlatformError):
+        DECODER.decode_entry(Record(f'{ENTRY_PREFIX}i-1', 1, b'\xff\xfe'))
+    with pytest.raises(PlatformError):
+        DECODER.decode_publication(Record('op/config', 1, b'\xff'))
+
+
+@pytest.mark.parametrize(
+    ('reason', 'execution', 'status'),
+    [
+        (Reason.NO_ROUTE, Execution.NOT_RUN, 404),
+        (Reason.NOT_READY, Execution.NOT_RUN, 503),
+        (Reason.DEADLINE, Execution.NOT_RUN, 503),
+        (Reason.DEADLINE, Execution.UNKNOWN, 504),
+        (Reason.CONNECTION_LOST, Execution.UNKNOWN, 502),
+        (Reason.QUARANTINED, Execution.NOT_RUN, 503),
+        (Reason.GARBLED, Execution.UNKNOWN, 502),
+    ],
+)
+def test_a_status_tells_the_truth(
+    reason: Reason,
+    execution: Execution,
+    status: int,
+) -> None:
+    assert DIALECT.status_of(reason, execution) == status
+
+
+def test_no_other_module_knows_the_platforms_names() -> None:
+    wire_names = (
+        DIALECT.seal,
+        DIALECT.wanted_instance,
+        'op/config',
+        'kv-watch',
+        'kv-range',
+        'weighted-services',
+        'EGRETLANDING_CONFIG',
+    )
+    found = [
+        f'{path.name}: {name}'
+        for path in PACKAGE.glob('*.py')
+        for name in wire_names
+        if f"'{name}'" in path.read_text() or f'/{name}' in path.read_text()
+    ]
+    assert not found
--- /dev/null
+++ b/tests/test_records.py
@@ -0,0 +1,86 @@
+"""Tests that records of the store only ever go forward."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from egretlanding.records import MAX_DELETED, Record, RecordTable
+
+KEYS = ('a', 'b', 'c')
+HISTORIES = st.lists(
+    st.tuples(st.sampled_from(KEYS), st.booleans()),
+    min_size=1,
+    max_size=12,
+)
+
+
+def write(history: list[tuple[str, bool]]) -> list[Record]:
+    """Returns the records that a store wrote, in order."""
+    return [
+        Record(key, revision, b'' if gone else b'%d' % revision, gone)
+        for revision, (key, gone) in enumerate(history, 1)
+    ]
+
+
+def newest(records: list[Record]) -> dict[str, Record]:
+    """Returns what the store holds after some writes."""
+    return {record.key: record for record in records}
+
+
+@given(HISTORIES, st.randoms())
+def test_any_order_of_news_ends_at_the_newest(history, random) -> None:
+    records = write(history)
+    shuffled = [*records, *records]
+    random.shuffle(shuffled)
+    table = RecordTable()
+    seen: dict[str, int] = {}
+    for record in shuffled:
+        table.apply([record])
+        held = table.records[record.key].revision
+        assert held >= seen.get(record.key, 0)
+        seen[record.key] = held
+    assert table.records == newest(records)
+
+
+@given(HISTORIES, st.integers(0, 12), st.integers(0, 12))
+def test_a_list_that_is_read_while_writes_go_on_loses_nothing(
+    history,
+    known_to,
+    listed_at,
+) -> None:
+    records = write(history)
+    table = RecordTable()
+    table.apply(records[:known_to])
+    listed = newest(records[:listed_at])
+    table.replace(
+        [record for record in listed.values() if not record.deleted],
+        min(listed_at, len(records)),
+    )
+    table.apply(records[listed_at:])
+    for key, record in newest(records).items():
+        held = table.records.get(key)
+        if record.deleted:
+            assert held is None or held.deleted
+        else:
+            assert held == record
+
+
+@given(HISTORIES, st.integers(0, 12))
+def test_what_follows_a_revision_brings_another_table_up_to_date(
+    history,
+    held_to,
+) -> None:
+    records = write(history)
+    ahead, behind = RecordTable(), RecordTable()
+    ahead.apply(records)
+    behind.apply(records[:held_to])
+    behind.apply(ahead.since(held_to))
+    assert behind.records == ahead.records
+
+
+def test_deletions_are_kept_in_bounded_number() -> None:
+    table = RecordTable()
+    for revision in range(1, 2 * MAX_DELETED):
+        table.apply([Record(str(revision), revision, deleted=True)])
+    assert len(table.records) <= MAX_DELETED
+    assert not table.can_continue(1)
+    assert table.can_continue(2 * MAX_DELETED)
