--- a/egretlanding/admission.py
+++ b/egretlanding/admission.py
@@ -1,5 +1,6 @@
 """Admits calls to the slots of the one target beside a daemon."""
 
+import math
 from collections.abc import Iterator
 
 import attrs
@@ -98,9 +99,7 @@
         """Returns when `advance` must run at the latest, seconds."""
         firsts = [self.short.first(), self.long.first()]
         times = [
-            self.times.latest_start(queued.call.route, queued.call.deadline)
-            for queued in firsts
-            if queued
+            latest_start(queued.call, self.times) for queued in firsts if queued
         ]
         impatient = self.short.first_bound()
         if impatient is not None and self.slots.holds_up(impatient):
@@ -136,7 +135,7 @@
                 call,
                 Refusal.not_run(Reason.QUEUE_FULL, 'no slot is free'),
             )
-        queue.add(queued)
+        queue.add(queued, latest_start(call, self.times))
         return Wait(call)
 
     def advance(self, now: float) -> tuple[Start | Refuse, ...]:
@@ -183,9 +182,9 @@
         if now >= call.deadline:
             return Refusal.not_run(Reason.DEADLINE, 'the deadline has passed')
         wait = self.predicted_wait(queued.is_long)
-        if wait and now + wait >= self.times.latest_start(
-            call.route, call.deadline
-        ):
+        if wait and math.isfinite(call.wanted_by):
+            wait = wait_behind_urgent(self, queued, now)
+        if wait and now + wait >= latest_start(call, self.times):
             return Refusal.not_run(
                 Reason.DEADLINE,
                 f'the call would wait about {wait:.3f} s',
@@ -221,9 +220,7 @@
     def _drop_late(self, now: float) -> Iterator[Refuse]:
         for queue in (self.short, self.long):
             while (queued := queue.first()) is not None:
-                if now < self.times.latest_start(
-                    queued.call.route, queued.call.deadline
-                ):
+                if now < latest_start(queued.call, self.times):
                     break
                 yield self._drop(queued, Reason.DEADLINE)
 
@@ -239,3 +236,29 @@
             queued.call,
             Refusal.not_run(reason, 'the call waited too long'),
         )
+
+
+def latest_start(call: QueuedCall, times: ServiceTimes) -> float:
+    """Returns when a call must start at the latest, seconds."""
+    latest = times.latest_start(call.route, call.deadline)
+    return min(latest, call.patience_end())
+
+
+def wait_behind_urgent(
+    admission: Admission,
+    queued: Waiting,
+    now: float,
+) -> float:
+    """Returns how long a call would wait behind more urgent ones, seconds."""
+    expected = admission.times.expected
+    queue = admission.long if queued.is_long else admission.short
+    own = queued.call.urgency(expected(queued.call.route), now)
+    ahead = [
+        expected(other.call.route)
+        for other in queue.waiting.values()
+        if other.call.urgency(expected(other.call.route), now) < own
+    ]
+    slots = admission.slots
+    running = map(expected, slots.routes_running(queued.is_long))
+    # A running call is on average half done.
+    return (sum(ahead) + sum(running) / 2) / slots.usable(queued.is_long)
--- a/egretlanding/attempts.py
+++ b/egretlanding/attempts.py
@@ -1,6 +1,7 @@
 """One call of a caller, from its arrival to its answer."""
 
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
 import attrs
@@ -41,6 +42,7 @@
 # The daemon beside the target refuses at the deadline what it has not
 # started; its word that the call did not run is waited for.
 REPLY_GRACE_S = 0.05
+NO_ROOM = frozenset((Reason.DEADLINE, Reason.QUEUE_FULL, Reason.SHORT_WAIT))
 
 
 @attrs.define(eq=False)
@@ -82,6 +84,8 @@
         timers: Timers of the deadline and the hedge.
         done: Whether the caller was answered or is gone.
         arrived: When it arrived, seconds.
+        fallback: An error that a target answered with, in case no other
+            target does better.
     """
 
     ingress: 'Ingress'
@@ -97,24 +101,13 @@
     timers: list[Any] = attrs.field(factory=list)
     done: bool = False
     arrived: float = 0
+    fallback: CallReply | None = None
 
     @property
     def now(self) -> float:
         """Returns the monotonic time, seconds."""
         return float(self.ingress.reactor.seconds())
 
-    def patience_ms(self) -> int:
-        """Returns the time left in which an answer is worth most, ms.
-
-        Returns:
-            Zero if the operator names no such time.
-        """
-        wanted_ms = self.match.policy.target_latency_ms
-        if not wanted_ms:
-            return 0
-        spent_ms = int((self.now - self.arrived) * MS_PER_S)
-        return max(1, wanted_ms - spent_ms)
-
     def start(self) -> None:
         """Makes the first attempt."""
         self.entry.on_abandon = self.abandon
@@ -174,7 +167,7 @@
             self.now,
             routes.rng,
         )
-        if isinstance(choice, Refusal) and wanted.excluded:
+        if isinstance(choice, Refusal) and needs_budget(self.failed):
             # A target that was tried is better than none.
             again = attrs.evolve(wanted, excluded=frozenset())
             choice = routes.choose(
@@ -210,13 +203,23 @@
         targets.record_load(host_id, reply.load, self.now)
         if reply.ran is Ran.YES:
             targets.record_answer(host_id, attempt.number, self.now)
-            self.take_answer(attempt, reply)
+            if is_worth_another(self, reply):
+                self.fallback = reply
+                self.failed.append(error_of(reply))
+                self.follow_failure()
+            else:
+                self.take_answer(attempt, reply)
             return
         targets.record_end(host_id, attempt.number, self.now)
         if attempt.is_hedge and self.open and reply.ran is Ran.NOT_RUN:
             self.known.budget.refund(self.now)
             return
-        self.failed.append(failure_of(attempt, reply, keyed=bool(self.key)))
+        failure = failure_of(attempt, reply, keyed=bool(self.key))
+        if failure.arrived:
+            targets.record_failure(host_id, self.now)
+        elif failure.reason in NO_ROOM:
+            targets.record_refusal(host_id, self.now)
+        self.failed.append(failure)
         if not self.done:
             self.follow_failure()
 
@@ -254,7 +257,7 @@
                 reason=last.reason.value,
                 may_have_run=last.execution is Execution.UNKNOWN,
                 detail=last.detail,
-                budget=round(budget.tokens.available(self.now), 1),
+                budget=round(budget.available(self.now), 1),
             )
             if needs_budget(self.failed):
                 budget.take(policy, self.now)
@@ -320,6 +323,8 @@
         """Answers the caller, once."""
         if self.done:
             return
+        if reply.reason and self.fallback:
+            reply = self.fallback
         self.end()
         log_answer(self, reply)
         self.ingress.times.observe(self.now - self.arrived)
@@ -367,7 +372,30 @@
         hedge=attempt.is_hedge,
         instance=attempt.host.instance,
         priority=run.match.policy.priority,
-        patience_ms=run.patience_ms(),
+        patience_ms=patience_left(run),
+    )
+
+
+def patience_left(run: CallRun) -> int:
+    """Returns the time left in which an answer is worth most, ms.
+
+    Returns:
+        Zero if the operator names no such time.
+    """
+    wanted_ms = run.match.policy.target_latency_ms
+    if not wanted_ms:
+        return 0
+    spent_ms = int((run.now - run.arrived) * MS_PER_S)
+    return max(1, wanted_ms - spent_ms)
+
+
+def is_worth_another(run: CallRun, reply: CallReply) -> bool:
+    """Tells whether another target may answer better than with an error."""
+    return (
+        run.context.idempotent
+        and reply.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        and not run.key
+        and not run.done
     )
 
 
@@ -412,6 +440,15 @@
     )
 
 
+def error_of(reply: CallReply) -> FailedAttempt:
+    """Returns the attempt that a target answered with an error."""
+    return FailedAttempt(
+        Reason.TARGET_ERROR,
+        Progress.ANSWERING,
+        detail=f'the target answered {reply.status}',
+    )
+
+
 def failure_of(
     attempt: Attempt,
     reply: CallReply,
--- a/egretlanding/balancing.py
+++ b/egretlanding/balancing.py
@@ -137,6 +137,45 @@
             return Refusal.not_run(Reason.LINK_BUDGET, 'no bytes are left')
         return Refusal.not_run(Reason.NO_TARGET, 'no target can be reached')
 
+    def choose_near_first(
+        self,
+        wanted: Wanted,
+        now: float,
+        rng: random.Random,
+    ) -> Choice | Refusal:
+        """Chooses the target of an attempt where the link is dear.
+
+        Other regions are used only if no target of the own one has room.
+
+        Args:
+            wanted: The attempt.
+            now: Monotonic time, seconds.
+            rng: Source of the random choices.
+
+        Returns:
+            The target, or why there is none.
+        """
+        group = self.targets.group(now, wanted.excluded)
+        if not group:
+            detail = 'no target can be reached'
+            return Refusal.not_run(Reason.NO_TARGET, detail)
+        probe = self._due_probe(group, wanted, now)
+        if probe is not None:
+            return _choice(probe, is_probe=True)
+        with_room = [known for known in group if not known.is_full(now)]
+        healthy = [known for known in with_room if known.probation is None]
+        usable = healthy or with_room
+        near = self._choose_near(usable, now, rng)
+        if near is not None:
+            return _choice(near)
+        remote = self._best_at(Distance.REMOTE, usable, now, rng)
+        if remote is None:
+            detail = 'all targets refused calls a moment ago'
+            return Refusal.not_run(Reason.QUEUE_FULL, detail)
+        if self.link.available(now) < wanted.size:
+            return Refusal.not_run(Reason.LINK_BUDGET, 'no bytes are left')
+        return _choice(remote)
+
     def begin(self, choice: Choice, wanted: Wanted, now: float) -> None:
         """Records that an attempt was sent."""
         host_id = choice.host.host_id
--- a/egretlanding/callqueue.py
+++ b/egretlanding/callqueue.py
@@ -18,7 +18,7 @@
     Attributes:
         waiting: The calls by id.
         routes: Number of waiting calls by route.
-        by_deadline: Heap of deadlines; entries of removed calls linger.
+        by_deadline: Heap of latest starts; entries of removed calls linger.
         by_bound: Heap of the values of `Slots.long_time` up to which calls
             may wait; entries of removed calls linger.
     """
@@ -32,7 +32,7 @@
         return len(self.waiting)
 
     def first(self) -> Waiting | None:
-        """Returns the call with the earliest deadline."""
+        """Returns the call that must start first."""
         return self._head(self.by_deadline)
 
     def most_urgent(
@@ -61,12 +61,17 @@
             for route, count in self.routes.items()
         )
 
-    def add(self, queued: Waiting) -> None:
-        """Queues a call."""
+    def add(self, queued: Waiting, start_by: float) -> None:
+        """Queues a call.
+
+        Args:
+            queued: The call.
+            start_by: When it must start at the latest, seconds.
+        """
         call = queued.call
         self.waiting[call.call_id] = queued
         self.routes[call.route] += 1
-        heapq.heappush(self.by_deadline, (call.deadline, call.call_id))
+        heapq.heappush(self.by_deadline, (start_by, call.call_id))
         heapq.heappush(self.by_bound, (queued.long_bound, call.call_id))
 
     def remove(self, call_id: int) -> Waiting | None:
--- a/egretlanding/cmdline.py
+++ b/egretlanding/cmdline.py
@@ -124,6 +124,19 @@
     return _ask(lambda facade: facade.explain(method, path, daemon), json=json)
 
 
+def trace(request: str, *files: Path, json: bool = False) -> ExitCode:
+    """Tells what daemons decided on one request, from their logs.
+
+    Exits with 0 if a line tells of the request and with 1 if none does.
+
+    Args:
+        request: The request's id.
+        files: Files that hold the output of daemons.
+        json: Print JSON for machines.
+    """
+    return _show(Egretlanding().trace(request, files), json=json)
+
+
 def debug(*, json: bool = False) -> ExitCode:
     """Shows versions, settings, kinds, checks, events and surroundings.
 
@@ -140,6 +153,7 @@
     'status': status,
     'dump': dump,
     'explain': explain,
+    'trace': trace,
     'debug': debug,
 }
 
--- a/egretlanding/control.py
+++ b/egretlanding/control.py
@@ -34,6 +34,7 @@
 from egretlanding.faults import CHECKS
 from egretlanding.objects import KINDS
 from egretlanding.reference import describe_fields
+from egretlanding.trace import trace
 
 LIBRARIES = ('attrs', 'grpclib', 'klein', 'msgspec', 'PyYAML', 'Twisted')
 
@@ -163,6 +164,14 @@
         outcomes = await self._ask(daemons, Question('/explain', options))
         return _raw(outcomes, _has_route)
 
+    def trace(self, request: str, files: Sequence[Path]) -> Reply:
+        """Reports what daemons decided on a request, from their logs.
+
+        Raises:
+            TraceError: A file can't be read.
+        """
+        return trace(request, files)
+
     def debug(self) -> Reply:
         """Reports versions, settings, kinds, checks and surroundings."""
         content = {
--- a/egretlanding/egress.py
+++ b/egretlanding/egress.py
@@ -279,7 +279,8 @@
     def apply(self, service: Service) -> None:
         """Takes over the bounds of the service."""
         self.admission.queue_limit = service.queue_limit
-        self.admission.slots.limit.slots = service.slots
+        if self.admission.slots.limit.adapts:
+            self.admission.slots.limit.slots = service.slots
         self.target.pool.limit = service.connections
 
     def tick(self) -> None:
--- a/egretlanding/evidence.py
+++ b/egretlanding/evidence.py
@@ -79,6 +79,7 @@
         failed_connects: Failed connections in a row.
         barred_until: Time until which it counts as unreachable, seconds.
         probation: Set while the target is shunned for being slow.
+        full_until: Time until which it is expected to refuse, seconds.
     """
 
     host: Host
@@ -92,6 +93,7 @@
     failed_connects: int = 0
     barred_until: float = -math.inf
     probation: Probation | None = None
+    full_until: float = -math.inf
 
     def believed_slowness(self, now: float) -> float:
         """Returns the slowness, which fades to neutral without answers."""
@@ -121,6 +123,10 @@
         """Returns whether the target counts as unreachable."""
         return now < self.barred_until
 
+    def is_full(self, now: float) -> bool:
+        """Returns whether the target is expected to refuse calls."""
+        return now < self.full_until
+
     def record_latency(self, ratio: float, now: float) -> None:
         """Learns from an answer.
 
--- a/egretlanding/exceptions.py
+++ b/egretlanding/exceptions.py
@@ -70,6 +70,11 @@
     """An idempotency key doesn't have a form that can be honoured."""
 
 
+@final
+class TraceError(RemediedError):
+    """A log can't be read."""
+
+
 @final
 class AdminError(RemediedError):
     """A daemon's admin port gave no usable answer."""
--- a/egretlanding/ingress.py
+++ b/egretlanding/ingress.py
@@ -73,6 +73,8 @@
         dialect: The names of the headers.
         service: The service of the target beside the daemon, which the calls
             that enter here come from.
+        margin_ms: Time that a refusal needs to reach the caller before it
+            gives up, ms.
     """
 
     reactor: Any
@@ -92,6 +94,7 @@
     times: Histogram = attrs.field(factory=Histogram)
     dialect: Dialect = OWN_DIALECT
     service: str = ''
+    margin_ms: int = 0
 
     def next_number(self) -> int:
         """Returns a number for an attempt."""
@@ -170,7 +173,7 @@
         """Returns when a call's answer has no more use, seconds."""
         allowed_ms = match.policy.timeout_ms
         if meta.timeout_ms is not None:
-            allowed_ms = min(allowed_ms, meta.timeout_ms)
+            allowed_ms = min(allowed_ms, meta.timeout_ms - self.margin_ms)
         now = float(self.reactor.seconds())
         return now + allowed_ms / MS_PER_S - self.late_s()
 
--- a/egretlanding/limits.py
+++ b/egretlanding/limits.py
@@ -17,11 +17,14 @@
         slots: The most calls, from the release.
         level: The limit before rounding.
         decreased: When it last shrank, seconds.
+        adapts: Whether it shrinks; the slots that a target itself names are
+            known for certain.
     """
 
     slots: int
     level: float
     decreased: float = float('-inf')
+    adapts: bool = True
 
     @classmethod
     def of(cls, slots: int) -> 'ConcurrencyLimit':
@@ -33,6 +36,12 @@
         """Calls that may run now, at least one."""
         return max(1, int(self.level))
 
+    def fix(self, slots: int) -> None:
+        """Takes over the number of slots that the target itself names."""
+        self.slots = slots
+        self.level = slots
+        self.adapts = False
+
     def record(
         self,
         elapsed: float,
@@ -60,7 +69,7 @@
 
     def _decrease(self, factor: float, floor: float, now: float) -> None:
         # Answers of one round tell of one overload, which counts once.
-        if now - self.decreased < DECREASE_PAUSE_S:
+        if not self.adapts or now - self.decreased < DECREASE_PAUSE_S:
             return
         self.level = max(floor, self.level * factor)
         self.decreased = now
--- a/egretlanding/outcomes.py
+++ b/egretlanding/outcomes.py
@@ -53,6 +53,7 @@
     ANSWER_DROPPED = 'answer-dropped'
     OTHER_INSTANCE = 'other-instance'
     GARBLED = 'garbled'
+    TARGET_ERROR = 'target-error'
 
 
 @attrs.frozen
@@ -147,6 +148,7 @@
     ),
     Reason.OTHER_INSTANCE: ReasonTraits(HTTPStatus.SERVICE_UNAVAILABLE, _LATER),
     Reason.GARBLED: ReasonTraits(HTTPStatus.BAD_GATEWAY, _CHECK_FIRST),
+    Reason.TARGET_ERROR: ReasonTraits(HTTPStatus.BAD_GATEWAY, _CHECK_FIRST),
 }
 
 NEVER_ACCEPTED = frozenset((Reason.KEY_MALFORMED, Reason.HEADER_MALFORMED))
--- a/egretlanding/pages.py
+++ b/egretlanding/pages.py
@@ -6,6 +6,16 @@
 from egretlanding.config import DaemonConfig
 from egretlanding.objects import KINDS
 from egretlanding.reference import render_table, summarize
+from egretlanding.sidecarconfig import SidecarConfig
+
+SIDECAR_HEADER = """
+## A daemon that reads a store of records
+
+These are the settings of a daemon on the users' platform, see
+[PLATFORM.md](PLATFORM.md). `deploy/settings.yaml` renders them. SIGHUP has
+them read again; a file with faults is logged as event 110 and the settings
+before it stay in use.
+"""
 
 Page = Callable[[], str]
 
@@ -77,7 +87,15 @@
 @page('SETTINGS.md')
 def render_settings() -> str:
     """Renders the page about the daemon's settings."""
-    return f'{SETTINGS_HEADER}\n{render_table(DaemonConfig)}\n'
+    return '\n'.join(
+        (
+            SETTINGS_HEADER,
+            render_table(DaemonConfig),
+            SIDECAR_HEADER,
+            render_table(SidecarConfig),
+            '',
+        ),
+    )
 
 
 def main() -> None:
--- a/egretlanding/platform/records.py
+++ b/egretlanding/platform/records.py
@@ -24,6 +24,9 @@
 from egretlanding.roster import TargetEntry
 
 MS_PER_S = 1_000
+# A request that may be repeated is sent to a second target no earlier than
+# after this part of the time in which its answer is worth most.
+HEDGE_DIVISOR = 2
 REPEATABLE = 'safe'
 LEAVING = 'draining'
 STATES = frozenset(('ready', LEAVING))
@@ -294,6 +297,7 @@
             timeout_ms=milliseconds(route.timeout),
             max_attempts=route.max_attempts,
             retry_percent=self.retry_percent,
+            hedge_ms=milliseconds(route.target_latency) // HEDGE_DIVISOR,
             target_latency_ms=milliseconds(route.target_latency),
             priority=route.priority,
         )
--- a/egretlanding/retries.py
+++ b/egretlanding/retries.py
@@ -1,6 +1,7 @@
 """Whether a failed attempt is retried, and when a call is hedged."""
 
 import math
+from collections import deque
 from collections.abc import Iterable
 
 import attrs
@@ -28,6 +29,8 @@
 SPARE_TOKENS_PER_S = 0.1
 BURST_TOKENS = 30
 HEDGE_QUANTILE = 0.95
+# Parts of a window in which calls are counted together.
+SLICES = 20
 QUANTILE_STEP = 0.05
 
 FINAL_REASONS = frozenset(
@@ -123,7 +126,72 @@
 
     def allows(self, policy: Policy, now: float) -> bool:
         """Returns whether a retry could be taken now."""
-        return policy.retry_percent > 0 and self.tokens.available(now) >= 1
+        return policy.retry_percent > 0 and self.available(now) >= 1
+
+    def available(self, now: float) -> float:
+        """Returns the retries that could be taken now."""
+        return self.tokens.available(now)
+
+
+@attrs.define
+class WindowBudget(RetryBudget):
+    """Bounds retries to this daemon's share of what all may make in a window.
+
+    The fleet may make a share of the calls of a window and a slack besides.
+    Each daemon keeps to that share of its own calls, and to an even part of
+    the slack, so that nobody has to be asked.
+
+    Attributes:
+        window_s: Length of the window, seconds.
+        slack: Retries of this daemon beyond the share of its calls.
+        earned: Calls, with the share of a retry each, by time.
+        spent: Times of the retries.
+    """
+
+    window_s: float = 10
+    slack: float = 0
+    earned: deque[tuple[float, float]] = attrs.field(factory=deque)
+    spent: deque[float] = attrs.field(factory=deque)
+    total: float = 0
+
+    def record_first_attempt(self, policy: Policy, now: float) -> None:
+        """Earns the share of a retry that a first attempt allows."""
+        share = policy.retry_percent / PERCENT
+        if self.earned and now - self.earned[-1][0] < self.window_s / SLICES:
+            since, before = self.earned.pop()
+            self.earned.append((since, before + share))
+        else:
+            self.earned.append((now, share))
+        self.total += share
+
+    def available(self, now: float) -> float:
+        """Returns the retries that could be taken now."""
+        self.expire(now)
+        return self.slack + self.total - len(self.spent)
+
+    def take(self, policy: Policy, now: float) -> bool:
+        """Spends one retry."""
+        if not self.allows(policy, now):
+            return False
+        self.spent.append(now)
+        return True
+
+    def refund(self, now: float) -> None:
+        """Returns a retry that made no work, such as a refused hedge."""
+        if self.spent:
+            self.spent.pop()
+
+    def allows(self, policy: Policy, now: float) -> bool:
+        """Returns whether a retry could be taken now."""
+        return policy.retry_percent > 0 and self.available(now) >= 1
+
+    def expire(self, now: float) -> None:
+        """Forgets what lies before the window."""
+        oldest = now - self.window_s
+        while self.earned and self.earned[0][0] < oldest:
+            self.total -= self.earned.popleft()[1]
+        while self.spent and self.spent[0] < oldest:
+            self.spent.popleft()
 
 
 @attrs.frozen
--- a/egretlanding/serviceroutes.py
+++ b/egretlanding/serviceroutes.py
@@ -53,6 +53,17 @@
     return balancer.choose(wanted, now, rng)
 
 
+@chooser('near')
+def choose_near_first(
+    balancer: Balancer,
+    wanted: Wanted,
+    now: float,
+    rng: random.Random,
+) -> Choice | Refusal:
+    """Chooses another region's target only if the own region has no room."""
+    return balancer.choose_near_first(wanted, now, rng)
+
+
 @chooser('random')
 def choose_at_random(
     balancer: Balancer,
@@ -119,6 +130,7 @@
         hedge_timers: Learned latencies by route.
         unready: Hosts that take no calls, and until when that is believed,
             seconds.
+        new_budget: Builds the budget of a service's retries.
     """
 
     locality: Locality
@@ -129,6 +141,7 @@
     services: dict[str, ServiceRoute] = attrs.field(factory=dict)
     hedge_timers: dict[str, HedgeTimer] = attrs.field(factory=dict)
     unready: dict[str, float] = attrs.field(factory=dict)
+    new_budget: Callable[[float], RetryBudget] = RetryBudget.fresh
 
     def service(self, name: str, now: float) -> ServiceRoute:
         """Returns what is known of a service of the view in force."""
@@ -148,7 +161,7 @@
         assert self.view is not None
         spec: Service = self.view.routes.services[name]
         balancer = Balancer.for_service(self.locality, spec, self.link)
-        known = ServiceRoute(balancer, RetryBudget.fresh(now))
+        known = ServiceRoute(balancer, self.new_budget(now))
         self.services[name] = known
         targets = balancer.targets
         targets.update_hosts(self.view.hosts.of_service(name), now)
--- a/egretlanding/sidecar.py
+++ b/egretlanding/sidecar.py
@@ -3,6 +3,7 @@
 import random
 import sys
 import time
+from functools import partial
 from http import HTTPStatus
 from typing import Any, Protocol
 
@@ -13,6 +14,7 @@
 from egretlanding.calls import CallService
 from egretlanding.check import find_faults
 from egretlanding.dialect import Dialect
+from egretlanding.durations import milliseconds
 from egretlanding.events import Event, Severity, log_event
 from egretlanding.exceptions import PlatformError, SettingsError
 from egretlanding.hosts import Host
@@ -24,11 +26,19 @@
 from egretlanding.recordfeed import RecordFeed, RecordStore
 from egretlanding.recordrelay import RecordRelay
 from egretlanding.records import Record
+from egretlanding.retries import RetryBudget, WindowBudget
 from egretlanding.roster import Roster, TargetEntry
 from egretlanding.sidecarconfig import SidecarConfig, port_of
 from egretlanding.views import View
 
+MS_PER_S = 1_000
 TICK_S = 0.5
+# Time in which a refusal reaches a caller, ms; with it goes the time that
+# the daemon beside the target has for its word that a call did not run.
+REPLY_MARGIN_MS = 65
+# Daemons that share the slack of the retry budget.
+SLACK_DAEMONS = 40
+MAX_SLACK = 1.5
 # Two questions without a yes take a daemon out; they come once per second.
 DRAIN_NOTICE_S = 2.6
 
@@ -120,6 +130,8 @@
             surroundings.dialect,
         )
         calls.drain_notice_s = DRAIN_NOTICE_S
+        calls.ingress.margin_ms = REPLY_MARGIN_MS
+        calls.routes.new_budget = partial(new_budget, config)
         sidecar = cls(
             reactor,
             settings,
@@ -333,7 +345,7 @@
         if own:
             health = self.calls.egress.health
             health.update(up=health.up, draining=own.draining)
-            self.calls.egress.admission.slots.limit.slots = own.slots
+            self.calls.egress.admission.slots.limit.fix(own.slots)
 
     def reload(self) -> None:
         """Reads the settings again; what can change at work is taken over."""
@@ -370,6 +382,20 @@
         self.log.flush()
 
 
+def new_budget(config: SidecarConfig, now: float) -> WindowBudget:
+    """Returns the budget of the retries to one service.
+
+    Args:
+        config: The settings.
+        now: Monotonic time, seconds.
+    """
+    fresh = RetryBudget.fresh(now)
+    window_s = milliseconds(config.retry_window) / MS_PER_S
+    # Enough for one retry at a time of a rare call on each of many daemons.
+    slack = min(MAX_SLACK, config.retry_slack / SLACK_DAEMONS)
+    return WindowBudget(fresh.tokens, window_s, slack)
+
+
 def seed_host(text: str) -> Host:
     """Returns a host of which only the daemon's address is known."""
     address, _, port = text.rpartition(':')
--- a/egretlanding/sidecarconfig.py
+++ b/egretlanding/sidecarconfig.py
@@ -17,6 +17,9 @@
 
 MS_PER_S = 1_000
 PERCENT = 100
+# Share of the retries that are used; calls that a repeated run makes count
+# as repeats as well.
+RETRY_RESERVE = 0.6
 PAIR_PATTERN = '[a-z0-9-]+=[a-z0-9-]+'
 PAIR_FORM = 'failure-domain=region'
 RATIO_PATTERN = r'[01](\.\d{1,6})?'
@@ -79,7 +82,7 @@
     grace: str = form(DURATION_PATTERN, DURATION_FORM, default='10s')
     cold_start_ms: int = bounded(0, 600_000, 'ms', default=3_000)
     queue_limit: int = bounded(0, 10_000, 'calls', default=64)
-    balancing: str = choice(('p2c', 'random'), default='p2c')
+    balancing: str = choice(('near', 'p2c', 'random'), default='near')
     target_check: str = choice(('report', 'connect'), default='connect')
 
     @property
@@ -111,7 +114,7 @@
     @property
     def retry_percent(self) -> int:
         """Retries allowed per hundred calls, percent."""
-        return int(float(self.retry_ratio) * PERCENT)
+        return int(float(self.retry_ratio) * PERCENT * RETRY_RESERVE)
 
     @property
     def grace_s(self) -> float:
--- a/egretlanding/slots.py
+++ b/egretlanding/slots.py
@@ -10,6 +10,8 @@
 RESERVE_DIVISOR = 3
 # How much later a call of the next lower rank comes, seconds.
 PRIORITY_STEP_S = 0.1
+# Longest wait of a call that is late already, seconds.
+LATE_WAIT_S = 0.25
 
 
 @attrs.frozen
@@ -39,6 +41,14 @@
     wanted_by: float = math.inf
     priority: int = 0
 
+    def patience_end(self) -> float:
+        """Returns when the call leaves the queue at the latest, seconds.
+
+        One whose answer would be worth less by then leaves early, while its
+        caller has time to come back.
+        """
+        return max(self.wanted_by, self.arrived + LATE_WAIT_S)
+
     def urgency(self, expected_s: float, now: float) -> tuple[bool, float]:
         """Returns what calls are ordered by, the most urgent least.
 
--- a/egretlanding/targets.py
+++ b/egretlanding/targets.py
@@ -15,6 +15,10 @@
 NEAR_TARGETS = 8
 REMOTE_TARGETS = 2
 REVIEW_SLOWNESS = 1.5
+# Time for which a host that had no room gets no calls, seconds.
+FULL_S = 0.08
+# Slowness that a call counts as which a target lost or rejected.
+FAILURE_RATIO = 4
 
 
 @attrs.define
@@ -114,6 +118,18 @@
         if known is not None:
             known.record_unreachable(now)
 
+    def record_refusal(self, host_id: str, now: float) -> None:
+        """Learns that a host refused a call for want of room."""
+        known = self.evidence.get(host_id)
+        if known is not None:
+            known.full_until = now + FULL_S
+
+    def record_failure(self, host_id: str, now: float) -> None:
+        """Learns that a target lost or rejected a call that it got."""
+        known = self.evidence.get(host_id)
+        if known is not None:
+            self._learn(known, FAILURE_RATIO, now)
+
     def record_load(self, host_id: str, calls: int, now: float) -> None:
         """Takes a load report as a hint."""
         known = self.evidence.get(host_id)
--- /dev/null
+++ b/tests/test_sidecar_processes.py
@@ -0,0 +1,156 @@
+"""Daemons as processes on a stand-in of the platform."""
+
+import signal
+import threading
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from tests.platformfleet import (
+    ROUTE,
+    START_S,
+    PlatformFleet,
+    platform_fleet,
+    wait_until,
+)
+
+HOST = {'Host': 'one.example'}
+IN_FORCE_S = 2
+
+
+@pytest.fixture(name='fleet')
+def start_fleet(tmp_path: Path) -> Iterator[PlatformFleet]:
+    with platform_fleet(tmp_path, ['front', 'orders', 'orders']) as fleet:
+        yield fleet
+
+
+def ask(fleet: PlatformFleet, number: int = 0, path: str = '/a/x', **headers):
+    """Sends a request to a daemon."""
+    sent = {'Request_Id': 'id-1', 'Deadline_Ms': '3000', **HOST, **headers}
+    return fleet.members[number].ask(path, **sent)
+
+
+def statuses(fleet: PlatformFleet, path: str) -> set[int]:
+    """Returns what the daemons answer to a path."""
+    return {ask(fleet, number, path)[0] for number in range(3)}
+
+
+def test_requests_find_their_targets(fleet: PlatformFleet) -> None:
+    front, *orders = fleet.members
+    status, body, headers = ask(fleet, Caller='forged')
+    assert status == 200
+    assert headers['server-stamp'] == 'stamp'
+    ran_on = next(member for member in orders if member.ran)
+    assert body == ran_on.address.encode()
+    seen = {name.lower(): text for name, text in ran_on.ran[0].items()}
+    assert seen['caller'] == 'front'
+    assert seen['request-id'] == 'id-1'
+    assert seen['expect-instance'] == ran_on.instance
+    assert 0 < int(seen['deadline-ms']) <= 2_000
+    assert ask(fleet, path='/none/x')[0] == 404
+    assert ask(fleet, Host='two.example')[0] == 404
+    assert not front.ran
+
+
+def test_a_new_configuration_is_in_force_everywhere_in_time(
+    fleet: PlatformFleet,
+    tmp_path: Path,
+) -> None:
+    turned_away = fleet.members[2]
+    assert turned_away.process
+    turned_away.process.kill()
+    turned_away.process.wait()
+    turned_away.start(fleet.store.closed, fleet.seeds(), tmp_path)
+    wait_until(turned_away.is_ready, START_S)
+    fleet.configure(5, orders=ROUTE, added={**ROUTE, 'prefix': '/b/'})
+    wait_until(lambda: statuses(fleet, '/b/x') == {200}, IN_FORCE_S)
+    fleet.configure(4, orders=ROUTE)
+    time.sleep(0.5)
+    assert statuses(fleet, '/b/x') == {200}
+
+
+def test_a_leaving_target_gets_no_new_requests(fleet: PlatformFleet) -> None:
+    _, leaving, staying = fleet.members
+    key = f'servers/{leaving.instance}'
+    fleet.store.write(key, leaving.entry('draining'))
+    time.sleep(1)
+    leaving.ran.clear()
+    assert {ask(fleet)[0] for _ in range(10)} == {200}
+    assert not leaving.ran
+    assert staying.ran
+
+
+def test_a_request_that_a_target_rejects_runs_at_another(
+    fleet: PlatformFleet,
+) -> None:
+    _, rejecting, accepting = fleet.members
+    rejecting.status = 503
+    for _ in range(3):
+        status, body, _ = ask(fleet)
+        assert (status, body) == (200, accepting.address.encode())
+
+
+def test_an_address_with_another_process_is_not_used(
+    fleet: PlatformFleet,
+) -> None:
+    _, changed, kept = fleet.members
+    fleet.store.write(f'servers/{changed.instance}', None)
+    fleet.store.write('servers/i-other', changed.entry())
+    time.sleep(0.5)
+    for _ in range(4):
+        status, body, _ = ask(fleet)
+        assert (status, body) == (200, kept.address.encode())
+    assert not changed.ran
+
+
+def test_a_changed_settings_file_stops_nothing(fleet: PlatformFleet) -> None:
+    process = fleet.members[0].process
+    assert process
+    process.send_signal(signal.SIGHUP)
+    time.sleep(0.5)
+    assert process.poll() is None
+    assert ask(fleet)[0] == 200
+
+
+def test_a_stop_cuts_no_request(fleet: PlatformFleet) -> None:
+    front, *orders = fleet.members
+    assert front.process
+    for member in orders:
+        member.delay_s = 1
+    answers: list[int] = []
+    asking = threading.Thread(target=lambda: answers.append(ask(fleet)[0]))
+    asking.start()
+    time.sleep(0.3)
+    front.process.send_signal(signal.SIGTERM)
+    wait_until(lambda: not front.is_ready(), 1)
+    assert ask(fleet)[0] == 200
+    asking.join()
+    assert answers == [200]
+    assert front.process.wait(8) == 0
+
+
+def test_limits_of_callers_are_kept(fleet: PlatformFleet) -> None:
+    assert ask(fleet, X_Long='x' * 5_000)[0] == 431
+    status, _, _ = fleet.members[0].ask('/-/none', 'readiness')
+    assert status == 404
+
+
+def test_metrics_and_lines_tell_of_a_failure(
+    fleet: PlatformFleet,
+    tmp_path: Path,
+) -> None:
+    for member in fleet.members[1:]:
+        member.status = 500
+    assert ask(fleet, Request_Id='id-lost')[0] == 500
+    front = fleet.members[0]
+    status, body, _ = front.ask('/metrics', 'metrics')
+    assert status == 200
+    assert b'egretlanding_calls{' in body
+    assert b'egretlanding_call_seconds_bucket{le=' in body
+    assert front.ask('/dump', 'metrics')[0] == 200
+    time.sleep(1)
+    lines = (tmp_path / f'{front.address}.log').read_text().splitlines()
+    about = [line for line in lines if '"id-lost"' in line]
+    assert any('"call_retried"' in line for line in about)
