--- a/egretlanding/egress.py
+++ b/egretlanding/egress.py
@@ -195,7 +195,7 @@
                 lambda: self.end_refused(job, lost),
             )
         elif refusal:
-            self.health.check()
+            self.health.note_denial()
             self.end_refused(job, refusal)
         else:
             self.end_answered(job, outcome.response)
--- a/egretlanding/events.py
+++ b/egretlanding/events.py
@@ -1,10 +1,9 @@
 """The numbered log events and the function that writes them."""
 
 import enum
+import importlib
 from collections.abc import Callable
 
-from absl import logging
-
 
 class Event(enum.IntEnum):
     """The number of each log event; docs/EVENTS.md is the catalogue."""
@@ -55,9 +54,9 @@
 class Severity(enum.Enum):
     """How urgent an event is."""
 
-    INFO = logging.INFO
-    WARNING = logging.WARNING
-    ERROR = logging.ERROR
+    INFO = 'info'
+    WARNING = 'warning'
+    ERROR = 'error'
 
 
 Sink = Callable[[Event, str, Severity, dict[str, object]], None]
@@ -69,10 +68,15 @@
     severity: Severity,
     fields: dict[str, object],
 ) -> None:
-    """Writes one event as `E<number> <message> key=value ...`."""
+    """Writes one event as `E<number> <message> key=value ...`.
+
+    The library is loaded with the first event, since a daemon with a sink of
+    its own does without it and its 3 MB.
+    """
+    logging = importlib.import_module('absl.logging')
     details = ''.join(f' {key}={value}' for key, value in fields.items())
     logging.log(
-        severity.value,
+        getattr(logging, severity.name),
         'E%d %s%s',
         event.value,
         message,
--- a/egretlanding/linelog.py
+++ b/egretlanding/linelog.py
@@ -83,7 +83,7 @@
             'time': round(self.wall(), DIGITS),
             'steady': round(self.clock(), DIGITS),
             'host': self.host,
-            'level': severity.name.lower(),
+            'level': severity.value,
             'event': event.value,
             'name': event.name.lower(),
             'message': message,
--- a/egretlanding/platform/__main__.py
+++ b/egretlanding/platform/__main__.py
@@ -8,7 +8,6 @@
 # The libraries go without TLS, which the platform does not use.
 sys.modules.update(dict.fromkeys(('OpenSSL', 'ssl')))  # type: ignore[arg-type]
 
-from absl import logging  # noqa: E402
 from twisted.internet import reactor as default_reactor  # noqa: E402
 
 from egretlanding.platform.names import (  # noqa: E402
@@ -31,7 +30,6 @@
 
 def main() -> None:
     """Runs the daemon."""
-    logging.set_verbosity(logging.INFO)
     settings = os.environ[SETTINGS_VARIABLE]
     config = SidecarConfig.from_file(settings)
     reactor: Any = default_reactor
--- a/egretlanding/retries.py
+++ b/egretlanding/retries.py
@@ -31,6 +31,10 @@
 HEDGE_QUANTILE = 0.95
 # Parts of a window in which calls are counted together.
 SLICES = 20
+# Retries are scarce if fewer are left than this part of those spent.
+SCARCE_RATIO = 1
+# Time that a caller needs to come back after a refusal, seconds.
+COME_BACK_S = 0.6
 QUANTILE_STEP = 0.05
 
 FINAL_REASONS = frozenset(
@@ -132,6 +136,10 @@
         """Returns the retries that could be taken now."""
         return self.tokens.available(now)
 
+    def is_scarce(self, now: float) -> bool:
+        """Tells whether few of the retries of late are left."""
+        return False
+
 
 @attrs.define
 class WindowBudget(RetryBudget):
@@ -169,6 +177,10 @@
         self.expire(now)
         return self.slack + self.total - len(self.spent)
 
+    def is_scarce(self, now: float) -> bool:
+        """Tells whether few of the retries of late are left."""
+        return self.available(now) < len(self.spent) * SCARCE_RATIO
+
     def take(self, policy: Policy, now: float) -> bool:
         """Spends one retry."""
         if not self.allows(policy, now):
@@ -253,10 +265,33 @@
         len(failed) >= MAX_TRIES,
         now >= context.deadline,
         needs_budget(failed) and not budget.allows(policy, now),
+        needs_budget(failed) and can_come_back(context, failed, budget, now),
     )
     return GiveUp(refusal) if any(stops) else Retry(context.key_owner)
 
 
+def can_come_back(
+    context: CallContext,
+    failed: list[FailedAttempt],
+    budget: RetryBudget,
+    now: float,
+) -> bool:
+    """Tells whether a refused caller should try again itself.
+
+    Where few retries are left they go to calls whose callers have no time to
+    come back, such as those that a target makes while it runs another call.
+
+    Args:
+        context: The call.
+        failed: The attempts that failed, in order.
+        budget: The budget of retries.
+        now: Monotonic time, seconds.
+    """
+    did_not_run = combine(failed).execution is Execution.NOT_RUN
+    has_time = context.deadline - now > COME_BACK_S
+    return did_not_run and has_time and budget.is_scarce(now)
+
+
 def needs_budget(failed: Iterable[FailedAttempt]) -> bool:
     """Tells whether the next attempt adds to the work of targets.
 
--- a/egretlanding/targethealth.py
+++ b/egretlanding/targethealth.py
@@ -107,6 +107,10 @@
         request = HttpRequest('GET', LOAD_PATH, [], b'')
         self.pool.run(request, [], self.take_outcome)
 
+    def note_denial(self) -> None:
+        """Asks a target that refused a call whether it is leaving."""
+        self.check()
+
     def probe(self, on_verdict: Callable[[bool], None]) -> None:
         """Finds out whether the target's process is gone.
 
@@ -197,6 +201,9 @@
         self.checking = True
         self.probe(self.take_verdict)
 
+    def note_denial(self) -> None:
+        """Does nothing, since a target that refuses a call lives."""
+
     def probe(self, on_verdict: Callable[[bool], None]) -> None:
         """Finds out whether the target's process takes connections."""
 
