Leave the store to the nearer region's readers; undo the order by time spent before

Cause: changes of the configuration crossed the paid link once for each far reader, uncompressed (74 kB each), and calls of callers that came back were taken for new ones. Change: a reader that is 5 ms or more farther from the store than a reader of another region takes changes from that one, compressed; announcements of a storm are gathered for 0.35 s; a drain ends within the grace time.

--- a/egretlanding/attempts.py
+++ b/egretlanding/attempts.py
@@ -84,7 +84,6 @@
         timers: Timers of the deadline and the hedge.
         done: Whether the caller was answered or is gone.
         arrived: When it arrived, seconds.
-        spent_ms: How long the caller has tried before, ms.
         fallback: An error that a target answered with, in case no other
             target does better.
     """
@@ -102,7 +101,6 @@
     timers: list[Any] = attrs.field(factory=list)
     done: bool = False
     arrived: float = 0
-    spent_ms: int = 0
     fallback: CallReply | None = None
 
     @property
@@ -387,8 +385,8 @@
     wanted_ms = run.match.policy.target_latency_ms
     if not wanted_ms:
         return 0
-    here_ms = int((run.now - run.arrived) * MS_PER_S)
-    return max(1, wanted_ms - here_ms - run.spent_ms)
+    spent_ms = int((run.now - run.arrived) * MS_PER_S)
+    return max(1, wanted_ms - spent_ms)
 
 
 def is_worth_another(run: CallRun, reply: CallReply) -> bool:
--- a/egretlanding/calls.py
+++ b/egretlanding/calls.py
@@ -33,7 +33,7 @@
 BASELINE = 'random'
 DRAIN_NOTICE_S = 1.0
 DRAIN_POLL_S = 0.02
-CLOSE_TIMEOUT_S = 2
+CLOSE_TIMEOUT_S = 2.0
 
 
 def front_of(ingress: Ingress, issuer: KeyIssuer) -> Handler:
@@ -71,6 +71,7 @@
         events: Logs changes of the call path.
         drain_notice_s: Time in which other daemons and callers learn of a
             drain, seconds.
+        close_timeout_s: Time in which callers take the last answers, seconds.
     """
 
     reactor: Any
@@ -89,6 +90,7 @@
     loops: list[LoopingCall] = attrs.field(factory=list)
     events: CallEvents = attrs.field(factory=CallEvents)
     drain_notice_s: float = DRAIN_NOTICE_S
+    close_timeout_s: float = CLOSE_TIMEOUT_S
 
     @classmethod
     def from_config(
@@ -261,7 +263,7 @@
         while self.in_flight:
             await deferLater(self.reactor, DRAIN_POLL_S)
         self.http.drain()
-        deadline = self.reactor.seconds() + CLOSE_TIMEOUT_S
+        deadline = self.reactor.seconds() + self.close_timeout_s
         while self.http.connections and self.reactor.seconds() < deadline:
             await deferLater(self.reactor, DRAIN_POLL_S)
         self.close()
--- a/egretlanding/frames.py
+++ b/egretlanding/frames.py
@@ -168,11 +168,14 @@
         revision: It holds all changes up to this revision.
         age_ms: Time since the store confirmed that there are no others, ms.
         asks: Whether the receiver is asked to say the same of itself.
+        distance_ms: Time that a connection from the sender to the store
+            takes, ms.
     """
 
     revision: int
     age_ms: int
     asks: bool = False
+    distance_ms: int = 0
 
 
 class RecordsWanted(Frame, frozen=True, tag='records-wanted'):
--- a/egretlanding/ingress.py
+++ b/egretlanding/ingress.py
@@ -73,7 +73,6 @@
         dialect: The names of the headers.
         service: The service of the target beside the daemon, which the calls
             that enter here come from.
-        longest_ms: The longest time that callers allowed, by route, ms.
         margin_ms: Time that a refusal needs to reach the caller before it
             gives up, ms.
     """
@@ -95,7 +94,6 @@
     times: Histogram = attrs.field(factory=Histogram)
     dialect: Dialect = OWN_DIALECT
     service: str = ''
-    longest_ms: dict[str, int] = attrs.field(factory=dict)
     margin_ms: int = 0
 
     def next_number(self) -> int:
@@ -154,7 +152,6 @@
             ingress=self,
             entry=entry,
             match=match,
-            spent_ms=self.spent_before(match.route_name, meta),
             context=CallContext(
                 deadline=self.deadline(match, meta),
                 idempotent=match.idempotent,
@@ -180,20 +177,6 @@
         now = float(self.reactor.seconds())
         return now + allowed_ms / MS_PER_S - self.late_s()
 
-    def spent_before(self, route: str, meta: CallMeta) -> int:
-        """Returns how long a caller has tried before this call, ms.
-
-        A caller that comes back allows what is left of the time that it
-        allowed at first, which is the same for all callers of a route.
-        """
-        if meta.timeout_ms is None:
-            return 0
-        if len(self.longest_ms) > MAX_BULK_ROUTES:
-            self.longest_ms.clear()
-        longest = max(self.longest_ms.get(route, 0), meta.timeout_ms)
-        self.longest_ms[route] = longest
-        return longest - meta.timeout_ms
-
     def find_owner(
         self,
         view: View,
--- a/egretlanding/platform/store.py
+++ b/egretlanding/platform/store.py
@@ -92,6 +92,11 @@
         )
         return cls(pool)
 
+    @property
+    def distance_s(self) -> float:
+        """Shortest time in which a connection was opened, seconds."""
+        return self.pool.fastest_connect_s
+
     async def read_page(self, after: str) -> Page:
         """Reads the records whose keys follow a key."""
         query = {'prefix': '', **({'after': after} if after else {})}
--- a/egretlanding/recordfeed.py
+++ b/egretlanding/recordfeed.py
@@ -13,7 +13,7 @@
 from egretlanding.records import Record, RecordTable
 
 # Age of the store's word after which any daemon asks the store itself.
-STALE_S = 1.2
+STALE_S = 1.6
 WATCH_S = 15
 # Watches end at different times, so that daemons don't ask all at once.
 SHORTEST_WATCH = 0.7
@@ -60,6 +60,10 @@
     Each method raises PlatformError if the store gave no usable answer.
     """
 
+    @property
+    def distance_s(self) -> float:
+        """Shortest time in which a connection was opened, seconds."""
+
     async def read_page(self, after: str) -> Page:
         """Reads the records whose keys follow a key."""
 
@@ -90,6 +94,9 @@
         failures: Calls that failed since the last one that did not.
         reachable: Whether the last call to the store went well.
         relist: Whether the whole list must be read.
+        nearer_until: Until when a reader of another region that is nearer to
+            the store is known to read it, seconds.
+        waiting: Whether a watch waits at the store.
         answered: Calls that the store answered.
         failed: Calls that it did not answer.
     """
@@ -105,6 +112,8 @@
     failures: int = 0
     reachable: bool = True
     relist: bool = True
+    nearer_until: float = float('-inf')
+    waiting: bool = False
     answered: int = 0
     failed: int = 0
 
@@ -118,7 +127,15 @@
 
     def wants_store(self, now: float) -> bool:
         """Tells whether this daemon should ask the store itself."""
-        return self.is_reader or self.age(now) > STALE_S
+        return self.reads_for_others(now) or self.age(now) > STALE_S
+
+    def reads_for_others(self, now: float) -> bool:
+        """Tells whether this daemon reads the store for its region.
+
+        A reader far from the store leaves that to a nearer one, which sends
+        changes in a tenth of the bytes.
+        """
+        return self.is_reader and now > self.nearer_until
 
     def start(self) -> None:
         """Starts to read the store."""
@@ -164,10 +181,14 @@
         # A daemon that just lost sight of the readers first looks whether
         # there is anything new, since a watch that waits says nothing.
         wait_s = WATCH_S if self.age(self.reactor.seconds()) < STALE_S else 0
-        changes = await self.store.watch(
-            self.table.complete_to,
-            wait_s * self.rng.uniform(SHORTEST_WATCH, 1),
-        )
+        self.waiting = wait_s > 0
+        try:
+            changes = await self.store.watch(
+                self.table.complete_to,
+                wait_s * self.rng.uniform(SHORTEST_WATCH, 1),
+            )
+        finally:
+            self.waiting = False
         self.note_reachable()
         changed = self.table.apply(changes.records)
         self.table.confirm(changes.revision)
@@ -197,7 +218,8 @@
 
     def beat(self) -> None:
         """Notes that a watch which waits tells of no change."""
-        if self.is_reader and self.reachable and not self.relist:
+        now = self.reactor.seconds()
+        if self.waiting and self.reachable and self.reads_for_others(now):
             self.confirm(0)
 
     def publish(self, changed: list[Record]) -> None:
--- a/egretlanding/recordrelay.py
+++ b/egretlanding/recordrelay.py
@@ -25,6 +25,12 @@
 # Time after which another daemon is asked for what one did not send.
 ASK_AGAIN_S = 0.5
 MAX_AGE_S = 1_000
+# How much sooner a nearer reader reaches the store, ms.
+NEARER_MS = 5
+# Time for which a nearer reader is believed to read, seconds.
+NEARER_BELIEF_S = 1.5
+# Pause between two announcements, in which further changes gather.
+ANNOUNCE_PAUSE_S = 0.35
 
 
 @attrs.define(eq=False)
@@ -39,6 +45,8 @@
         feed: Holds the records.
         readers: The readers of the own region, and one of each other region
             if this daemon is a reader.
+        far: Ids of the readers of other regions.
+        announced_at: When other daemons were last told of changes, seconds.
         asked_at: When another daemon was last asked for records, seconds.
     """
 
@@ -48,6 +56,8 @@
     seeds: tuple[Host, ...]
     feed: RecordFeed
     readers: tuple[Host, ...] = ()
+    far: frozenset[str] = frozenset()
+    announced_at: float = float('-inf')
     asked_at: float = float('-inf')
 
     def held(self, *, asks: bool = False) -> RecordsHeld:
@@ -57,8 +67,13 @@
             self.feed.table.complete_to,
             int(age_s * MS_PER_S),
             asks,
+            self.distance_ms(),
         )
 
+    def distance_ms(self) -> int:
+        """Returns the time that a connection to the store takes, ms."""
+        return int(min(self.feed.store.distance_s, MAX_AGE_S) * MS_PER_S)
+
     def update_hosts(self, hosts: Iterable[Host], region: str) -> None:
         """Works out the readers from the hosts that are known."""
         known = tuple(hosts)
@@ -72,12 +87,24 @@
             for other in sorted(regions)
             if self.feed.is_reader
         ]
+        self.far = frozenset(host.host_id for host in far)
         self.readers = tuple(
             host for host in (*near, *far) if host.address != self.address
         )
 
     def announce(self, _changed: list[Record]) -> None:
-        """Tells connected daemons that there are later records."""
+        """Tells connected daemons of later records, now or after a pause."""
+        now = self.reactor.seconds()
+        due = self.announced_at + ANNOUNCE_PAUSE_S
+        if now >= due:
+            self.announced_at = now
+            self.links.node.broadcast(self.held())
+        elif now >= self.announced_at:
+            self.announced_at = due
+            self.reactor.callLater(due - now, self.broadcast)
+
+    def broadcast(self) -> None:
+        """Tells connected daemons which records are held."""
         self.links.node.broadcast(self.held())
 
     def tick(self) -> None:
@@ -104,11 +131,25 @@
         """Learns what another daemon holds, and asks for what it has more."""
         if frame.asks:
             connection.send(self.held())
+        self.compare_distance(connection, frame)
         if frame.revision > self.feed.table.complete_to:
             self.ask(connection)
         elif frame.revision == self.feed.table.complete_to:
             self.feed.confirm(frame.age_ms / MS_PER_S)
 
+    def compare_distance(
+        self,
+        connection: PeerConnection,
+        frame: RecordsHeld,
+    ) -> None:
+        """Leaves the store to a reader of another region that is nearer."""
+        if connection.peer is None or connection.peer.host_id not in self.far:
+            return
+        own_ms = self.distance_ms()
+        if frame.distance_ms + NEARER_MS < own_ms:
+            now = self.reactor.seconds()
+            self.feed.nearer_until = now + NEARER_BELIEF_S
+
     def ask(self, connection: PeerConnection) -> None:
         """Asks another daemon for later records, unless one was asked."""
         now = self.reactor.seconds()
--- a/egretlanding/sidecar.py
+++ b/egretlanding/sidecar.py
@@ -40,7 +40,9 @@
 SLACK_DAEMONS = 40
 MAX_SLACK = 1.5
 # Two questions without a yes take a daemon out; they come once per second.
-DRAIN_NOTICE_S = 2.6
+DRAIN_NOTICE_S = 2.4
+# Time in which callers take the last answers of a drain, seconds.
+CLOSE_TIMEOUT_S = 0.4
 
 
 class Decoder(Protocol):
@@ -130,6 +132,7 @@
             surroundings.dialect,
         )
         calls.drain_notice_s = DRAIN_NOTICE_S
+        calls.close_timeout_s = CLOSE_TIMEOUT_S
         calls.ingress.margin_ms = REPLY_MARGIN_MS
         calls.routes.new_budget = partial(new_budget, config)
         sidecar = cls(
--- a/egretlanding/slots.py
+++ b/egretlanding/slots.py
@@ -12,8 +12,6 @@
 PRIORITY_STEP_S = 0.1
 # Longest wait of a call that is late already, seconds.
 LATE_WAIT_S = 0.25
-# Calls take up to this many times as long as expected, mostly.
-MARGIN = 1.4
 
 
 @attrs.frozen
@@ -62,7 +60,7 @@
             now: Monotonic time, seconds.
         """
         due = min(self.wanted_by, self.deadline)
-        is_late = now + expected_s * MARGIN > self.wanted_by
+        is_late = now + expected_s > self.wanted_by
         return is_late, due + self.priority * PRIORITY_STEP_S
 
 
--- a/egretlanding/targetpool.py
+++ b/egretlanding/targetpool.py
@@ -1,5 +1,6 @@
 """Connections to the target beside the daemon."""
 
+import math
 from collections import deque
 from collections.abc import Callable
 from typing import Any
@@ -87,6 +88,7 @@
         idle: Connections that run no request, the last used first.
         opened: Connections that are open or being opened.
         connects: Connections opened so far.
+        fastest_connect_s: Shortest time in which one was opened, seconds.
         connect_timeout_s: Longest wait for a connection, seconds.
         reuse_limit_s: Longest time that a connection is kept idle, seconds.
     """
@@ -98,6 +100,7 @@
     idle: deque[HttpClient] = attrs.field(factory=deque)
     opened: int = 0
     connects: int = 0
+    fastest_connect_s: float = math.inf
     connect_timeout_s: float = CONNECT_TIMEOUT_S
     reuse_limit_s: float = REUSE_LIMIT_S
 
@@ -168,10 +171,21 @@
             self.port,
             timeout=self.connect_timeout_s,
         )
+        started = self.reactor.seconds()
         connected = connectProtocol(endpoint, HttpClient(self.forget))
-        connected.addErrback(self.take_failure)
+        connected.addCallbacks(
+            self.take_connection,
+            self.take_failure,
+            callbackArgs=(started,),
+        )
         return connected
 
+    def take_connection(self, client: HttpClient, started: float) -> HttpClient:
+        """Learns how long it takes to open a connection."""
+        took_s = self.reactor.seconds() - started
+        self.fastest_connect_s = min(self.fastest_connect_s, took_s)
+        return client
+
     def take_failure(self, failure: Failure) -> Failure:
         """Stops counting a connection that was not opened."""
         self.opened -= 1
--- /dev/null
+++ b/tests/test_recordrelay.py
@@ -0,0 +1,183 @@
+"""Tests of who reads the store and how records spread, without sockets."""
+
+import random
+from typing import Any
+
+import attrs
+import msgspec
+from twisted.internet.task import Clock
+
+from egretlanding.frames import Hello, RecordsHeld, RecordsSent, RecordsWanted
+from egretlanding.hosts import Host
+from egretlanding.recordfeed import STALE_S, RecordFeed
+from egretlanding.recordrelay import (
+    ANNOUNCE_PAUSE_S,
+    READERS,
+    RecordRelay,
+    first_ranked,
+)
+from egretlanding.records import Record
+
+
+@attrs.define
+class Wire:
+    """A connection that keeps what is sent on it.
+
+    Attributes:
+        peer: How the other daemon introduced itself.
+        sent: The frames.
+    """
+
+    peer: Hello
+    sent: list[Any] = attrs.field(factory=list)
+
+    def send(self, frame: Any) -> None:
+        """Keeps a frame."""
+        self.sent.append(frame)
+
+
+@attrs.define
+class Node:
+    """The connections of a daemon, of which there are none.
+
+    Attributes:
+        told: The frames that all connected daemons got.
+    """
+
+    told: list[Any] = attrs.field(factory=list)
+
+    def broadcast(self, frame: Any) -> None:
+        """Keeps a frame."""
+        self.told.append(frame)
+
+
+@attrs.define
+class Links:
+    """The links of a daemon.
+
+    Attributes:
+        node: The connections.
+    """
+
+    node: Node = attrs.field(factory=Node)
+
+
+@attrs.define
+class FarStore:
+    """A store that is never asked.
+
+    Attributes:
+        distance_s: Time that a connection takes, seconds.
+    """
+
+    distance_s: float = 0.016
+
+
+def host(number: int, region: str) -> Host:
+    """Returns a host."""
+    address = f'10.0.0.{number}'
+    return Host(address, address, 1, 2, 3, region, f'{region}-1', 'orders')
+
+
+HOSTS = tuple(host(n, 'north' if n % 2 else 'south') for n in range(12))
+
+
+def build(address: str, region: str) -> tuple[RecordRelay, Clock]:
+    """Returns the relay of a daemon that knows all hosts."""
+    clock: Any = Clock()
+    clock.advance(100)
+    store: Any = FarStore()
+    links: Any = Links()
+    feed = RecordFeed(clock, store, random.Random(1))
+    relay = RecordRelay(clock, address, links, (), feed)
+    relay.update_hosts(HOSTS, region)
+    return relay, clock
+
+
+def wire(host_id: str) -> Any:
+    """Returns a connection to a daemon."""
+    return Wire(Hello(host_id, 1))
+
+
+def test_each_region_has_its_readers() -> None:
+    readers = [
+        each.address
+        for each in HOSTS
+        if build(each.address, each.region)[0].feed.is_reader
+    ]
+    expected = [
+        each.address
+        for region in ('north', 'south')
+        for each in first_ranked(region, HOSTS, READERS)
+    ]
+    assert sorted(readers) == sorted(expected)
+
+
+def test_others_ask_the_store_once_their_news_is_old() -> None:
+    idle = next(
+        each
+        for each in HOSTS
+        if not build(each.address, each.region)[0].feed.is_reader
+    )
+    relay, clock = build(idle.address, idle.region)
+    relay.feed.table.confirm(5)
+    relay.take_held(wire('10.0.0.9'), RecordsHeld(5, 100))
+    assert not relay.feed.wants_store(clock.seconds())
+    clock.advance(STALE_S)
+    assert relay.feed.wants_store(clock.seconds())
+
+
+def test_a_far_reader_leaves_the_store_to_a_nearer_one() -> None:
+    reader = first_ranked('north', HOSTS, 1)[0]
+    other = first_ranked('south', HOSTS, 1)[0]
+    relay, clock = build(reader.address, 'north')
+    relay.feed.table.confirm(5)
+    assert relay.feed.wants_store(clock.seconds())
+    near = RecordsHeld(5, 0, asks=False, distance_ms=3)
+    relay.take_held(wire('10.9.9.9'), near)
+    assert relay.feed.wants_store(clock.seconds())
+    relay.take_held(wire(other.host_id), near)
+    assert not relay.feed.wants_store(clock.seconds())
+    clock.advance(STALE_S)
+    assert relay.feed.wants_store(clock.seconds())
+
+
+def test_an_equally_far_reader_reads_too() -> None:
+    reader = first_ranked('north', HOSTS, 1)[0]
+    other = first_ranked('south', HOSTS, 1)[0]
+    relay, clock = build(reader.address, 'north')
+    relay.take_held(wire(other.host_id), RecordsHeld(0, 0, distance_ms=15))
+    assert relay.feed.wants_store(clock.seconds())
+
+
+def test_records_pass_from_one_daemon_to_another() -> None:
+    ahead, _ = build('10.0.0.1', 'north')
+    behind, _ = build('10.0.0.2', 'south')
+    ahead.feed.table.apply([Record('a', 1, b'x'), Record('b', 2, b'y')])
+    ahead.feed.table.confirm(2)
+    connection = wire('10.0.0.1')
+    behind.take(connection, ahead.held())
+    wanted = connection.sent[-1]
+    assert isinstance(wanted, RecordsWanted)
+    behind.take(connection, ahead.answer(wanted))
+    assert behind.feed.table.records == ahead.feed.table.records
+    assert behind.feed.table.complete_to == 2
+
+
+def test_damaged_records_change_nothing() -> None:
+    relay, _ = build('10.0.0.1', 'north')
+    whole = msgspec.msgpack.encode([Record('a', 1, b'x')])
+    for packed in (b'', b'nonsense', whole):
+        relay.take(wire('10.0.0.2'), RecordsSent(9, 0, packed))
+    assert not relay.feed.table.records
+    assert not relay.feed.table.complete_to
+
+
+def test_announcements_of_a_storm_are_gathered() -> None:
+    relay, clock = build('10.0.0.1', 'north')
+    told: Any = relay.links.node
+    for _ in range(20):
+        relay.announce([])
+        clock.advance(ANNOUNCE_PAUSE_S / 10)
+    clock.advance(ANNOUNCE_PAUSE_S)
+    assert 2 <= len(told.told) <= 4
