--- a/egretlanding/attempts.py
+++ b/egretlanding/attempts.py
@@ -7,11 +7,12 @@
 import attrs
 
 from egretlanding.balancing import Choice, Wanted
-from egretlanding.callheaders import passed_on, response_of
-from egretlanding.events import Event, Severity, log_event
+from egretlanding.callframes import build_call, error_of, failure_of
+from egretlanding.callheaders import response_of
+from egretlanding.calllog import log_answer, log_call
+from egretlanding.events import Event
 from egretlanding.frames import (
     CallReply,
-    CallRequest,
     Ran,
     refusal_reply,
 )
@@ -347,48 +348,6 @@
     return Refusal.not_run(Reason.DEADLINE, 'the deadline has passed')
 
 
-def build_call(run: CallRun, attempt: Attempt) -> CallRequest:
-    """Builds the frame that carries a call."""
-    request = run.entry.request
-    dialect = run.ingress.dialect
-    now = run.now
-    headers = passed_on(request.headers, dialect)
-    if dialect.repeat_hops:
-        headers.extend(run.context.headers(len(run.tried) - 1, now).items())
-    if dialect.origin:
-        headers.append((dialect.origin, run.ingress.service))
-    return CallRequest(
-        call_id=0,
-        method=request.method,
-        path=request.path,
-        headers=headers,
-        body=request.body,
-        route=run.match.route_name,
-        remaining_ms=max(0, int((run.context.deadline - now) * MS_PER_S)),
-        short_wait_ms=run.match.policy.short_wait_ms,
-        work=run.ingress.work_class(run.match.route.work),
-        idempotent=run.context.idempotent,
-        key=run.key,
-        hedge=attempt.is_hedge,
-        instance=attempt.host.instance,
-        priority=run.match.policy.priority,
-        patience_ms=patience_left(run),
-    )
-
-
-def patience_left(run: CallRun) -> int:
-    """Returns the time left in which an answer is worth most, ms.
-
-    Returns:
-        Zero if the operator names no such time.
-    """
-    wanted_ms = run.match.policy.target_latency_ms
-    if not wanted_ms:
-        return 0
-    spent_ms = int((run.now - run.arrived) * MS_PER_S)
-    return max(1, wanted_ms - spent_ms)
-
-
 def is_worth_another(run: CallRun, reply: CallReply) -> bool:
     """Tells whether another target may answer better than with an error."""
     return (
@@ -397,78 +356,3 @@
         and not run.key
         and not run.done
     )
-
-
-def log_call(
-    run: CallRun,
-    event: Event,
-    message: str,
-    **fields: object,
-) -> None:
-    """Writes a decision on a call of a caller."""
-    request = run.entry.request
-    view = run.ingress.routes.view
-    log_event(
-        event,
-        message,
-        Severity.INFO,
-        request=request.header(run.ingress.dialect.request_id),
-        route=run.match.route_name,
-        service=run.match.service_name,
-        release=view.release.number if view else 0,
-        tried=sorted(run.tried),
-        age_ms=int((run.now - run.arrived) * MS_PER_S),
-        left_ms=int((run.context.deadline - run.now) * MS_PER_S),
-        **fields,
-    )
-
-
-def log_answer(run: CallRun, reply: CallReply) -> None:
-    """Writes how a call of a caller ended."""
-    if not reply.reason:
-        message = 'answered by a target'
-        log_call(run, Event.CALL_ANSWERED, message, status=reply.status)
-        return
-    refused = reply.ran is Ran.NOT_RUN
-    log_call(
-        run,
-        Event.CALL_REFUSED if refused else Event.CALL_FAILED,
-        'refused; it did not run' if refused else 'failed; it may have run',
-        reason=reply.reason,
-        detail=reply.detail,
-        attempts=len(run.failed),
-    )
-
-
-def error_of(reply: CallReply) -> FailedAttempt:
-    """Returns the attempt that a target answered with an error."""
-    return FailedAttempt(
-        Reason.TARGET_ERROR,
-        Progress.ANSWERING,
-        detail=f'the target answered {reply.status}',
-    )
-
-
-def failure_of(
-    attempt: Attempt,
-    reply: CallReply,
-    *,
-    keyed: bool,
-) -> FailedAttempt:
-    """Returns what an attempt without an answer says of the call."""
-    sent = attempt.is_sent()
-    return FailedAttempt(
-        reason_of(reply),
-        Progress.SENT if sent else Progress.UNSENT,
-        denied=sent and reply.ran is Ran.NOT_RUN,
-        keyed=keyed,
-        detail=reply.detail,
-        arrived=sent and reply.arrived,
-    )
-
-
-def reason_of(reply: CallReply) -> Reason:
-    """Returns the reason of a refusal, also one of a newer version."""
-    if reply.reason in set(Reason):
-        return Reason(reply.reason)
-    return Reason.CONNECTION_LOST
--- a/egretlanding/egress.py
+++ b/egretlanding/egress.py
@@ -223,7 +223,8 @@
         """Passes a refusal to all who wait for an answer."""
         if job.key:
             self.keys.record_refusal(job.key, refusal)
-        event = Event.RUN_LOST if job.running else Event.RUN_REFUSED
+        ran = refusal.execution is Execution.UNKNOWN
+        event = Event.RUN_LOST if ran else Event.RUN_REFUSED
         log_run(self, event, refusal.detail, job, refusal.reason.value)
         self.table.remove(job)
         job.reply(self.refuse(refusal, arrived=job.running))
--- a/egretlanding/peerlinks.py
+++ b/egretlanding/peerlinks.py
@@ -8,6 +8,7 @@
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.python.failure import Failure
 
+from egretlanding.events import Event, Severity, log_event
 from egretlanding.frames import CallReply, CallRequest, refusal_reply
 from egretlanding.hosts import Host
 from egretlanding.outcomes import Reason, Refusal
@@ -188,7 +189,7 @@
         connected.addCallbacks(
             self.take_connection,
             self.take_failure,
-            callbackArgs=(lane,),
+            callbackArgs=(host, lane),
             errbackArgs=(host, lane),
         )
         return lane
@@ -196,9 +197,17 @@
     def take_connection(
         self,
         connection: PeerConnection,
+        host: Host,
         lane: PeerLane,
     ) -> None:
         """Sends the calls that wait for a connection."""
+        if lane.failures:
+            log_event(
+                Event.PEER_REACHABLE,
+                'a daemon takes connections again',
+                peer=host.host_id,
+                after_failures=lane.failures,
+            )
         for pending in lane.record_success(connection):
             pending.send(connection)
 
@@ -209,6 +218,14 @@
         lane: PeerLane,
     ) -> None:
         """Fails the calls that wait for a connection: none was sent."""
+        if not lane.failures:
+            log_event(
+                Event.PEER_UNREACHABLE,
+                'a daemon takes no connection',
+                Severity.WARNING,
+                peer=host.host_id,
+                error=str(failure.value),
+            )
         queued = lane.record_failure(self.reactor.seconds())
         self.on_unreachable(host.host_id)
         for pending in queued:
--- a/egretlanding/peers.py
+++ b/egretlanding/peers.py
@@ -11,6 +11,7 @@
 from twisted.python.failure import Failure
 
 from egretlanding.eagerwrites import watch_silence, write_now
+from egretlanding.events import Event, Severity, log_event
 from egretlanding.exceptions import FrameError
 from egretlanding.frames import (
     MAX_FRAME_BYTES,
@@ -85,6 +86,14 @@
         self.node.connections.discard(self)
         waiting = self.waiting
         self.waiting = {}
+        if waiting:
+            log_event(
+                Event.PEER_LOST,
+                'a connection to a daemon was lost with calls in flight',
+                Severity.WARNING,
+                peer=self.peer.host_id if self.peer else '',
+                calls=len(waiting),
+            )
         for call_id, on_reply in waiting.items():
             on_reply(lost_reply(call_id))
         self.node.on_close(self)
--- a/egretlanding/platform/__main__.py
+++ b/egretlanding/platform/__main__.py
@@ -16,9 +16,9 @@
 )
 from egretlanding.platform.records import RecordDecoder  # noqa: E402
 from egretlanding.platform.store import PlatformStore  # noqa: E402
-from egretlanding.sidecar import Surroundings  # noqa: E402
 from egretlanding.sidecarconfig import SidecarConfig  # noqa: E402
 from egretlanding.sidecarprocess import serve  # noqa: E402
+from egretlanding.surroundings import Surroundings  # noqa: E402
 
 SETTINGS_VARIABLE = 'EGRETLANDING_CONFIG'
 
--- a/egretlanding/sidecar.py
+++ b/egretlanding/sidecar.py
@@ -5,7 +5,7 @@
 import time
 from functools import partial
 from http import HTTPStatus
-from typing import Any, Protocol
+from typing import Any
 
 import attrs
 from twisted.internet.defer import Deferred
@@ -13,7 +13,6 @@
 
 from egretlanding.calls import CallService
 from egretlanding.check import find_faults
-from egretlanding.dialect import Dialect
 from egretlanding.durations import milliseconds
 from egretlanding.events import Event, Severity, log_event
 from egretlanding.exceptions import PlatformError, SettingsError
@@ -23,12 +22,13 @@
 from egretlanding.life import Life, LifeCore, Phase, build_machine
 from egretlanding.linelog import LineLog
 from egretlanding.publication import Publication
-from egretlanding.recordfeed import RecordFeed, RecordStore
+from egretlanding.recordfeed import RecordFeed
 from egretlanding.recordrelay import RecordRelay
 from egretlanding.records import Record
 from egretlanding.retries import RetryBudget, WindowBudget
-from egretlanding.roster import Roster, TargetEntry
+from egretlanding.roster import Roster
 from egretlanding.sidecarconfig import SidecarConfig, port_of
+from egretlanding.surroundings import Surroundings
 from egretlanding.views import View
 
 MS_PER_S = 1_000
@@ -45,39 +45,6 @@
 CLOSE_TIMEOUT_S = 0.4
 
 
-class Decoder(Protocol):
-    """Decodes the records of a store; raises PlatformError."""
-
-    def is_publication(self, record: Record) -> bool:
-        """Tells whether a record holds the configuration."""
-
-    def target_of(self, record: Record) -> str:
-        """Returns the target that a record is the entry of, or nothing."""
-
-    def decode_publication(self, record: Record) -> Publication:
-        """Decodes the configuration."""
-
-    def decode_entry(self, record: Record) -> TargetEntry:
-        """Decodes the entry of a target."""
-
-
-@attrs.frozen
-class Surroundings:
-    """What a daemon runs in.
-
-    Attributes:
-        dialect: The names of the HTTP headers.
-        store: The store of records.
-        decoder: Decodes the records.
-        readiness_path: The path that is asked whether the daemon is ready.
-    """
-
-    dialect: Dialect
-    store: RecordStore
-    decoder: Decoder
-    readiness_path: str
-
-
 @attrs.define(eq=False)
 class Sidecar:
     """Composes the tasks of one process.
--- a/egretlanding/sidecarprocess.py
+++ b/egretlanding/sidecarprocess.py
@@ -5,9 +5,10 @@
 from typing import Any
 
 from egretlanding.events import SINKS
-from egretlanding.sidecar import Sidecar, Surroundings
+from egretlanding.sidecar import Sidecar
 from egretlanding.sidecaradmin import SidecarAdmin
 from egretlanding.sidecarconfig import SidecarConfig
+from egretlanding.surroundings import Surroundings
 
 
 def serve(
