Count failed attempts before a hedge is sent; hedge after the whole aim

The first answered 500, the retry was under way when the hedge timer fired, and the hedge looked at open attempts only. Ruled out: the retry itself (it counts failed attempts). Change: a hedge counts attempts that arrived, open or failed. The new process test failed before it.

--- a/egretlanding/attempts.py
+++ b/egretlanding/attempts.py
@@ -272,7 +272,10 @@
         Where all targets are busy, hedges would only add to their load.
         """
         targets, now = self.known.balancer.targets, self.now
-        if len(self.open) != 1 or not has_spare(targets, self.tried, now):
+        sent = len(self.open) + sum(each.arrived for each in self.failed)
+        if len(self.open) != 1 or sent >= self.match.policy.max_attempts:
+            return
+        if not has_spare(targets, self.tried, now):
             return
         if self.known.budget.take(self.match.policy, now):
             self.ingress.hedges += 1
--- a/egretlanding/platform/records.py
+++ b/egretlanding/platform/records.py
@@ -26,7 +26,7 @@
 MS_PER_S = 1_000
 # A request that may be repeated is sent to a second target no earlier than
 # after this part of the time in which its answer is worth most.
-HEDGE_DIVISOR = 2
+HEDGE_DIVISOR = 1
 REPEATABLE = 'safe'
 LEAVING = 'draining'
 STATES = frozenset(('ready', LEAVING))
--- a/tests/test_sidecar_processes.py
+++ b/tests/test_sidecar_processes.py
@@ -154,3 +154,19 @@
     lines = (tmp_path / f'{front.address}.log').read_text().splitlines()
     about = [line for line in lines if '"id-lost"' in line]
     assert any('"call_retried"' in line for line in about)
+
+
+def test_a_hedge_counts_the_attempts_that_failed_before(
+    tmp_path: Path,
+) -> None:
+    services = ['front', 'orders', 'orders', 'orders']
+    with platform_fleet(tmp_path, services) as fleet:
+        orders = fleet.members[1:]
+        assert {ask(fleet)[0] for _ in range(30)} == {200}
+        for member in orders:
+            member.ran.clear()
+            member.status = 500
+            # The second attempt is open when the hedge is due.
+            member.delay_s = 0.3
+        assert ask(fleet)[0] == 500
+        assert sum(len(member.ran) for member in orders) == 2
