--- a/egretlanding/dialect.py
+++ b/egretlanding/dialect.py
@@ -21,7 +21,6 @@
         request_id: Names a request; the target repeats it in the answer.
         origin: The service beside which the request began.
         wanted_instance: The process of the target that is to run the call.
-        found_instance: The process of the target that answered.
         seal: Present in each answer that a target made by running a call.
         repeat_hops: Whether depth and retry marks go with each attempt.
         tells_reason: Whether refusals carry the headers of this project.
@@ -36,7 +35,6 @@
     request_id: str = ''
     origin: str = ''
     wanted_instance: str = ''
-    found_instance: str = ''
     seal: str = ''
     repeat_hops: bool = True
     tells_reason: bool = True
--- a/egretlanding/platform/names.py
+++ b/egretlanding/platform/names.py
@@ -11,7 +11,6 @@
     # Who calls: the service of the machine where the request began.
     origin='caller',
     wanted_instance='expect-instance',
-    found_instance='instance',
     seal='server-stamp',
     repeat_hops=False,
     tells_reason=False,
--- a/egretlanding/sidecarconfig.py
+++ b/egretlanding/sidecarconfig.py
@@ -12,10 +12,8 @@
     required_name,
     tcp_port,
 )
-from egretlanding.durations import milliseconds
 from egretlanding.schema import bounded, choice, form
 
-MS_PER_S = 1_000
 PERCENT = 100
 # Share of the retries that are used; calls that a repeated run makes count
 # as repeats as well.
@@ -55,7 +53,6 @@
             calls to a service.
         retry_slack: Retries that all daemons may make besides, in the window.
         retry_window: Window in which retries are counted.
-        grace: Time from the signal to stop until the process is killed.
         cold_start_ms: Time over which a new target's share ramps up, ms.
         queue_limit: Calls that may wait in front of the target.
         balancing: How targets are chosen; "random" is a baseline for
@@ -79,7 +76,6 @@
     retry_ratio: str = form(RATIO_PATTERN, RATIO_FORM, default='0.1')
     retry_slack: int = bounded(0, 1_000_000, 'retries', default=0)
     retry_window: str = form(DURATION_PATTERN, DURATION_FORM, default='10s')
-    grace: str = form(DURATION_PATTERN, DURATION_FORM, default='10s')
     cold_start_ms: int = bounded(0, 600_000, 'ms', default=3_000)
     queue_limit: int = bounded(0, 10_000, 'calls', default=64)
     balancing: str = choice(('near', 'p2c', 'random'), default='near')
@@ -115,8 +111,3 @@
     def retry_percent(self) -> int:
         """Retries allowed per hundred calls, percent."""
         return int(float(self.retry_ratio) * PERCENT * RETRY_RESERVE)
-
-    @property
-    def grace_s(self) -> float:
-        """Time from the signal to stop until the process is killed."""
-        return milliseconds(self.grace) / MS_PER_S
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,127 @@
+"""Tests of the client of the platform's store, without sockets."""
+
+import base64
+import json
+from typing import Any
+
+import attrs
+import pytest
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.task import Clock
+
+from egretlanding.exceptions import HistoryLostError, PlatformError
+from egretlanding.httpmessages import HttpResponse
+from egretlanding.outcomes import Progress
+from egretlanding.platform.store import ANSWER_S, PlatformStore
+from egretlanding.records import Record
+from egretlanding.targetpool import TargetOutcome, Ticket
+
+
+@attrs.define
+class Pool:
+    """Connections on which the test answers.
+
+    Attributes:
+        reactor: The clock.
+        asked: The paths that were asked for.
+        answer: What is answered, None for silence.
+    """
+
+    reactor: Clock = attrs.field(factory=Clock)
+    asked: list[str] = attrs.field(factory=list)
+    answer: HttpResponse | None = None
+    on_outcome: Any = None
+
+    def run(self, request: Any, extra: Any, on_outcome: Any) -> Any:
+        """Answers a request, or keeps silent until it is cancelled."""
+        self.asked.append(request.path)
+        if self.answer is not None:
+            on_outcome(TargetOutcome(self.answer, Progress.ANSWERING))
+            return Ticket()
+        lost = TargetOutcome(None, Progress.SENT, cancelled=True)
+        client: Any = Closing(lambda: on_outcome(lost))
+        return Ticket(client)
+
+
+@attrs.define
+class Closing:
+    """A connection that tells when it is closed.
+
+    Attributes:
+        close: Called when it is to be closed.
+    """
+
+    close: Any
+
+
+def respond(status: int, body: object = None) -> HttpResponse:
+    """Returns an answer of the store."""
+    return HttpResponse(status, [], json.dumps(body).encode())
+
+
+def read(pool: Pool, watch_after: int | None = None) -> list[Any]:
+    """Returns what a call comes to, once it has."""
+    found: list[Any] = []
+    any_pool: Any = pool
+    store = PlatformStore(any_pool)
+    call = (
+        store.read_page('')
+        if watch_after is None
+        else store.watch(watch_after, 9)
+    )
+    ensureDeferred(call).addBoth(found.append)
+    return found
+
+
+def test_items_become_records() -> None:
+    item = {
+        'key': 'servers/i-1',
+        'value': base64.b64encode(b'{}').decode(),
+        'revision': 4,
+        'create-revision': 2,
+        'lease': 9,
+    }
+    body = {'items': [item], 'truncated': True, 'current-rev': 7}
+    page = read(Pool(answer=respond(200, body)))[0]
+    assert page.records == (Record('servers/i-1', 4, b'{}'),)
+    assert (page.revision, page.is_last) == (7, False)
+
+
+def test_events_become_records() -> None:
+    gone = {'key': 'a', 'revision': 8, 'tombstone': True}
+    body = {'events': [gone], 'current-rev': 8}
+    pool = Pool(answer=respond(200, body))
+    changes = read(pool, watch_after=5)[0]
+    assert changes.records == (Record('a', 8, b'', deleted=True),)
+    assert changes.revision == 8
+    assert 'after=5' in pool.asked[0]
+    assert 'wait-ms=9000' in pool.asked[0]
+
+
+def test_lost_history_is_told_apart() -> None:
+    failure = read(Pool(answer=respond(410, {})), watch_after=5)[0]
+    assert failure.check(HistoryLostError)
+
+
+@pytest.mark.parametrize(
+    'answer',
+    [
+        respond(429, {}),
+        respond(503, {}),
+        respond(200, {'items': 7}),
+        respond(200, {'items': [{'key': 'a'}], 'current-rev': 1}),
+        HttpResponse(200, [], b'{"items": ['),
+        HttpResponse(200, [], b'\xff'),
+    ],
+)
+def test_an_answer_of_no_use_is_a_failure(answer: HttpResponse) -> None:
+    assert read(Pool(answer=answer))[0].check(PlatformError)
+
+
+def test_a_silent_store_is_given_up() -> None:
+    pool = Pool()
+    found = read(pool)
+    pool.reactor.advance(ANSWER_S - 0.1)
+    assert not found
+    pool.reactor.advance(0.2)
+    assert found[0].check(PlatformError)
