--- a/egretlanding/recordfeed.py
+++ b/egretlanding/recordfeed.py
@@ -23,8 +23,9 @@
 RETRY_FIRST_S = 0.15
 RETRY_CAP_S = 1.0
 IDLE_S = 0.25
-# Time after a failed call in which the store counts as having been away.
-AWAY_S = 4
+# Time after a failed call in which the store counts as having been away: the
+# longest pause between calls and some time for the next answer.
+AWAY_S = 1.8
 
 
 @attrs.frozen
--- a/tests/test_recordfeed.py
+++ b/tests/test_recordfeed.py
@@ -88,3 +88,10 @@
     assert not feed.reachable
     pass_time(clock, 1)
     assert len(store.watches) > 1
+
+
+def test_an_outage_is_over_soon_after_the_last_failed_call() -> None:
+    feed, store, clock = start()
+    store.watches[-1].errback(PlatformError('away', 'wait'))
+    pass_time(clock, 1.9)
+    assert not feed.was_away(clock.seconds())
