Count a hedge that a target rejected; say each thing once on the path of calls

A hedge that a target itself rejected was given back to the budget and not counted as an attempt, so a further target could be tried; only those that no target saw are given back now. The new process test failed before. Besides, without a change of behaviour: the choice among healthy targets and the meaning of an answer by another process stand once; the headers that are set anew are worked out once for a dialect, not for each attempt; the host list is built once for each configuration, and each duration is parsed once.

--- a/egretlanding/attempts.py
+++ b/egretlanding/attempts.py
@@ -212,7 +212,8 @@
                 self.take_answer(attempt, reply)
             return
         targets.record_end(host_id, attempt.number, self.now)
-        if attempt.is_hedge and self.open and reply.ran is Ran.NOT_RUN:
+        unseen = reply.ran is Ran.NOT_RUN and not reply.arrived
+        if attempt.is_hedge and self.open and unseen:
             self.known.budget.refund(self.now)
             return
         failure = failure_of(attempt, reply, keyed=bool(self.key))
--- a/egretlanding/balancing.py
+++ b/egretlanding/balancing.py
@@ -124,7 +124,7 @@
         probe = self._due_probe(group, wanted, now)
         if probe is not None:
             return _choice(probe, is_probe=True)
-        healthy = [known for known in group if known.probation is None] or group
+        healthy = _healthy(group)
         near = self._choose_near(healthy, now, rng)
         if near is not None and self._is_in_time(near, wanted, now):
             return _choice(near)
@@ -163,8 +163,7 @@
         if probe is not None:
             return _choice(probe, is_probe=True)
         with_room = [known for known in group if not known.is_full(now)]
-        healthy = [known for known in with_room if known.probation is None]
-        usable = healthy or with_room
+        usable = _healthy(with_room)
         near = self._choose_near(usable, now, rng)
         if near is not None:
             return _choice(near)
@@ -243,5 +242,10 @@
         return second if first.score > TIE_RATIO * second.score else first
 
 
+def _healthy(group: list[TargetEvidence]) -> list[TargetEvidence]:
+    # Shunned targets are better than none.
+    return [known for known in group if known.probation is None] or group
+
+
 def _choice(scored: Scored, *, is_probe: bool = False) -> Choice:
     return Choice(scored.known.host, scored.known.distance, is_probe)
--- a/egretlanding/callheaders.py
+++ b/egretlanding/callheaders.py
@@ -1,5 +1,6 @@
 """The HTTP headers of calls that the daemon reads, sets and removes."""
 
+import functools
 from http import HTTPStatus
 
 import attrs
@@ -80,13 +81,19 @@
 
 def passed_on(headers: Headers, dialect: Dialect = OWN_DIALECT) -> Headers:
     """Returns a caller's headers without those that are set anew."""
-    replaced = REPLACED_HEADERS | {
+    replaced = replaced_headers(dialect)
+    return [pair for pair in headers if pair[0] not in replaced]
+
+
+@functools.cache
+def replaced_headers(dialect: Dialect) -> frozenset[str]:
+    """Returns the headers that daemons set anew for each attempt."""
+    return REPLACED_HEADERS | {
         dialect.caller_deadline,
         dialect.target_deadline,
         dialect.origin,
         dialect.wanted_instance,
     }
-    return [pair for pair in headers if pair[0] not in replaced]
 
 
 def domain_of(request: HttpRequest) -> str:
--- a/egretlanding/durations.py
+++ b/egretlanding/durations.py
@@ -1,10 +1,14 @@
 """Times as settings and records write them: a number and its unit."""
 
+import functools
 from decimal import Decimal, InvalidOperation
 
 MS_PER_UNIT = {'ms': 1, 's': 1_000}
+# A configuration repeats a few durations in hundreds of routes.
+DURATIONS_KEPT = 256
 
 
+@functools.lru_cache(maxsize=DURATIONS_KEPT)
 def milliseconds(text: str) -> int:
     """Returns a time in whole milliseconds.
 
--- a/egretlanding/egress.py
+++ b/egretlanding/egress.py
@@ -297,16 +297,12 @@
     """Returns why a response is no answer to the call, if so."""
     if response is None:
         return None
-    if is_denial(response, dialect):
-        if response.status == HTTPStatus.MISDIRECTED_REQUEST:
-            detail = 'another process of a target has the address'
-            return Refusal.not_run(Reason.OTHER_INSTANCE, detail)
-        return Refusal.not_run(Reason.SHED, 'the target refused the call')
-    if response.status == HTTPStatus.MISDIRECTED_REQUEST and (
-        dialect.wanted_instance
-    ):
+    misdirected = response.status == HTTPStatus.MISDIRECTED_REQUEST
+    if misdirected and dialect.wanted_instance:
         detail = 'another process of a target has the address'
         return Refusal.not_run(Reason.OTHER_INSTANCE, detail)
+    if is_denial(response, dialect):
+        return Refusal.not_run(Reason.SHED, 'the target refused the call')
     if not is_whole(response, dialect):
         return Refusal.unknown(Reason.GARBLED, "the target's answer is spoilt")
     return None
--- a/egretlanding/sidecar.py
+++ b/egretlanding/sidecar.py
@@ -16,7 +16,7 @@
 from egretlanding.durations import milliseconds
 from egretlanding.events import Event, Severity, log_event
 from egretlanding.exceptions import PlatformError, SettingsError
-from egretlanding.hosts import Host
+from egretlanding.hosts import Host, HostList
 from egretlanding.httpmessages import HttpResponse
 from egretlanding.httpserver import Exchange, HttpServerFactory
 from egretlanding.life import Life, LifeCore, Phase, build_machine
@@ -243,10 +243,7 @@
                 'publish one without the fault',
             )
         self.publication = decoded
-        self.view = View.from_release(
-            decoded.to_release(),
-            self.roster.host_list(),
-        )
+        self.view = View.from_release(decoded.to_release(), HostList())
         self.applied_hosts = -1
         self.calls.http.limits = decoded.limits
         log_event(
--- a/tests/test_sidecar_processes.py
+++ b/tests/test_sidecar_processes.py
@@ -170,3 +170,27 @@
             member.delay_s = 0.3
         assert ask(fleet)[0] == 500
         assert sum(len(member.ran) for member in orders) == 2
+
+
+def test_a_hedge_that_a_target_rejected_counts_as_an_attempt(
+    tmp_path: Path,
+) -> None:
+    services = ['front', 'orders', 'orders', 'orders']
+    with platform_fleet(tmp_path, services) as fleet:
+        orders = fleet.members[1:]
+        assert {ask(fleet)[0] for _ in range(30)} == {200}
+        for member in orders:
+            member.ran.clear()
+            member.delay_s = 0.7
+            member.status = 500
+        answers: list[int] = []
+        asking = threading.Thread(target=lambda: answers.append(ask(fleet)[0]))
+        asking.start()
+        wait_until(lambda: any(member.ran for member in orders), 1)
+        for member in orders:
+            if not member.ran:
+                # The hedge is due after 0.5 s and is rejected at once.
+                member.status = 503
+                member.delay_s = 0
+        asking.join()
+        assert sum(len(member.ran) for member in orders) == 2
