--- a/egretlanding/calls.py
+++ b/egretlanding/calls.py
@@ -6,7 +6,7 @@
 
 import attrs
 from twisted.internet.defer import Deferred, ensureDeferred
-from twisted.internet.task import LoopingCall, deferLater
+from twisted.internet.task import LoopingCall
 
 from egretlanding.callevents import CallEvents
 from egretlanding.callparts import (
@@ -17,6 +17,7 @@
 from egretlanding.callreport import dump_calls, explain_call
 from egretlanding.config import DaemonConfig
 from egretlanding.dialect import DEFAULT_DIALECT, Dialect
+from egretlanding.drains import Drain
 from egretlanding.egress import Egress
 from egretlanding.httpserver import Handler, HttpExchange, HttpServerFactory
 from egretlanding.ingress import Ingress
@@ -37,7 +38,6 @@
 # The baseline for measurements: random targets, no hedges, one work class.
 BASELINE_BALANCING = 'random'
 DRAIN_NOTICE_S = 1.0
-DRAIN_POLL_S = 0.02
 CLOSE_TIMEOUT_S = 2.0
 
 
@@ -269,26 +269,14 @@
         self.http.is_draining = True
         self.announce()
         self.egress.admission.drain()
-        return ensureDeferred(self.finish_drain())
-
-    async def finish_drain(self) -> None:
-        """Waits for the calls in flight and closes all ports."""
-        await deferLater(self.reactor, self.drain_notice_s)
-        for port in self.ports:
-            await port.stopListening()
-        while self.in_flight:
-            await deferLater(self.reactor, DRAIN_POLL_S)
-        self.http.drain()
-        deadline = self.reactor.seconds() + self.close_timeout_s
-        while self.http.connections and self.reactor.seconds() < deadline:
-            await deferLater(self.reactor, DRAIN_POLL_S)
-        self.close()
+        return ensureDeferred(Drain(self).run())
 
     def close(self) -> None:
         """Stops the periodic tasks and closes all connections."""
         for loop in self.loops:
             if loop.running:
                 loop.stop()
+        self.http.close()
         self.egress.health.stop()
         self.egress.target.pool.close()
         self.links.close()
--- a/egretlanding/httpserver.py
+++ b/egretlanding/httpserver.py
@@ -1,7 +1,7 @@
 """The HTTP/1.1 server protocol for calls, based on the httptools parser."""
 
 import time
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any
@@ -11,10 +11,11 @@
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
+from egretlanding.events import Event, Severity, log_event
 from egretlanding.frames import Headers
 from egretlanding.httpheaders import LENGTH, drop_hop_headers, has_safe_framing
 from egretlanding.httpmessages import HttpLimits, HttpRequest, HttpResponse
-from egretlanding.tcpwrites import write_now
+from egretlanding.tcpwrites import unsent_bytes, write_now
 
 MAX_PIPELINED = 16
 
@@ -84,6 +85,7 @@
         server: The factory, with the handler and the open connections.
         pending: Requests without a sent response, oldest first.
         input_closed: Whether further bytes of the caller are ignored.
+        closing: Whether the daemon has begun to close the connection.
         limits: The limits that apply to the connection; they are replaced only
             when a request begins or the connection becomes idle.
     """
@@ -98,6 +100,7 @@
         self.pending: deque[HttpExchange] = deque()
         self.parser = httptools.HttpRequestParser(self)
         self.input_closed = False
+        self.closing = False
         self.limits = factory.limits
         # Time since which the server waits for the caller: when the connection
         # became idle or a request began to arrive, seconds.
@@ -146,10 +149,34 @@
             exchange for exchange in self.pending if not exchange.response
         ]
         self.pending.clear()
+        self.report_lost_answers(len(abandoned))
         for exchange in abandoned:
             if exchange.on_disconnect:
                 exchange.on_disconnect()
 
+    def report_lost_answers(self, unanswered: int) -> None:
+        """Logs and counts answers that the caller can't have received.
+
+        A caller that disconnects before the answer is not reported here.
+
+        Args:
+            unanswered: Number of requests without a response.
+        """
+        unsent = unsent_bytes(self.transport)
+        if not unsent and not (unanswered and self.closing):
+            return
+        closed_by = 'daemon' if self.closing else 'caller'
+        self.server.lost_answers[closed_by] += 1
+        log_event(
+            Event.ANSWER_LOST,
+            'a connection of a caller ended before its answer was sent',
+            Severity.WARNING,
+            closed_by=closed_by,
+            unanswered=unanswered,
+            unsent_bytes=unsent,
+            draining=self.server.is_draining,
+        )
+
     def reject(self, status: int) -> None:
         """Refuses an invalid request, after the responses to earlier ones."""
         self.input_closed = True
@@ -214,6 +241,7 @@
         transport: Any = self.transport
         write_now(transport, encoded)
         if last:
+            self.closing = True
             transport.loseConnection()
 
     def on_message_begin(self) -> None:
@@ -283,6 +311,8 @@
     Attributes:
         is_draining: Whether connections are closed after their pending
             responses.
+        lost_answers: Connections that ended before an answer was sent, by
+            who closed them.
     """
 
     noisy = False
@@ -303,6 +333,7 @@
         self.limits = HttpLimits()
         self.connections: set[HttpServer] = set()
         self.is_draining = False
+        self.lost_answers: Counter[str] = Counter()
 
     def buildProtocol(self, addr: Any) -> HttpServer:
         """Builds the protocol of one connection."""
@@ -318,3 +349,15 @@
         """Closes each connection that has no pending request."""
         for connection in tuple(self.connections):
             connection.drain()
+
+    def close(self) -> None:
+        """Closes all connections, those with pending requests too."""
+        for connection in tuple(self.connections):
+            connection.write(b'', last=True)
+
+    def unsent_bytes(self) -> int:
+        """Returns the size of the responses that callers have yet to read."""
+        return sum(
+            unsent_bytes(connection.transport)
+            for connection in self.connections
+        )
--- a/egretlanding/sidecarmetrics.py
+++ b/egretlanding/sidecarmetrics.py
@@ -30,6 +30,7 @@
     """Returns the counters, whose values only grow."""
     ingress, egress = sidecar.calls.ingress, sidecar.calls.egress
     feed, log = sidecar.feed, sidecar.log
+    http = sidecar.calls.http
     counters: tuple[tuple[str, str, Observe], ...] = (
         (
             'calls',
@@ -67,6 +68,14 @@
                 Sample(feed.failed, {'outcome': 'failed'}),
             ],
         ),
+        (
+            'lost_answers',
+            'connections of callers that ended before an answer was sent',
+            lambda: [
+                Sample(count, {'closed_by': closed_by})
+                for closed_by, count in http.lost_answers.items()
+            ],
+        ),
         (
             'log_lines',
             'lines of the log',
--- a/egretlanding/tcpwrites.py
+++ b/egretlanding/tcpwrites.py
@@ -44,6 +44,18 @@
     return transport.connected and not waiting
 
 
+def unsent_bytes(transport: Any) -> int:
+    """Returns the number of bytes that the kernel has not yet accepted.
+
+    Args:
+        transport: A TCP transport, or one that only has `write`.
+    """
+    if not hasattr(transport, 'dataBuffer'):
+        return 0
+    untried = sum(map(len, getattr(transport, UNTRIED_BUFFER)))
+    return len(transport.dataBuffer) - int(transport.offset) + untried
+
+
 def enable_keepalive(transport: Any) -> None:
     """Makes the kernel end connections to an unresponsive other side.
 
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -1,9 +1,12 @@
 """Tests that requests are parsed completely, in order and unambiguously."""
 
+from collections.abc import Iterator
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from egretlanding.events import SINKS, Event, Severity
 from egretlanding.httpmessages import HttpRequest, HttpResponse
 from egretlanding.httpserver import HttpExchange, HttpServer, HttpServerFactory
 from tests.wires import Wire, attach, feed
@@ -151,3 +154,47 @@
 def test_header_returns_the_first_value_or_the_default() -> None:
     request = HttpRequest('GET', '/', [('a', '1'), ('a', '2')], b'')
     assert (request.header('a'), request.header('b', 'none')) == ('1', 'none')
+
+
+class Lines(list[tuple[Event, dict[str, object]]]):
+    """Collects log events in place of a sink."""
+
+    def write(
+        self,
+        event: Event,
+        _message: str,
+        _severity: Severity,
+        fields: dict[str, object],
+    ) -> None:
+        """Stores one event and its fields."""
+        self.append((event, fields))
+
+
+@pytest.fixture(name='lines')
+def collect_lines() -> Iterator[Lines]:
+    lines = Lines()
+    SINKS.insert(0, lines.write)
+    yield lines
+    SINKS.remove(lines.write)
+
+
+def test_a_connection_closed_with_a_request_in_flight_is_logged(
+    lines: Lines,
+) -> None:
+    server, _, _ = connect()
+    server.dataReceived(encode('GET', '/a', b'', 'length'))
+    server.server.close()
+    assert [event for event, _ in lines] == [Event.ANSWER_LOST]
+    assert lines[0][1]['closed_by'] == 'daemon'
+    assert lines[0][1]['unanswered'] == 1
+    assert server.server.lost_answers == {'daemon': 1}
+
+
+def test_a_caller_that_leaves_before_its_answer_loses_no_answer(
+    lines: Lines,
+) -> None:
+    server, _, wire = connect()
+    server.dataReceived(encode('GET', '/a', b'', 'length'))
+    wire.loseConnection()
+    assert not lines
+    assert not server.server.lost_answers
