Send calls to a daemon only after its hello

Callers saw 502 for requests that may not be repeated, although no target had run them, when the daemon beside a target was stopped.

Cause: a call was sent as soon as TCP had connected. The connection may still be in the backlog of a daemon that is about to close its port; it is reset then, and a call that was written to it counts as possibly run. Class: a connection taken for a process that serves.

The three new tests in tests/test_peerlinks.py failed before: unknown in place of not run, the call in the first bytes written, and the connection still open.

Calls wait for the hello now, which a daemon sends once it has accepted the connection. Without it within 1 s, or if the connection ends first, they are known as unsent and go elsewhere. It costs one round trip for the first call on a connection.

--- a/egretlanding/peerlinks.py
+++ b/egretlanding/peerlinks.py
@@ -15,6 +15,8 @@
 from egretlanding.peers import OnReply, PeerConnection, PeerContext, PeerFactory
 
 CONNECT_TIMEOUT_S = 0.5
+# Time from an open connection to the hello of the other daemon, seconds.
+HELLO_TIMEOUT_S = 1.0
 BACKOFF_FIRST_S = 0.1
 BACKOFF_LONGEST_S = 2
 HEARTBEAT_S = 1
@@ -76,10 +78,13 @@
 class LaneConnection:
     """The connection of one lane, opened when it is needed.
 
+    Calls are sent only after the hello of the other daemon. Until then, the
+    connection may still be waiting in the backlog of a daemon that stops.
+
     Attributes:
         connection: The last connection, None before the first.
-        connecting: Whether a connection is being opened.
-        queued: Calls that wait for the connection to open.
+        connecting: Whether a connection is being opened, up to the hello.
+        queued: Calls that wait for the hello.
         failures: Consecutive failed attempts to connect.
         backoff_until: Time before which no attempt is made, seconds.
         last_used: Time at which the lane was last used, seconds.
@@ -94,7 +99,12 @@
 
     def is_open(self) -> bool:
         """Returns whether the connection can be used."""
-        return self.connection is not None and self.connection.is_open()
+        connection = self.connection
+        return (
+            connection is not None
+            and connection.is_open()
+            and connection.peer is not None
+        )
 
     def record_failure(self, now: float) -> list[PendingCall]:
         """Sets the backoff and returns the calls that can't be sent."""
@@ -106,9 +116,8 @@
         self.queued = []
         return queued
 
-    def record_success(self, connection: PeerConnection) -> list[PendingCall]:
-        """Stores a new connection and returns the calls that wait for it."""
-        self.connection = connection
+    def record_success(self) -> list[PendingCall]:
+        """Returns the calls that wait for the connection."""
         self.connecting = False
         self.failures = 0
         queued = self.queued
@@ -203,7 +212,28 @@
         host: Host,
         lane: LaneConnection,
     ) -> None:
-        """Sends the calls that wait for a connection."""
+        """Waits for the hello of the other daemon."""
+        lane.connection = connection
+        timer = self.reactor.callLater(HELLO_TIMEOUT_S, connection.abort)
+
+        def on_greeting(arrived: bool) -> None:
+            if timer.active():
+                timer.cancel()
+            if arrived:
+                self.on_greeted(connection, host, lane)
+            else:
+                detail = 'the daemon closed the connection before its hello'
+                self.fail_lane(host, lane, detail)
+
+        connection.greeting.on_end = on_greeting
+
+    def on_greeted(
+        self,
+        connection: PeerConnection,
+        host: Host,
+        lane: LaneConnection,
+    ) -> None:
+        """Sends the calls that wait for the connection."""
         if lane.failures:
             log_event(
                 Event.PEER_REACHABLE,
@@ -211,7 +241,7 @@
                 peer=host.host_id,
                 after_failures=lane.failures,
             )
-        for pending in lane.record_success(connection):
+        for pending in lane.record_success():
             pending.send(connection)
 
     def on_connect_failed(
@@ -220,6 +250,10 @@
         host: Host,
         lane: LaneConnection,
     ) -> None:
+        """Records that no connection was opened."""
+        self.fail_lane(host, lane, str(failure.value))
+
+    def fail_lane(self, host: Host, lane: LaneConnection, error: str) -> None:
         """Fails the calls that wait for a connection; none of them was sent."""
         if not lane.failures:
             log_event(
@@ -227,12 +261,12 @@
                 'cannot connect to daemon',
                 Severity.WARNING,
                 peer=host.host_id,
-                error=str(failure.value),
+                error=error,
             )
         queued = lane.record_failure(self.reactor.seconds())
         self.on_unreachable(host.host_id)
         for pending in queued:
-            pending.fail(f'no connection to the daemon ({failure.value})')
+            pending.fail(f'no connection to the daemon ({error})')
 
     def check_heartbeats(self) -> None:
         """Closes unresponsive and unused connections, and pings the others."""
--- a/egretlanding/peers.py
+++ b/egretlanding/peers.py
@@ -43,6 +43,27 @@
 RecordsFrame = RecordsState | RecordsRequest | RecordsUpdate
 OnRecords = Callable[['PeerConnection', RecordsFrame], None]
 OnConnection = Callable[['PeerConnection'], None]
+# Called once with whether the hello arrived before the connection ended.
+OnGreeting = Callable[[bool], None]
+
+
+@attrs.define(eq=False)
+class Greeting:
+    """Waits for the hello of the other daemon.
+
+    Attributes:
+        on_end: Called when the hello arrived or the connection ended; None
+            afterwards.
+    """
+
+    on_end: OnGreeting | None = None
+
+    def end(self, *, arrived: bool) -> None:
+        """Reports once whether the hello arrived."""
+        on_end = self.on_end
+        self.on_end = None
+        if on_end:
+            on_end(arrived)
 
 
 class PeerConnection(Int32StringReceiver):
@@ -56,6 +77,7 @@
         served: Tickets of running calls from the other daemon, by call id.
         call_ids: Source of call ids.
         ready: Whether the other daemon accepts calls.
+        greeting: Reports the hello, or the end of a connection without one.
         bytes_received: Number of bytes received so far.
         bytes_at_last_check: Value of `bytes_received` at the last heartbeat,
             -1 if the next one must not close the connection.
@@ -75,6 +97,7 @@
         self.served: dict[int, int] = {}
         self.call_ids = itertools.count(1)
         self.ready = True
+        self.greeting = Greeting()
         self.bytes_received = 0
         self.bytes_at_last_check = -1
 
@@ -101,6 +124,7 @@
             )
         for call_id, on_reply in pending_replies.items():
             on_reply(lost_reply(call_id))
+        self.greeting.end(arrived=False)
         self.context.on_close(self)
 
     def is_open(self) -> bool:
@@ -204,6 +228,7 @@
             self.peer = frame
         self.ready = frame.ready
         self.context.on_readiness(self, frame.ready)
+        self.greeting.end(arrived=True)
 
 
 @attrs.define(eq=False)
--- a/tests/test_peerlinks.py
+++ b/tests/test_peerlinks.py
@@ -2,11 +2,23 @@
 
 from twisted.internet.testing import MemoryReactorClock
 
-from egretlanding.frames import CallReply, CallRequest, Hello, Ran
+from egretlanding.frames import (
+    CallReply,
+    CallRequest,
+    Hello,
+    Ran,
+    encode_frame,
+)
 from egretlanding.hosts import Host
 from egretlanding.outcomes import Execution, Reason, Refusal
-from egretlanding.peerlinks import Lane, PeerLinks, PendingCall
-from egretlanding.peers import PeerContext
+from egretlanding.peerlinks import (
+    HELLO_TIMEOUT_S,
+    Lane,
+    PeerLinks,
+    PendingCall,
+)
+from egretlanding.peers import PeerConnection, PeerContext
+from tests.wires import Wire, attach
 
 HOST = Host('h1', '127.0.0.1', 1, 2, 3, 'west', 'zone-a', 'front')
 
@@ -41,3 +53,44 @@
     assert late.for_keyed_call().execution is Execution.UNKNOWN
     malformed = Refusal.not_run(Reason.KEY_MALFORMED, 'no UUID')
     assert malformed.for_keyed_call().execution is Execution.NOT_RUN
+
+
+def open_lane(
+    reactor: MemoryReactorClock, links: PeerLinks
+) -> tuple[list[CallReply], PeerConnection, Wire]:
+    """Sends a call on a new connection that the other side accepted."""
+    replies: list[CallReply] = []
+    request = CallRequest(0, 'GET', '/', [], b'', 'route', 100, 50)
+    links.send(HOST, Lane.SHORT, PendingCall(request, replies.append))
+    factory = reactor.tcpClients[0][2]
+    connection = factory.buildProtocol(None)._wrappedProtocol
+    wire = attach(connection)
+    factory._onConnection.callback(connection)
+    return replies, connection, wire
+
+
+# Guards against a call that fails as possibly run when the daemon beside the
+# target stops before it accepts the connection.
+def test_a_call_isnt_lost_on_a_connection_that_nobody_accepted() -> None:
+    reactor = MemoryReactorClock()
+    replies, _, wire = open_lane(reactor, make_links(reactor))
+    wire.loseConnection()
+    assert [reply.ran for reply in replies] == [Ran.NOT_RUN]
+
+
+def test_a_call_is_sent_once_the_other_daemon_has_said_hello() -> None:
+    reactor = MemoryReactorClock()
+    replies, connection, wire = open_lane(reactor, make_links(reactor))
+    assert b'/' not in wire.value()
+    hello = encode_frame(Hello('h1', 1, ready=True))
+    connection.dataReceived(len(hello).to_bytes(4, 'big') + hello)
+    assert b'/' in wire.value()
+    assert not replies
+
+
+def test_a_daemon_that_says_no_hello_gets_no_call() -> None:
+    reactor = MemoryReactorClock()
+    replies, _, wire = open_lane(reactor, make_links(reactor))
+    reactor.advance(HELLO_TIMEOUT_S)
+    assert not wire.connected
+    assert [reply.ran for reply in replies] == [Ran.NOT_RUN]
