Bound the bytes of an answer before the parser takes them

Callers saw a call whose target sends a head or chunk framing without end time out (504) instead of being sent to another target, or fail at its deadline where 502 was due at once. The daemon beside the target spent that time reading: the parser collects a header's name or value until it is complete and calls on_header only then, and it drops reasons, blanks, chunk extensions and interim answers without any callback, so that the limits on headers and body never saw them.

HttpClient now counts bytes before it feeds the parser: 64 KiB until the head of the answer is complete, interim answers included, then 4 MiB in all. Bytes beyond the bound are not fed before the head is known to be complete, so the verdict does not depend on how the network splits the bytes. The limit on the decoded body stays. The count replaces that of header names and values, which was a little more generous: a head is now measured with its framing. Progress counts as answering from the first byte of an answer.

A response that the daemon itself cuts is no longer complete if the transport reports an orderly close. The TCP transport reports an abort, so no caller saw this; the in-memory transport did.

--- a/egretlanding/httpclient.py
+++ b/egretlanding/httpclient.py
@@ -21,7 +21,10 @@
 from egretlanding.tcpwrites import enable_keepalive, write_now
 
 MAX_RESPONSE_BYTES = MAX_FRAME_BYTES // 2
+# Bounds on the bytes that a target sends for one request, framing included: up
+# to the end of the answer's head, and in all.
 MAX_HEADER_BYTES = 65_536
+MAX_ANSWER_BYTES = MAX_FRAME_BYTES
 
 # Called with the complete response, or with None if the connection was lost
 # before that.
@@ -51,6 +54,10 @@
     return b'%s\r\n\r\n%s' % (head, request.body)
 
 
+class AnswerSizeError(ValueError):
+    """A target sends more for one request than its answer may have."""
+
+
 class HttpClient(Protocol):
     """Sends requests over a keep-alive connection, without pipelining.
 
@@ -69,6 +76,9 @@
         complete_response: The response once it is complete.
         echo: Header name and value of the request in flight, if responses
             that have this header must repeat the value.
+        received_bytes: Bytes received since the request was sent.
+        max_bytes: Bound on `received_bytes`, which rises once the head of the
+            answer is complete.
     """
 
     def __init__(self, on_close: Callable[['HttpClient'], None]) -> None:
@@ -92,7 +102,8 @@
         self.headers: Headers = []
         self.chunks: list[bytes] = []
         self.body_bytes = 0
-        self.header_bytes = 0
+        self.received_bytes = 0
+        self.max_bytes = MAX_HEADER_BYTES
         self.ends_with_connection = False
         self.complete_response: HttpResponse | None = None
 
@@ -132,6 +143,8 @@
     def close(self) -> None:
         """Closes the connection at once."""
         self.usable = False
+        # Only the target's own close can complete a response.
+        self.ends_with_connection = False
         transport: Any = self.transport
         transport.abortConnection()
 
@@ -142,14 +155,38 @@
             self.close()
             return
         try:
-            self.parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.parse(data)
+        except (
+            AnswerSizeError,
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ):
             self.usable = False
             if self.complete_response is None:
                 self.close()
         if self.complete_response is not None:
             self.finish(self.complete_response)
 
+    def parse(self, data: bytes) -> None:
+        """Parses received bytes, up to the bound on the head and the answer.
+
+        The parser keeps a part of a header, and skips framing, without telling
+        how much it has read, so the bytes are counted before it gets them.
+
+        Raises:
+            AnswerSizeError: The bound was reached before the end.
+        """
+        allowed = self.max_bytes - self.received_bytes
+        self.received_bytes += len(data)
+        if len(data) <= allowed:
+            self.parser.feed_data(data)
+            return
+        self.parser.feed_data(data[:allowed])
+        # The end of the head raises the bound.
+        if self.received_bytes > self.max_bytes:
+            raise AnswerSizeError('the answer exceeds the size limit')
+        self.parser.feed_data(data[allowed:])
+
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Ends the request in flight, as truncated unless it is complete."""
         self.usable = False
@@ -164,9 +201,6 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collects one header."""
-        self.header_bytes += len(name) + len(value)
-        if self.header_bytes > MAX_HEADER_BYTES:
-            raise ValueError('the headers exceed the size limit')
         self.headers.append(
             (name.decode('latin-1').lower(), value.decode('latin-1')),
         )
@@ -176,6 +210,7 @@
         status = self.parser.get_status_code()
         if status < HTTPStatus.OK or self.complete_response is not None:
             return
+        self.max_bytes = MAX_ANSWER_BYTES
         if self.is_head or status in BODILESS:
             self.store_response(drop_hop_headers(self.headers))
         elif not has_explicit_length(self.headers):
@@ -187,7 +222,7 @@
         """Collects a piece of the body, up to the size limit."""
         self.body_bytes += len(body)
         if self.body_bytes > MAX_RESPONSE_BYTES:
-            raise ValueError('the response exceeds the size limit')
+            raise AnswerSizeError('the body exceeds the size limit')
         self.chunks.append(body)
 
     def on_message_complete(self) -> None:
--- a/egretlanding/targetpool.py
+++ b/egretlanding/targetpool.py
@@ -224,7 +224,7 @@
         handle.client = client
 
         def finished(response: HttpResponse | None) -> None:
-            answering = client.header_bytes > 0
+            answering = client.received_bytes > 0
             progress = Progress.ANSWERING if answering else Progress.SENT
             handle.client = None
             self.release(client)
--- /dev/null
+++ b/tests/test_endless_answers.py
@@ -0,0 +1,164 @@
+"""Tests of daemon processes whose targets send answers without end."""
+
+import itertools
+import threading
+import time
+from collections.abc import Callable, Iterator
+from http.server import BaseHTTPRequestHandler
+from pathlib import Path
+
+import attrs
+import pytest
+
+from standins.platformfleet import (
+    ORDERS_ROUTE,
+    Member,
+    PlatformFleet,
+    StatefulServer,
+    platform_fleet,
+    wait_until,
+)
+
+# Memory that a daemon may take, bytes.
+MAX_MEMORY_BYTES = 200_000_000
+# Time from the end of a call to the close of its connection, seconds.
+CLOSE_TIMEOUT_S = 1
+DEADLINE_MS = 1_000
+DRIP_INTERVAL_S = 0.05
+FAST_PIECE = b'x' * 65_536
+ONCE_ROUTE = {**ORDERS_ROUTE, 'prefix': '/once/', 'route-kind': 'unsafe'}
+
+HEAD = b'HTTP/1.1 200 OK\r\nServer-Stamp: stamp\r\n'
+BEGINNINGS = {
+    'head': b'%sX-Long: ' % HEAD,
+    'body': b'%s\r\n' % HEAD,
+    'chunk': b'%sTransfer-Encoding: chunked\r\n\r\n1;' % HEAD,
+}
+
+
+@attrs.define(eq=False)
+class EndlessTarget:
+    """A target whose answers never end.
+
+    Attributes:
+        beginning: The first bytes of each answer.
+        piece: The bytes that follow again and again.
+        pause_s: Time between two pieces, seconds.
+        open_answers: Number of answers that it is sending.
+        answers: Number of answers that it began.
+        lock: Guards the numbers.
+    """
+
+    beginning: bytes
+    piece: bytes
+    pause_s: float
+    open_answers: int = 0
+    answers: int = 0
+    lock: threading.Lock = attrs.field(factory=threading.Lock)
+
+    def send(self, write: Callable[[bytes], object]) -> None:
+        """Sends an answer until the connection is closed."""
+        with self.lock:
+            self.open_answers += 1
+            self.answers += 1
+        try:
+            write(self.beginning)
+            for _ in itertools.count():
+                write(self.piece)
+                time.sleep(self.pause_s)
+        except OSError:
+            return
+        finally:
+            with self.lock:
+                self.open_answers -= 1
+
+
+class EndlessHandler(BaseHTTPRequestHandler):
+    """Answers requests without end."""
+
+    protocol_version = 'HTTP/1.1'
+    server: StatefulServer
+
+    def log_message(self, *_args: object) -> None:
+        """Writes nothing."""
+
+    def do_GET(self) -> None:
+        """Answers until the daemon closes the connection."""
+        self.close_connection = True
+        self.server.state.send(self.wfile.write)
+
+
+@pytest.fixture(name='fleet')
+def start_fleet(tmp_path: Path) -> Iterator[PlatformFleet]:
+    with platform_fleet(tmp_path, ['front', 'orders', 'orders']) as fleet:
+        fleet.configure(2, orders=ORDERS_ROUTE, once=ONCE_ROUTE)
+        time.sleep(1)
+        yield fleet
+
+
+def make_endless(member: Member, name: str, *, slow: bool) -> EndlessTarget:
+    """Makes the target of a member answer without end."""
+    piece, pause_s = (b'x', DRIP_INTERVAL_S) if slow else (FAST_PIECE, 0)
+    target = EndlessTarget(BEGINNINGS[name], piece, pause_s)
+    member.target.state = target
+    member.target.RequestHandlerClass = EndlessHandler
+    return target
+
+
+def call(fleet: PlatformFleet, path: str) -> tuple[int, bytes, float]:
+    """Returns the status and body of an answer, and its time in seconds."""
+    began = time.monotonic()
+    status, body, _ = fleet.members[0].send_request(
+        path,
+        Request_Id='id-1',
+        Deadline_Ms=str(DEADLINE_MS),
+        Host='one.example',
+    )
+    return status, body, time.monotonic() - began
+
+
+def memory_peak(member: Member) -> int:
+    """Returns the most memory that a daemon has taken, bytes."""
+    assert member.process
+    status = Path(f'/proc/{member.process.pid}/status').read_text()
+    kilobytes = status.partition('VmHWM:')[2].split()[0]
+    return int(kilobytes) * 1_024
+
+
+# A daemon read an answer without end until its call's deadline, and held all
+# of it in memory.
+@pytest.mark.parametrize('name', BEGINNINGS)
+def test_a_fast_answer_without_end_costs_one_attempt(
+    fleet: PlatformFleet, name: str
+) -> None:
+    _, endless, good = fleet.members
+    target = make_endless(endless, name, slow=False)
+    answers = []
+    while not target.answers and len(answers) < 20:
+        answers.append(call(fleet, '/a/x'))
+    assert target.answers
+    for status, body, took_s in answers:
+        assert (status, body) == (200, good.address.encode())
+        assert took_s < DEADLINE_MS / 1_000
+    wait_until(lambda: not target.open_answers, CLOSE_TIMEOUT_S)
+    assert memory_peak(endless) < MAX_MEMORY_BYTES
+
+
+# What can't be repeated must fail as soon as its answer is too long, and not
+# at the deadline.
+@pytest.mark.parametrize('name', BEGINNINGS)
+@pytest.mark.parametrize(('slow', 'expected'), [(False, 502), (True, 504)])
+def test_a_call_that_runs_once_ends_by_its_deadline(
+    fleet: PlatformFleet, name: str, slow: bool, expected: int
+) -> None:
+    endless = fleet.members[1:]
+    targets = [make_endless(member, name, slow=slow) for member in endless]
+    status, _, took_s = call(fleet, '/once/x')
+    assert status == expected
+    assert took_s < DEADLINE_MS / 1_000
+    assert sum(target.answers for target in targets) == 1
+    wait_until(
+        lambda: not any(target.open_answers for target in targets),
+        CLOSE_TIMEOUT_S,
+    )
+    assert max(map(memory_peak, endless)) < MAX_MEMORY_BYTES
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -6,7 +6,12 @@
 from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.python.failure import Failure
 
-from egretlanding.httpclient import HttpClient, encode_request
+from egretlanding.httpclient import (
+    MAX_ANSWER_BYTES,
+    MAX_HEADER_BYTES,
+    HttpClient,
+    encode_request,
+)
 from egretlanding.httpmessages import HttpRequest, HttpResponse
 from tests.wires import attach, feed
 
@@ -155,3 +160,80 @@
         b'PUT /a%2Fb/../c?d=%00 HTTP/1.1\r\nhost: given\r\nx-b: \xe9\r\n'
         b'x-c: 1\r\ncontent-length: 4\r\n\r\nbody'
     )
+
+
+HEAD = b'HTTP/1.1 200 OK\r\nrequest-id: mine\r\n'
+CHUNKED_HEAD = b'%stransfer-encoding: chunked\r\n\r\n' % HEAD
+LATE = b'HTTP/1.1 200 OK\r\nrequest-id: old\r\ncontent-length: 0\r\n\r\n'
+ENDLESS_HEADS = {
+    'a reason': (b'HTTP/1.1 200 ', b'x'),
+    'a header name': (HEAD, b'x'),
+    'a header value': (b'%sa: ' % HEAD, b'x'),
+    'blanks before a value': (b'%sa: ' % HEAD, b' '),
+    'headers': (HEAD, b'a: b\r\n'),
+    'interim answers': (b'', b'HTTP/1.1 100 Continue\r\n\r\n'),
+    'headers of interim answers': (b'HTTP/1.1 103 Hints\r\n', b'a: b\r\n'),
+    'lines before the answer': (b'', b'\r\n'),
+}
+ENDLESS_BODIES = {
+    'bytes without a length': (b'%s\r\n' % HEAD, b'x'),
+    'chunks': (CHUNKED_HEAD, b'1\r\nx\r\n'),
+    'a chunk extension': (b'%s1;' % CHUNKED_HEAD, b'x'),
+    'a chunk size': (CHUNKED_HEAD, b'0'),
+    'a trailer': (b'%s0\r\na: ' % CHUNKED_HEAD, b'x'),
+    'trailers': (b'%s0\r\n' % CHUNKED_HEAD, b'a: b\r\n'),
+    'answers to other requests': (b'', LATE),
+}
+
+
+def bytes_until_close(begin: bytes, piece: bytes, read_bytes: int) -> int:
+    """Returns how much of an answer without end a client takes in.
+
+    Args:
+        begin: The beginning of the answer.
+        piece: The bytes that follow it again and again.
+        read_bytes: Size of each read, bytes.
+    """
+    client, reported = connect()
+    client.send(b'', reported.append, echo=('request-id', 'mine'))
+    client.dataReceived(begin)
+    more = piece * (read_bytes // len(piece))
+    taken = len(begin)
+    while not reported and taken < 2 * MAX_ANSWER_BYTES:
+        client.dataReceived(more)
+        taken += len(more)
+    assert reported == [None]
+    assert not client.usable
+    assert not client.transport.connected
+    return taken
+
+
+# A target that never ended its head filled the daemon's memory.
+@pytest.mark.parametrize('read_bytes', [1_000, 65_536])
+@pytest.mark.parametrize('name', ENDLESS_HEADS)
+def test_a_head_without_end_ends_the_request(
+    name: str, read_bytes: int
+) -> None:
+    begin, piece = ENDLESS_HEADS[name]
+    taken = bytes_until_close(begin, piece, read_bytes)
+    assert taken <= MAX_HEADER_BYTES + read_bytes
+
+
+# A target that sent framing without end held a connection for as long.
+@pytest.mark.parametrize('name', ENDLESS_BODIES)
+def test_a_body_without_end_ends_the_request(name: str) -> None:
+    begin, piece = ENDLESS_BODIES[name]
+    taken = bytes_until_close(begin, piece, 65_536)
+    assert taken <= MAX_ANSWER_BYTES + 65_536
+
+
+# A limit on heads must not depend on how the network splits them.
+@given(st.integers(-2, 2), st.lists(st.integers(0, 70_000), max_size=4))
+def test_any_split_of_a_long_head_is_judged_alike(
+    excess: int, cuts: list[int]
+) -> None:
+    client, reported = connect()
+    head = b'%scontent-length: 4\r\na: ' % HEAD
+    padding = b'x' * (MAX_HEADER_BYTES - len(head) - len(b'\r\n\r\n') + excess)
+    feed(client, b'%s%s\r\n\r\nbody' % (head, padding), cuts)
+    assert [bool(response) for response in reported] == [excess <= 0]
