Refuse a request without end as soon as it passes its limit

A caller that never ended a header line was read until the time for headers was over, whatever its size, and answered 408 instead of 431; one that never ended a chunk's size, its extension or a trailer was read for as long as it sent. The parser reports a header only once its line has ended, and reports no chunk framing at all, so the limits never saw these bytes. A probe of the parser kept all of a header (15 MB in a second, with quadratic copies).

RequestSize holds all counts of a request. Complete heads are judged as before: the limit counts the target, names and values.

--- a/egretlanding/httpserver.py
+++ b/egretlanding/httpserver.py
@@ -15,6 +15,11 @@
 from egretlanding.frames import Headers
 from egretlanding.httpheaders import LENGTH, drop_hop_headers, has_safe_framing
 from egretlanding.httpmessages import HttpLimits, HttpRequest, HttpResponse
+from egretlanding.requestsize import (
+    BodySizeError,
+    HeaderSizeError,
+    RequestSize,
+)
 from egretlanding.tcpwrites import unsent_bytes, write_now
 
 MAX_PIPELINED = 16
@@ -41,18 +46,6 @@
     status = HTTPStatus.BAD_REQUEST
 
 
-class HeaderSizeError(ValueError):
-    """The headers of a request exceed their limit."""
-
-    status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-
-
-class BodySizeError(ValueError):
-    """The body of a request exceeds its limit."""
-
-    status = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
-
-
 @attrs.define(eq=False)
 class HttpExchange:
     """One HTTP request and its response.
@@ -86,6 +79,7 @@
         pending: Requests without a sent response, oldest first.
         input_closed: Whether further bytes of the caller are ignored.
         closing: Whether the daemon has begun to close the connection.
+        size: The bytes of the request that is being received.
         limits: The limits that apply to the connection; they are replaced only
             when a request begins or the connection becomes idle.
     """
@@ -106,6 +100,7 @@
         # became idle or a request began to arrive, seconds.
         self.waiting_since: float = 0
         self.reading_headers = False
+        self.size = RequestSize()
         self.reset()
 
     def reset(self) -> None:
@@ -113,8 +108,7 @@
         self.url = b''
         self.headers: Headers = []
         self.chunks: list[bytes] = []
-        self.header_bytes = 0
-        self.body_bytes = 0
+        self.size.reset()
         self.reading_request = False
 
     def connectionMade(self) -> None:
@@ -131,12 +125,18 @@
         """Parses received bytes; a malformed request closes the connection."""
         if self.input_closed:
             return
+        self.size.begin_read(data)
         try:
             self.parser.feed_data(data)
+            self.size.end_read(data, self.limits)
         except httptools.HttpParserUpgrade:
             self.reject(HTTPStatus.NOT_IMPLEMENTED)
-        except httptools.HttpParserCallbackError as error:
-            cause = error.__context__
+        except (
+            HeaderSizeError,
+            BodySizeError,
+            httptools.HttpParserCallbackError,
+        ) as error:
+            cause = error.__context__ or error
             self.reject(getattr(cause, 'status', HTTPStatus.BAD_REQUEST))
         except httptools.HttpParserError:
             self.reject(HTTPStatus.BAD_REQUEST)
@@ -255,11 +255,11 @@
     def on_url(self, url: bytes) -> None:
         """Collects a piece of the request target."""
         self.url += url
-        self.limit_headers(len(url))
+        self.size.add_target(len(url), self.limits)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collects one header."""
-        self.limit_headers(len(name) + len(value))
+        self.size.add_header(len(name) + len(value), self.limits)
         self.headers.append(
             (name.decode('latin-1').lower(), value.decode('latin-1')),
         )
@@ -274,9 +274,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Collects a piece of the body, up to the size limit."""
-        self.body_bytes += len(body)
-        if self.body_bytes > self.limits.body_bytes:
-            raise BodySizeError('the body exceeds the size limit')
+        self.size.add_body(len(body), self.limits)
         self.chunks.append(body)
 
     def on_message_complete(self) -> None:
@@ -298,12 +296,6 @@
         self.apply_backpressure()
         self.server.handler(exchange)
 
-    def limit_headers(self, size: int) -> None:
-        """Counts header bytes against the limit."""
-        self.header_bytes += size
-        if self.header_bytes > self.limits.header_bytes:
-            raise HeaderSizeError('the headers exceed the size limit')
-
 
 class HttpServerFactory(Factory):
     """Builds a server protocol for each connection of a caller.
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from egretlanding.events import SINKS, Event, Severity
-from egretlanding.httpmessages import HttpRequest, HttpResponse
+from egretlanding.httpmessages import HttpLimits, HttpRequest, HttpResponse
 from egretlanding.httpserver import HttpExchange, HttpServer, HttpServerFactory
 from tests.wires import Wire, attach, feed
 
@@ -198,3 +198,76 @@
     wire.loseConnection()
     assert not lines
     assert not server.server.lost_answers
+
+
+POST = b'POST /a HTTP/1.1\r\n'
+CHUNKED_POST = b'%stransfer-encoding: chunked\r\n\r\n' % POST
+ENDLESS_REQUESTS = {
+    'a target': (b'GET /', b'x'),
+    'a header name': (POST, b'x'),
+    'a header value': (b'%sa: ' % POST, b'x'),
+    'blanks before a value': (b'%sa: ' % POST, b' '),
+    'headers': (POST, b'a: b\r\n'),
+    'lines before a request': (b'', b'\r\n'),
+    'a chunk extension': (b'%s1;' % CHUNKED_POST, b'x'),
+    'a chunk size': (CHUNKED_POST, b'0'),
+    'extensions of small chunks': (
+        CHUNKED_POST,
+        b'1;%s\r\nx\r\n' % (b'x' * 999),
+    ),
+    'a trailer': (b'%s0\r\na: ' % CHUNKED_POST, b'x'),
+    'trailers': (b'%s0\r\n' % CHUNKED_POST, b'a: b\r\n'),
+}
+READ_BYTES = 8_192
+SMALL_LIMITS = HttpLimits(header_bytes=4_096, body_bytes=65_536)
+
+
+# A request whose header line never ended was read without a limit.
+@pytest.mark.parametrize('name', ENDLESS_REQUESTS)
+def test_a_request_without_end_is_refused(name: str) -> None:
+    server, exchanges, wire = connect()
+    server.server.limits = SMALL_LIMITS
+    server.limits = SMALL_LIMITS
+    begin, piece = ENDLESS_REQUESTS[name]
+    server.dataReceived(begin)
+    more = piece * (READ_BYTES // len(piece))
+    reads = 0
+    while wire.connected and reads < 200:
+        server.dataReceived(more)
+        reads += 1
+    assert not wire.connected
+    assert not exchanges
+    assert wire.value().startswith((b'HTTP/1.1 431', b'HTTP/1.1 413'))
+
+
+# An unfinished header line of any length passed the published limit.
+@given(
+    st.sampled_from((b'GET /%s', b'GET / HTTP/1.1\r\na: %s')),
+    st.lists(st.integers(0, 10_000), max_size=4),
+)
+def test_a_head_is_refused_as_soon_as_it_exceeds_the_limit(
+    unfinished: bytes, cuts: list[int]
+) -> None:
+    server, _, wire = connect()
+    server.server.limits = SMALL_LIMITS
+    server.limits = SMALL_LIMITS
+    feed(server, unfinished % (b'x' * 4_200), cuts)
+    assert wire.value().startswith(b'HTTP/1.1 431')
+
+
+# The bound on unfinished lines must not refuse what is within the limit.
+@given(
+    st.integers(1, 4_090),
+    st.sampled_from((b'\r\nb: c', b'')),
+    st.lists(st.integers(0, 10_000), max_size=6),
+)
+def test_any_split_of_a_head_within_the_limit_is_served(
+    url_bytes: int, more: bytes, cuts: list[int]
+) -> None:
+    server, exchanges, _ = connect()
+    server.server.limits = SMALL_LIMITS
+    server.limits = SMALL_LIMITS
+    head = b'GET /%s HTTP/1.1%s\r\n' % (b'u' * (url_bytes - 1), more)
+    rest = SMALL_LIMITS.header_bytes - url_bytes - len(b'abc')
+    feed(server, b'%sa: %s\r\n\r\n' % (head, b'x' * rest), cuts)
+    assert len(exchanges) == 1
