End a check of a target whose answer has no end

With the check `report`, a target that began the answer to a check and never ended it was down from then on, also after it had recovered: the check stayed under way, each later check counted as missed, and no new one was sent. A probe reported after its time-out that the target is alive, but left its connection open; each lost call could leave another one, up to the pool's limit, and calls then found no connection.

A check is now given up after 3 s, the time of the missed checks that make a target down, and a probe at its time-out; both close the connection. The daemon on the users' platform checks by connecting only, which has a time-out already.

--- a/egretlanding/targethealth.py
+++ b/egretlanding/targethealth.py
@@ -16,6 +16,8 @@
 CHECK_INTERVAL_S = 1
 DOWN_CHECK_INTERVAL_S = 0.2
 PROBE_TIMEOUT_S = 0.5
+# Time after which a check that got no complete answer is given up, seconds.
+CHECK_TIMEOUT_S = 3
 LOAD_PATH = '/load'
 MISSED_CHECKS_TO_DOWN = 3
 
@@ -109,7 +111,9 @@
             return
         self.checking = True
         request = HttpRequest('GET', LOAD_PATH, [], b'')
-        self.pool.run(request, [], self.on_check_end)
+        handle = self.pool.run(request, [], self.on_check_end)
+        # This does nothing once the check has ended.
+        self.reactor.callLater(CHECK_TIMEOUT_S, handle.cancel)
 
     def on_call_refused(self) -> None:
         """Checks at once whether a target that refused a call is draining."""
@@ -129,7 +133,11 @@
                 reported.append(alive)
                 on_probe_end(alive)
 
-        timer = self.reactor.callLater(PROBE_TIMEOUT_S, report_once, True)
+        def expire() -> None:
+            report_once(True)
+            handle.cancel()
+
+        timer = self.reactor.callLater(PROBE_TIMEOUT_S, expire)
 
         def on_outcome(outcome: TargetOutcome) -> None:
             if timer.active():
@@ -138,7 +146,7 @@
 
         request = HttpRequest('GET', LOAD_PATH, [], b'')
         outgoing = OutgoingRequest(encode_request(request, self.pool.address))
-        self.pool.send_on_new_connection(outgoing, on_outcome)
+        handle = self.pool.send_on_new_connection(outgoing, on_outcome)
 
     def record_missed_check(self) -> None:
         """Counts a check that got no answer."""
