Cut a value of the store at its limit while it is read

A store that sends a value without end filled the daemon's memory: the limit of 1 MB was checked only once the body was complete, treq kept a second copy, and after the time-out of the read its body was still collected, since giving up the wait closes nothing. The whole of a stream is then kept for as long as the store sends.

The chunks are now counted as they arrive. The first one beyond the limit, or after the read has ended, raises an error, on which treq closes the connection. The store's client of the users' platform uses TargetPool, which bounds an answer already and closes the connection at the time-out.

--- a/egretlanding/storeclient.py
+++ b/egretlanding/storeclient.py
@@ -43,6 +43,35 @@
     body: bytes | None = None
 
 
+@attrs.define
+class ValueBody:
+    """The part of a value that has arrived.
+
+    Attributes:
+        chunks: The chunks that have arrived.
+        size: Their size in bytes.
+        is_wanted: Whether a read still waits for the value.
+    """
+
+    chunks: list[bytes] = attrs.field(factory=list)
+    size: int = 0
+    is_wanted: bool = True
+
+    def add(self, chunk: bytes) -> None:
+        """Adds a chunk; an error closes the connection.
+
+        Raises:
+            PlatformError: The value is too large, or no longer wanted.
+        """
+        self.size += len(chunk)
+        if self.size > MAX_VALUE_BYTES or not self.is_wanted:
+            raise PlatformError(
+                f'the store sent {self.size} bytes, not all in time',
+                'wait; the last accepted release stays in force',
+            )
+        self.chunks.append(chunk)
+
+
 @attrs.define
 class StoreClient:
     """Reads keys of the platform's store over HTTP.
@@ -111,21 +140,30 @@
             agent=self.agent,
             reactor=self.reactor,
             timeout=timeout_s,
+            unbuffered=True,
         )
-        content = treq.content(response)
-        body = await content.addTimeout(READ_TIMEOUT_S, self.reactor)
+        body = await self._collect(response)
         if response.code == http.NOT_FOUND:
             return StoreValue(0)
         revision = _revision_of(response)
         if response.code == http.NOT_MODIFIED:
             return StoreValue(revision)
-        if response.code != http.OK or len(body) > MAX_VALUE_BYTES:
+        if response.code != http.OK:
             raise PlatformError(
                 f'the store answered {response.code} with {len(body)} bytes',
                 'wait; the last accepted release stays in force',
             )
         return StoreValue(revision, body)
 
+    async def _collect(self, response: Any) -> bytes:
+        body = ValueBody()
+        collecting = treq.collect(response, body.add)
+        try:
+            await collecting.addTimeout(READ_TIMEOUT_S, self.reactor)
+        finally:
+            body.is_wanted = False
+        return b''.join(body.chunks)
+
 
 def _revision_of(response: Any) -> int:
     text = response.headers.getRawHeaders(REVISION_HEADER, ['0'])[0]
--- a/tests/test_storeclient.py
+++ b/tests/test_storeclient.py
@@ -10,6 +10,7 @@
 from twisted.web.http_headers import Headers
 
 from egretlanding.exceptions import PlatformError
+from egretlanding.release import MAX_VALUE_BYTES
 from egretlanding.storeclient import READ_TIMEOUT_S, StoreClient
 
 
@@ -82,3 +83,49 @@
     reading = ensureDeferred(client.read('release/head'))
     reading.cancel()
     assert isinstance(failure_of(reading), PlatformError)
+
+
+class EndlessResponse(Response):
+    """An HTTP response whose body never ends."""
+
+    def __init__(self, piece: bytes) -> None:
+        """Stores a piece of the body."""
+        super().__init__('7', None)
+        self.piece = piece
+        self.taken_bytes = 0
+        self.protocol: Any = None
+        self.aborted = False
+
+    def deliverBody(self, protocol: Any) -> None:
+        """Delivers pieces up to twice the size limit."""
+        self.protocol = protocol
+        protocol.makeConnection(self)
+        while not self.aborted and self.taken_bytes < 2 * MAX_VALUE_BYTES:
+            protocol.dataReceived(self.piece)
+            self.taken_bytes += len(self.piece)
+
+    def abortConnection(self) -> None:
+        """Closes the connection."""
+        self.aborted = True
+
+    loseConnection = abortConnection
+
+
+# A value without end was collected in memory, also after the read had failed.
+def test_a_value_without_end_is_cut_at_its_limit() -> None:
+    response = EndlessResponse(b'x' * 65_536)
+    error = failure_of(read(response))
+    assert isinstance(error, PlatformError), repr(error)
+    assert response.aborted
+    assert response.taken_bytes <= MAX_VALUE_BYTES + 2 * 65_536
+
+
+# A value that dripped on after its read had failed kept its connection open.
+def test_a_value_without_end_is_cut_after_its_timeout() -> None:
+    response = EndlessResponse(b'')
+    response.taken_bytes = 2 * MAX_VALUE_BYTES
+    error = failure_of(read(response))
+    assert isinstance(error, PlatformError), repr(error)
+    assert not response.aborted
+    response.protocol.dataReceived(b'x')
+    assert response.aborted
