Free the slot of an abandoned call whose answer has no end

A call with an idempotency key goes on after its caller has left, and so does any call of a target that is asked to cancel by a request of its own. As many such calls as the target has slots left the host without room, and a resend of the key joined the endless call.

Once a call is abandoned, its answer is watched: one that has begun and has not ended a time-out (5 s) later is cut. It then counts as lost, as one whose connection the target closed, so that the key's outcome is recorded as unknown. An answer that has not begun is not limited: the target may still be running the call, which is what the slot stands for. Calls without a key on the users' platform were not affected; their connection is closed at once.

--- a/egretlanding/egress.py
+++ b/egretlanding/egress.py
@@ -43,6 +43,9 @@
 from egretlanding.targethealth import TargetHealth
 from egretlanding.targetpool import TargetOutcome
 
+# Time that an answer that nobody waits for may take once it began, seconds.
+ANSWER_TIMEOUT_S = 5
+
 
 @attrs.define(eq=False)
 class Egress:
@@ -246,18 +249,22 @@
         A queued call is removed and never runs. For a running call, the
         target is asked to stop; its slot is freed once the target has
         answered. A call with an idempotency key continues, since its caller
-        may ask for the answer again.
+        may ask for the answer again. In both cases, an answer that has begun
+        but doesn't end is cut.
         """
         job = self.table.remove_waiter(ticket)
-        if job is None or job.waiters or job.key:
+        if job is None or job.waiters:
             return
-        if self.admission.cancel(job.job_id):
+        if job.key:
+            limit_answer(self, job)
+        elif self.admission.cancel(job.job_id):
             self.table.remove(job)
         elif job.running:
             self.abandoned += 1
             message = 'nobody waits for the answer any more'
             log_job_event(self, Event.RUN_CANCELLED, message, job)
             self.target.cancel(job)
+            limit_answer(self, job)
 
     def advance(self) -> None:
         """Starts or refuses the queued calls that are due."""
@@ -297,6 +304,25 @@
         self.quarantine.expire(self.reactor.seconds())
 
 
+def limit_answer(egress: Egress, job: Job, *, had_begun: bool = False) -> None:
+    """Cuts the answer to an abandoned call if it begins but doesn't end.
+
+    Args:
+        egress: Runs the call.
+        job: The call.
+        had_begun: Whether its answer had begun one time-out ago.
+    """
+    if job.job_id not in egress.table.jobs:
+        return
+    has_begun = bool(job.request_handle and job.request_handle.is_answering)
+    if had_begun and has_begun:
+        job.request_handle.cut()
+        return
+    egress.reactor.callLater(
+        ANSWER_TIMEOUT_S, limit_answer, egress, job, had_begun=has_begun
+    )
+
+
 def refusal_in_response(
     response: HttpResponse | None,
     dialect: Dialect,
--- a/egretlanding/targetpool.py
+++ b/egretlanding/targetpool.py
@@ -75,9 +75,18 @@
     def cancel(self) -> None:
         """Closes the connection, so that the target stops the request."""
         self.cancelled = True
+        self.cut()
+
+    def cut(self) -> None:
+        """Closes the connection; the request counts as lost."""
         if self.client:
             self.client.close()
 
+    @property
+    def is_answering(self) -> bool:
+        """Whether the answer has begun but not ended."""
+        return self.client is not None and self.client.received_bytes > 0
+
 
 @attrs.define(eq=False)
 class TargetPool:
--- a/tests/test_targethealth.py
+++ b/tests/test_targethealth.py
@@ -1,41 +1,18 @@
 """Tests that checks of a target end, whatever it sends."""
 
-import attrs
-from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import Clock
 
-from egretlanding.httpclient import HttpClient
 from egretlanding.targethealth import (
     CHECK_TIMEOUT_S,
     PROBE_TIMEOUT_S,
     TargetHealth,
 )
-from egretlanding.targetpool import TargetPool
-from tests.wires import attach
+from tests.wires import WirePool
 
 UNFINISHED = b'HTTP/1.1 200 OK\r\n\r\nx'
 REPORT = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}'
 
 
-@attrs.define(eq=False)
-class WirePool(TargetPool):
-    """A pool whose connections are in memory.
-
-    Attributes:
-        clients: The connections that were opened.
-    """
-
-    clients: list[HttpClient] = attrs.field(factory=list)
-
-    def connect(self) -> Deferred[HttpClient]:
-        """Opens a connection."""
-        self.open_count += 1
-        client = HttpClient(self.on_connection_closed)
-        attach(client)
-        self.clients.append(client)
-        return succeed(client)
-
-
 def connect() -> tuple[TargetHealth, WirePool, Clock]:
     """Returns the health of a target, its connections and their clock."""
     clock = Clock()
--- a/tests/wires.py
+++ b/tests/wires.py
@@ -3,9 +3,14 @@
 import itertools
 from collections.abc import Iterable
 
+import attrs
+from twisted.internet.defer import Deferred, succeed
 from twisted.internet.protocol import Protocol
 from twisted.internet.testing import StringTransportWithDisconnection
 
+from egretlanding.httpclient import HttpClient
+from egretlanding.targetpool import TargetPool
+
 
 class Wire(StringTransportWithDisconnection):
     """Records what a protocol writes, and accepts TCP options."""
@@ -34,3 +39,22 @@
     bounds = sorted({0, len(encoded), *(cut % len(encoded) for cut in cuts)})
     for begin, end in itertools.pairwise(bounds):
         protocol.dataReceived(encoded[begin:end])
+
+
+@attrs.define(eq=False)
+class WirePool(TargetPool):
+    """A pool whose connections are in memory.
+
+    Attributes:
+        clients: The connections that were opened.
+    """
+
+    clients: list[HttpClient] = attrs.field(factory=list)
+
+    def connect(self) -> Deferred[HttpClient]:
+        """Opens a connection."""
+        self.open_count += 1
+        client = HttpClient(self.on_connection_closed)
+        attach(client)
+        self.clients.append(client)
+        return succeed(client)
