Keep bodies in one buffer instead of a list of chunks

A body that comes in chunks of a few bytes took many times its size in memory, because each chunk was an object in a list: within the limits, an answer of a target took 26 MB and a request of a caller 23 MB (tracemalloc, chunks of two bytes), where 2 MB and 1 MB are meant. Eight such answers at once reach the 200 MB that a daemon may take.

Bodies are now collected in a bytearray: the same answers and requests take at most 2.3 MB and 1.2 MB with any size of chunks that was tried.

Before the fix both new tests failed with "assert < 1600000"; they pass now.

--- a/egretlanding/httpclient.py
+++ b/egretlanding/httpclient.py
@@ -100,7 +100,7 @@
         """Resets the parser for the next response."""
         self.parser = httptools.HttpResponseParser(self)
         self.headers: Headers = []
-        self.chunks: list[bytes] = []
+        self.body = bytearray()
         self.body_bytes = 0
         self.received_bytes = 0
         self.max_bytes = MAX_HEADER_BYTES
@@ -223,7 +223,7 @@
         self.body_bytes += len(body)
         if self.body_bytes > MAX_RESPONSE_BYTES:
             raise AnswerSizeError('the body exceeds the size limit')
-        self.chunks.append(body)
+        self.body += body
 
     def on_message_complete(self) -> None:
         """Stores the response, unless it is interim or of another request."""
@@ -235,7 +235,7 @@
         if self.answers_other_request():
             # A late response to an earlier request; the expected one follows.
             self.headers = []
-            self.chunks = []
+            self.body.clear()
             self.usable = False
             return
         headers = drop_hop_headers(self.headers)
@@ -262,7 +262,7 @@
         self.complete_response = HttpResponse(
             self.parser.get_status_code(),
             headers,
-            b''.join(self.chunks),
+            bytes(self.body),
         )
 
     def finish(self, response: HttpResponse | None) -> None:
--- a/egretlanding/httpserver.py
+++ b/egretlanding/httpserver.py
@@ -107,7 +107,7 @@
         """Clears the state of the request that was parsed."""
         self.url = b''
         self.headers: Headers = []
-        self.chunks: list[bytes] = []
+        self.body = bytearray()
         self.size.reset()
         self.reading_request = False
 
@@ -275,7 +275,7 @@
     def on_body(self, body: bytes) -> None:
         """Collects a piece of the body, up to the size limit."""
         self.size.add_body(len(body), self.limits)
-        self.chunks.append(body)
+        self.body += body
 
     def on_message_complete(self) -> None:
         """Passes the complete request to the handler."""
@@ -287,7 +287,7 @@
                 for pair in drop_hop_headers(self.headers)
                 if pair[0] not in CONSUMED_HEADERS
             ],
-            b''.join(self.chunks),
+            bytes(self.body),
             self.parser.should_keep_alive(),
         )
         self.reset()
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -1,5 +1,7 @@
 """Tests that a truncated or ambiguous answer is reported as an error."""
 
+import tracemalloc
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -237,3 +239,17 @@
     padding = b'x' * (MAX_HEADER_BYTES - len(head) - len(b'\r\n\r\n') + excess)
     feed(client, b'%s%s\r\n\r\nbody' % (head, padding), cuts)
     assert [bool(response) for response in reported] == [excess <= 0]
+
+
+# A body in chunks of two bytes took twenty times its size in memory.
+def test_a_body_in_small_chunks_takes_little_memory() -> None:
+    client, reported = connect()
+    client.dataReceived(CHUNKED_HEAD)
+    more = b'2\r\nxx\r\n' * 1_000
+    tracemalloc.start()
+    for _ in range(400):
+        client.dataReceived(more)
+    taken = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    assert not reported
+    assert taken < 2 * 400 * 2_000
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -1,5 +1,6 @@
 """Tests that requests are parsed completely, in order and unambiguously."""
 
+import tracemalloc
 from collections.abc import Iterator
 
 import pytest
@@ -271,3 +272,17 @@
     rest = SMALL_LIMITS.header_bytes - url_bytes - len(b'abc')
     feed(server, b'%sa: %s\r\n\r\n' % (head, b'x' * rest), cuts)
     assert len(exchanges) == 1
+
+
+# A body in chunks of two bytes took twenty times its size in memory.
+def test_a_body_in_small_chunks_takes_little_memory() -> None:
+    server, _, wire = connect()
+    server.dataReceived(CHUNKED_POST)
+    more = b'2\r\nxx\r\n' * 1_000
+    tracemalloc.start()
+    for _ in range(400):
+        server.dataReceived(more)
+    taken = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    assert wire.connected
+    assert taken < 2 * 400 * 2_000
