Keep idle connections for the longer of two idle timeouts

What callers saw: a configuration with a longer idle timeout came into force, and a connection that had been idle from before it was closed under the old timeout, just as a caller sent on it again.

Cause: an idle connection kept the limits of the moment at which it became idle. That is right where the timeout is lowered, and too short where it is raised. Now the longer of the kept and the present timeout applies, so that neither promise is broken.

Before the fix the new test failed for the raised timeout only: FAILED test_an_idle_connection_keeps_the_longer_of_two_idle_timeouts[2-10] assert False (wire.connected)

--- a/egretlanding/httpserver.py
+++ b/egretlanding/httpserver.py
@@ -202,12 +202,18 @@
             and now - self.waiting_since > self.limits.header_s
         ):
             self.reject(HTTPStatus.REQUEST_TIMEOUT)
-        elif (
-            not self.reading_request
-            and now - self.waiting_since > self.limits.idle_s
-        ):
+        elif not self.reading_request and self.is_idle_too_long(now):
             self.drain()
 
+    def is_idle_too_long(self, now: float) -> bool:
+        """Returns whether an idle connection has exceeded its idle timeout.
+
+        A caller may rely on the timeout that was in force when the connection
+        became idle or on the present one, so the longer of the two applies.
+        """
+        idle_s = max(self.limits.idle_s, self.server.limits.idle_s)
+        return now - self.waiting_since > idle_s
+
     def flush(self) -> None:
         """Writes the responses that are complete, in the order of requests."""
         while self.pending:
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from egretlanding.events import SINKS, Event, Severity
-from egretlanding.httpmessages import HttpRequest, HttpResponse
+from egretlanding.httpmessages import HttpLimits, HttpRequest, HttpResponse
 from egretlanding.httpserver import HttpExchange, HttpServer, HttpServerFactory
 from tests.wires import Wire, attach, feed
 
@@ -198,3 +198,23 @@
     wire.loseConnection()
     assert not lines
     assert not server.server.lost_answers
+
+
+# Guards against connections closed as idle under a timeout that a newer
+# configuration has raised.
+@pytest.mark.parametrize(('before_s', 'after_s'), [(2, 10), (10, 2)])
+def test_an_idle_connection_keeps_the_longer_of_two_idle_timeouts(
+    before_s: float,
+    after_s: float,
+) -> None:
+    now = 0
+    factory = HttpServerFactory(lambda _exchange: None, lambda: now)
+    factory.limits = HttpLimits(idle_s=before_s)
+    wire = attach(factory.buildProtocol(None))
+    factory.limits = HttpLimits(idle_s=after_s)
+    now = 9
+    factory.check_timeouts()
+    assert wire.connected
+    now = 11
+    factory.check_timeouts()
+    assert not wire.connected
