Contain unexpected errors to the call that they occur in

What callers saw, if any step of a call failed with an unexpected error: a request that had been passed on and never got an answer, or a connection that ended. Between daemons, one failed call closed the connection with all calls in flight on it. Periodic work stopped for good at its first error. None of this was in the log of a daemon that reads a store of records; tracebacks went to standard error.

Cause: the handler of a request runs inside a callback of the parser, whose errors became a refusal as malformed, queued behind the request that never got its answer. Elsewhere the reactor handled the error by closing the connection.

Errors are now contained where work on one call begins: the handler of a request, the four inputs of a call (start, reply, hedge, deadline), the start and the end of a job at the target, a frame of another daemon, one record and one round of periodic work. Each is logged as event 111 with its place. The call is answered: 503 only if no attempt was made, else 502, and 500 where the handler failed before there was a call. Slots are freed. What the reactor handles itself is logged as event 111 too.

Ruled out: errors that occur today.

--- a/egretlanding/attempts.py
+++ b/egretlanding/attempts.py
@@ -7,6 +7,7 @@
 import attrs
 
 from egretlanding.balancing import AttemptSpec, Choice
+from egretlanding.callfailures import answers_failed_call
 from egretlanding.callframes import (
     build_call,
     failure_from_error,
@@ -122,6 +123,7 @@
         """The monotonic time, seconds."""
         return float(self.ingress.reactor.seconds())
 
+    @answers_failed_call
     def start(self) -> None:
         """Refuses the call or makes the first attempt."""
         self.exchange.on_disconnect = self.abandon
@@ -221,6 +223,7 @@
             lambda reply: self.handle_reply(attempt, reply),
         )
 
+    @answers_failed_call
     def handle_reply(self, attempt: Attempt, reply: CallReply) -> None:
         """Records the reply to an attempt, then answers or retries."""
         if self.open_attempts.pop(attempt.number, None) is None:
@@ -298,6 +301,7 @@
         else:
             self.answer(refusal_reply(0, decision.refusal))
 
+    @answers_failed_call
     def hedge(self) -> None:
         """Makes a second attempt while the first one is late.
 
@@ -327,6 +331,7 @@
             )
             self.make_attempt()
 
+    @answers_failed_call
     def handle_deadline(self) -> None:
         """Answers a call whose deadline has passed."""
         unanswered = [
--- a/egretlanding/calls.py
+++ b/egretlanding/calls.py
@@ -16,6 +16,7 @@
 )
 from egretlanding.callreport import dump_calls, explain_call
 from egretlanding.config import DaemonConfig
+from egretlanding.containment import logs_failure
 from egretlanding.dialect import DEFAULT_DIALECT, Dialect
 from egretlanding.drains import Drain
 from egretlanding.egress import Egress
@@ -198,8 +199,8 @@
             self.ports.append(listening)
         self.egress.health.start()
         self.loops = [
-            LoopingCall(self.pause_monitor.beat),
-            LoopingCall(self.tick),
+            LoopingCall(logs_failure(self.pause_monitor.beat)),
+            LoopingCall(logs_failure(self.tick)),
         ]
         for loop, interval_s in zip(
             self.loops, (BEAT_INTERVAL_S, HEARTBEAT_S), strict=True
--- a/egretlanding/egress.py
+++ b/egretlanding/egress.py
@@ -8,6 +8,7 @@
 import attrs
 
 from egretlanding.admission import Admission, Refuse, Start
+from egretlanding.callfailures import replies_to_failed_job
 from egretlanding.callheaders import (
     REPLAYED_HEADER,
     has_target_seal,
@@ -166,6 +167,7 @@
         running = [other.signature for other in self.table.running()]
         return self.quarantine.check(job.signature, running, job.arrived)
 
+    @replies_to_failed_job
     def start(self, job: Job) -> None:
         """Sends a call to the target after it was given a slot."""
         job.running = True
@@ -177,6 +179,7 @@
             lambda outcome: self.finish(job, outcome),
         )
 
+    @replies_to_failed_job
     def finish(self, job: Job, outcome: TargetOutcome) -> None:
         """Frees the slot of a call that has ended, and replies to it."""
         now = self.reactor.seconds()
--- a/egretlanding/httpserver.py
+++ b/egretlanding/httpserver.py
@@ -11,6 +11,7 @@
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
+from egretlanding.containment import log_unexpected
 from egretlanding.events import Event, Severity, log_event
 from egretlanding.frames import Headers
 from egretlanding.httpheaders import LENGTH, drop_hop_headers, has_safe_framing
@@ -27,6 +28,11 @@
 MALFORMED_REQUEST_TEXT = (
     b'the request is not served; send well-formed HTTP/1.1 within limits'
 )
+FAILED_RESPONSE = HttpResponse(
+    HTTPStatus.INTERNAL_SERVER_ERROR,
+    [('content-type', 'text/plain')],
+    b'handling the request failed; see the log of the daemon\n',
+)
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -74,6 +80,11 @@
         self.response = response
         self.protocol.flush()
 
+    def fail(self) -> None:
+        """Answers that handling the request failed, unless it is answered."""
+        if self.response is None:
+            self.respond(FAILED_RESPONSE)
+
 
 Handler = Callable[[HttpExchange], None]
 
@@ -223,7 +234,7 @@
             exchange = self.pending.popleft()
             last = self.server.is_draining and not self.pending
             keep_alive = exchange.request.keep_alive and not last
-            encoded = response.to_bytes(keep_alive=keep_alive)
+            encoded = encode_response(response, keep_alive=keep_alive)
             self.write(encoded, last=not keep_alive)
             if not keep_alive:
                 return
@@ -302,7 +313,11 @@
         exchange = HttpExchange(request, self)
         self.pending.append(exchange)
         self.apply_backpressure()
-        self.server.handler(exchange)
+        try:
+            self.server.handler(exchange)
+        except Exception as error:
+            log_unexpected('handler of requests', error)
+            exchange.fail()
 
     def limit_headers(self, size: int) -> None:
         """Counts header bytes against the limit."""
@@ -311,6 +326,15 @@
             raise HeaderSizeError('the headers exceed the size limit')
 
 
+def encode_response(response: HttpResponse, *, keep_alive: bool) -> bytes:
+    """Encodes a response, or one that reports a failure in its place."""
+    try:
+        return response.to_bytes(keep_alive=keep_alive)
+    except Exception as error:
+        log_unexpected('encoding of a response', error)
+        return FAILED_RESPONSE.to_bytes(keep_alive=keep_alive)
+
+
 class HttpServerFactory(Factory):
     """Builds a server protocol for each connection of a caller.
 
--- a/egretlanding/outcomes.py
+++ b/egretlanding/outcomes.py
@@ -54,6 +54,7 @@
     OTHER_INSTANCE = 'other-instance'
     GARBLED = 'garbled'
     TARGET_ERROR = 'target-error'
+    INTERNAL_ERROR = 'internal-error'
 
 
 @attrs.frozen
@@ -157,6 +158,9 @@
     ),
     Reason.GARBLED: ReasonTraits(HTTPStatus.BAD_GATEWAY, _CHECK_EFFECT),
     Reason.TARGET_ERROR: ReasonTraits(HTTPStatus.BAD_GATEWAY, _CHECK_EFFECT),
+    Reason.INTERNAL_ERROR: ReasonTraits(
+        HTTPStatus.INTERNAL_SERVER_ERROR, _CHECK_EFFECT
+    ),
 }
 
 # Every daemon refuses calls for these reasons, so the call ran nowhere.
--- a/egretlanding/peers.py
+++ b/egretlanding/peers.py
@@ -10,6 +10,7 @@
 from twisted.protocols.basic import Int32StringReceiver
 from twisted.python.failure import Failure
 
+from egretlanding.containment import log_unexpected
 from egretlanding.events import Event, Severity, log_event
 from egretlanding.exceptions import FrameError
 from egretlanding.frames import (
@@ -170,7 +171,10 @@
         except FrameError:
             self.abort()
             return
-        self.handle(frame)
+        try:
+            self.handle(frame)
+        except Exception as error:
+            log_unexpected(f'frame of type {type(frame).__name__}', error)
 
     def lengthLimitExceeded(self, length: int) -> None:
         """Closes the connection, since a frame exceeds the size limit."""
--- a/egretlanding/peerserver.py
+++ b/egretlanding/peerserver.py
@@ -5,6 +5,8 @@
 import attrs
 import msgspec
 
+from egretlanding.callfailures import failed_reply
+from egretlanding.containment import log_unexpected
 from egretlanding.egress import Egress
 from egretlanding.frames import CallReply, CallRequest
 from egretlanding.peers import PeerConnection
@@ -35,7 +37,12 @@
                 msgspec.structs.replace(reply, call_id=call.call_id),
             )
 
-        ticket = self.egress.run(call, self.read_delay_s(), on_reply)
+        try:
+            ticket = self.egress.run(call, self.read_delay_s(), on_reply)
+        except Exception as error:
+            log_unexpected('call of another daemon', error)
+            on_reply(failed_reply())
+            return
         if not replied:
             connection.served[call.call_id] = ticket
 
--- a/egretlanding/sidecar.py
+++ b/egretlanding/sidecar.py
@@ -13,6 +13,7 @@
 
 from egretlanding.calls import CallService
 from egretlanding.check import find_faults
+from egretlanding.containment import contained, logs_failure
 from egretlanding.durations import milliseconds
 from egretlanding.events import Event, Severity, log_event
 from egretlanding.exceptions import PlatformError, SettingsError
@@ -187,7 +188,7 @@
         )
         self.lifecycle.opened()
         self.feed.start()
-        self.ticker = LoopingCall(self.tick)
+        self.ticker = LoopingCall(logs_failure(self.tick))
         self.ticker.clock = self.reactor
         self.ticker.start(TICK_S, now=False)
 
@@ -216,20 +217,9 @@
 
     def apply_records(self, records: list[Record]) -> None:
         """Applies records that changed in the store."""
-        decoder = self.adapter.decoder
         for record in records:
-            try:
-                if decoder.is_publication(record):
-                    self.apply_publication(record)
-                elif decoder.target_of_entry(record):
-                    self.apply_target_entry(record)
-            except PlatformError as error:
-                log_event(
-                    Event.ENTRY_REFUSED,
-                    str(error),
-                    Severity.WARNING,
-                    revision=record.revision,
-                )
+            with contained(f'application of the record {record.key}'):
+                apply_record(self, record)
         self.refresh()
 
     def apply_publication(self, record: Record) -> None:
@@ -257,8 +247,8 @@
                 f'configuration {candidate.number} has a fault ({faults[0]})',
                 'publish a configuration without the fault',
             )
-        self.publication = candidate
         self.view = View.from_release(candidate.to_release(), HostList())
+        self.publication = candidate
         self.applied_roster_revision = -1
         self.calls.http.limits = candidate.limits
         log_event(
@@ -368,6 +358,23 @@
         self.log.flush()
 
 
+def apply_record(sidecar: Sidecar, record: Record) -> None:
+    """Applies one record, or logs why it is refused."""
+    decoder = sidecar.adapter.decoder
+    try:
+        if decoder.is_publication(record):
+            sidecar.apply_publication(record)
+        elif decoder.target_of_entry(record):
+            sidecar.apply_target_entry(record)
+    except PlatformError as error:
+        log_event(
+            Event.ENTRY_REFUSED,
+            str(error),
+            Severity.WARNING,
+            revision=record.revision,
+        )
+
+
 def new_retry_budget(config: SidecarConfig, now: float) -> WindowBudget:
     """Returns the retry budget of one service.
 
--- a/egretlanding/sidecarprocess.py
+++ b/egretlanding/sidecarprocess.py
@@ -4,6 +4,7 @@
 import signal
 from typing import Any
 
+from egretlanding.containment import log_reactor_errors
 from egretlanding.events import SINKS
 from egretlanding.platformadapter import PlatformAdapter
 from egretlanding.sidecar import Sidecar
@@ -26,6 +27,7 @@
     )
     os.set_blocking(sidecar.log.file, False)
     SINKS.insert(0, sidecar.log.write)
+    log_reactor_errors()
 
     def stop(*_args: Any) -> None:
         reactor.callFromThread(sidecar.stop)
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -218,3 +218,36 @@
     now = 11
     factory.check_timeouts()
     assert not wire.connected
+
+
+# Guards against a request that waits without end, and a connection that is
+# closed, because a handler failed with an unexpected error.
+def test_a_request_whose_handler_fails_is_answered(lines: Lines) -> None:
+    def handle(exchange: HttpExchange) -> None:
+        if exchange.request.path == '/fails':
+            raise LookupError
+        exchange.respond(HttpResponse(200, [], b''))
+
+    server = HttpServerFactory(handle).buildProtocol(None)
+    wire = attach(server)
+    for path in ('/fails', '/a'):
+        server.dataReceived(encode('GET', path, b'', 'length'))
+    statuses = [
+        line.split(b' ')[1]
+        for line in wire.value().splitlines()
+        if line.startswith(b'HTTP')
+    ]
+    assert statuses == [b'500', b'200']
+    assert wire.connected
+    assert [event for event, _ in lines] == [Event.TASK_FAILED]
+
+
+# Guards against a request without an answer because the answer could not be
+# encoded.
+def test_an_answer_that_cannot_be_encoded_is_replaced(lines: Lines) -> None:
+    server, exchanges, wire = connect()
+    server.dataReceived(encode('GET', '/a', b'', 'length'))
+    exchanges[0].respond(HttpResponse(200, [('a', '\u20ac')], b''))
+    assert wire.value().startswith(b'HTTP/1.1 500 ')
+    assert not server.pending
+    assert [event for event, _ in lines] == [Event.TASK_FAILED]
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -105,3 +106,24 @@
     assert connection.is_open()
     connection.check_heartbeat()
     assert not connection.is_open()
+
+
+# Guards against the loss of all calls of a connection because one of them
+# failed with an unexpected error.
+def test_a_call_that_fails_leaves_its_connection_and_other_calls(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    connection, received = connect()
+    replies: list[CallReply] = []
+    call_id = connection.call(make_request(), replies.append)
+
+    def fail(*_args: Any) -> None:
+        raise LookupError
+
+    monkeypatch.setattr(connection.context, 'on_call', fail)
+    reply = CallReply(call_id, 200, [], b'')
+    connection.dataReceived(
+        encode_with_length(make_request()) + encode_with_length(reply)
+    )
+    assert replies == [reply]
+    assert 'closed' not in received
