Use a host again as soon as its daemon says that it is ready

What callers saw: 503 for want of a target, and a host left unused, for up to seconds after its daemon had started.

Cause: a host that could not be connected to is barred for 0.5 s, doubled up to 8 s, and no new connection to it is tried for 0.1 s, doubled up to 2 s. Only an answer to a call or the end of that time cleared this. The hello of the daemon itself, on a connection that it had opened, counted for nothing. Now a daemon that says that it takes calls ends both.

Before the fix: test_a_host_whose_daemon_says_hello_is_used_at_once assert {'10.0.0.1'} == {'10.0.0.1', '10.0.0.2'}

--- a/egretlanding/calls.py
+++ b/egretlanding/calls.py
@@ -179,6 +179,7 @@
         """Connects the callbacks of the components to one another."""
         self.egress.health.on_change = self.announce
         self.links.context.on_readiness = self.reachability.handle_readiness
+        self.reachability.on_reachable = self.links.end_backoff
         self.links.on_unreachable = self.reachability.handle_unreachable
         self.links.context.on_hosts_state = self.service_peers.handle_report
         self.links.context.on_suspicion = self.suspicions.handle_suspicion
--- a/egretlanding/evidence.py
+++ b/egretlanding/evidence.py
@@ -186,6 +186,11 @@
         backoff = FIRST_BACKOFF_S * 2 ** (self.failed_connects - 1)
         self.unreachable_until = now + min(MAX_BACKOFF_S, backoff)
 
+    def record_reachable(self) -> None:
+        """Records that the host's daemon is up."""
+        self.failed_connects = 0
+        self.unreachable_until = -math.inf
+
     def reset(self, now: float) -> None:
         """Drops evidence that a pause of this process has made outdated.
 
--- a/egretlanding/peerlinks.py
+++ b/egretlanding/peerlinks.py
@@ -234,6 +234,12 @@
         for pending in queued:
             pending.fail(f'no connection to the daemon ({failure.value})')
 
+    def end_backoff(self, host_id: str) -> None:
+        """Allows new attempts to connect to a host at once."""
+        for (host, _), lane in self.lanes.items():
+            if host.host_id == host_id:
+                lane.backoff_until = 0
+
     def check_heartbeats(self) -> None:
         """Closes unresponsive and unused connections, and pings the others."""
         now = self.reactor.seconds()
--- a/egretlanding/reachability.py
+++ b/egretlanding/reachability.py
@@ -1,5 +1,6 @@
 """Tracks which hosts accept calls, from what their daemons report."""
 
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -19,11 +20,14 @@
         reactor: The reactor that gives the time.
         context: The connections to other daemons.
         service_states: State of the services that the ingress calls.
+        on_reachable: Called with the id of a host whose daemon says that it
+            accepts calls.
     """
 
     reactor: Any
     context: PeerContext
     service_states: ServiceStates
+    on_reachable: Callable[[str], None] = lambda _host_id: None
 
     def announce(self, ready: bool) -> None:
         """Announces to all daemons, this one too, whether it accepts calls."""
@@ -40,7 +44,10 @@
             return
         host_id = connection.peer.host_id
         if ready:
+            # Attempts to connect that failed before don't count any more.
             self.service_states.mark_ready(host_id)
+            self.service_states.record_reachable(host_id)
+            self.on_reachable(host_id)
         else:
             until = self.reactor.seconds() + UNREADY_TTL_S
             self.service_states.mark_unready([host_id], until)
--- a/egretlanding/servicestates.py
+++ b/egretlanding/servicestates.py
@@ -233,6 +233,13 @@
         for state in self.services.values():
             state.balancer.targets.record_unreachable(host_id, now)
 
+    def record_reachable(self, host_id: str) -> None:
+        """Records that the daemon of a host is up."""
+        for state in self.services.values():
+            target = state.balancer.targets.evidence.get(host_id)
+            if target is not None:
+                target.record_reachable()
+
     def reset_after_pause(self, now: float) -> None:
         """Drops stale evidence after a pause of this process."""
         for state in self.services.values():
--- a/tests/test_call_path.py
+++ b/tests/test_call_path.py
@@ -9,15 +9,18 @@
 
 import attrs
 import pytest
+from twisted.internet.error import ConnectionRefusedError
 from twisted.internet.testing import MemoryReactorClock
+from twisted.python.failure import Failure
 
 from egretlanding.egress import Egress
 from egretlanding.events import SINKS, Event
-from egretlanding.frames import CallReply, refusal_reply
+from egretlanding.frames import CallReply, Hello, refusal_reply
 from egretlanding.httpmessages import HttpResponse
 from egretlanding.httpserver import HttpServer
 from egretlanding.outcomes import Progress, Reason, Refusal
-from egretlanding.peerlinks import PendingCall
+from egretlanding.peerlinks import Lane, PendingCall
+from egretlanding.peers import PeerConnection
 from egretlanding.platform.names import DIALECT, READINESS_PATH
 from egretlanding.platform.records import RecordDecoder
 from egretlanding.platformadapter import PlatformAdapter
@@ -520,3 +523,36 @@
     wire = call_daemon(daemon)
     daemon.settle()
     assert status_of(wire) == 200
+
+
+def usable_hosts(daemon: Daemon) -> set[str]:
+    """Returns the hosts of a service that calls may be sent to."""
+    now = float(daemon.reactor.seconds())
+    state = daemon.sidecar.calls.service_states.service('orders', now)
+    usable = state.balancer.targets.usable_targets(now)
+    return {target.host.host_id for target in usable}
+
+
+# Guards against calls that are refused for lack of a target, and targets that
+# get none, while a host that has started is still taken for unreachable.
+def test_a_host_whose_daemon_says_hello_is_used_at_once() -> None:
+    daemon = Daemon.build_plain()
+    daemon.write('servers/i-2', make_entry(2, 'orders'))
+    links = daemon.sidecar.calls.links
+    host = daemon.sidecar.roster.host_list().hosts['10.0.0.2']
+    assert usable_hosts(daemon) == {'10.0.0.1', '10.0.0.2'}
+    for _ in range(4):
+        assert links.connect(host, Lane.SHORT).connecting
+        factory = daemon.reactor.tcpClients[-1][2]
+        factory.clientConnectionFailed(None, Failure(ConnectionRefusedError()))
+        daemon.reactor.advance(1)
+    assert usable_hosts(daemon) == {'10.0.0.1'}
+    connection = PeerConnection(links.context)
+    attach(connection)
+    connection.handle(Hello('10.0.0.2', 1))
+    assert usable_hosts(daemon) == {'10.0.0.1', '10.0.0.2'}
+    links.connect(host, Lane.SHORT)
+    factory = daemon.reactor.tcpClients[-1][2]
+    factory.clientConnectionFailed(None, Failure(ConnectionRefusedError()))
+    connection.handle(Hello('10.0.0.2', 1))
+    assert links.connect(host, Lane.SHORT).connecting
