Connect to other daemons as soon as a daemon is ready

What callers saw: 503 from other daemons in the first quarter of a second after a daemon became ready, if they had tried to connect to it before it listened. This is also how test_a_request_rejected_by_one_target_runs_at_another failed once.

Cause: a daemon first connected to others at its next periodic round, 0.25 s after its ports opened, and until then they kept waiting after their failed attempt. It now connects when it becomes ready.

Before the change: test_a_daemon_connects_to_others_as_soon_as_it_is_ready IndexError: list index out of range (no connection was begun)

--- a/egretlanding/sidecar.py
+++ b/egretlanding/sidecar.py
@@ -312,7 +312,11 @@
                 max(len(hosts.hosts), MIN_DAEMON_COUNT)
             )
             self.sync_local_target()
+        was_ready = self.is_ready
         self.lifecycle.synced()
+        if self.is_ready and not was_ready:
+            # Other daemons learn without delay that this one takes calls.
+            self.relay.tick()
 
     def sync_local_target(self) -> None:
         """Applies the store's entry of the target beside this daemon."""
--- a/tests/test_call_path.py
+++ b/tests/test_call_path.py
@@ -556,3 +556,16 @@
     factory.clientConnectionFailed(None, Failure(ConnectionRefusedError()))
     connection.handle(Hello('10.0.0.2', 1))
     assert links.connect(host, Lane.SHORT).connecting
+
+
+# Guards against calls that are refused because other daemons learn late that
+# this one has started.
+def test_a_daemon_connects_to_others_as_soon_as_it_is_ready() -> None:
+    daemon = Daemon.build(0)
+    daemon.sidecar.lifecycle.opened()
+    daemon.write('servers/i-2', make_entry(2, 'orders'))
+    daemon.write('servers/i-1', make_entry(1, 'orders'))
+    assert not daemon.reactor.tcpClients
+    daemon.configure()
+    assert daemon.sidecar.is_ready
+    assert daemon.reactor.tcpClients[0][0] == '10.0.0.2'
