Ignore a reload that is requested while the daemon starts

What callers saw: a daemon that was asked to read its settings again while it was starting ended, and started once more.

Cause: SIGHUP ends a process until a handler is set, which happened only after all libraries were loaded and the daemon was built. It is now ignored from the first line on; the settings are read after that.

Before the change: test_a_reload_does_not_end_a_daemon_that_loads_its_libraries assert 'SIG_DFL' == 'SIG_IGN'

--- a/egretlanding/platform/__main__.py
+++ b/egretlanding/platform/__main__.py
@@ -1,10 +1,15 @@
 """Runs the daemon on the platform."""
 
 import os
+import signal
 import sys
 import time
 from typing import Any
 
+# A reload that is requested before the daemon handles it must not end the
+# process. The settings are read after this.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 # Modules for TLS and its hashes, which the platform does not use. They are
 # blocked before the first import; the libraries work without them.
 UNUSED = ('OpenSSL', 'ssl', '_hashlib')
--- a/tests/test_sidecar_processes.py
+++ b/tests/test_sidecar_processes.py
@@ -1,6 +1,8 @@
 """Tests of daemon processes that use a stand-in for the platform's store."""
 
 import signal
+import subprocess
+import sys
 import threading
 import time
 from collections.abc import Iterator
@@ -130,6 +132,25 @@
     assert send_to_daemon(fleet)[0] == 200
 
 
+# Guards against a process that is ended by a reload requested while it starts.
+def test_a_reload_does_not_end_a_daemon_that_loads_its_libraries() -> None:
+    program = (
+        'import signal, sys\n'
+        "sys.modules['twisted.internet'] = None\n"
+        'try:\n'
+        '    import egretlanding.platform.__main__\n'
+        'except ImportError:\n'
+        '    print(signal.getsignal(signal.SIGHUP).name)\n'
+    )
+    finished = subprocess.run(
+        [sys.executable, '-c', program],
+        capture_output=True,
+        check=True,
+        text=True,
+    )
+    assert finished.stdout.strip() == 'SIG_IGN'
+
+
 def test_a_graceful_stop_ends_no_request_early(fleet: PlatformFleet) -> None:
     front, *orders = fleet.members
     assert front.process
