Refuse a call whose body no frame can hold, in place of sending it

What callers saw: one request with a body near 4 MiB or above, which the limits of the configuration may allow, ended all requests in flight to the same host with 502.

Cause: a connection between daemons is aborted when a frame exceeds 4 MiB (lengthLimitExceeded), and the sender didn't check. It now refuses such a call as not run, before any byte of it is sent; the others go on. Larger bodies still reach no target of another host.

Before the change: test_a_call_with_an_oversized_body_is_not_sent assert [] == [<Ran.NOT_RUN: 'no'>]

--- a/egretlanding/outcomes.py
+++ b/egretlanding/outcomes.py
@@ -55,6 +55,7 @@
     GARBLED = 'garbled'
     TARGET_ERROR = 'target-error'
     INTERNAL_ERROR = 'internal-error'
+    BODY_TOO_LARGE = 'body-too-large'
 
 
 @attrs.frozen
@@ -158,6 +159,9 @@
     ),
     Reason.GARBLED: ReasonTraits(HTTPStatus.BAD_GATEWAY, _CHECK_EFFECT),
     Reason.TARGET_ERROR: ReasonTraits(HTTPStatus.BAD_GATEWAY, _CHECK_EFFECT),
+    Reason.BODY_TOO_LARGE: ReasonTraits(
+        HTTPStatus.REQUEST_ENTITY_TOO_LARGE, 'send the body in parts'
+    ),
     Reason.INTERNAL_ERROR: ReasonTraits(
         HTTPStatus.INTERNAL_SERVER_ERROR, _CHECK_EFFECT
     ),
--- a/egretlanding/peers.py
+++ b/egretlanding/peers.py
@@ -46,6 +46,11 @@
 OnConnection = Callable[['PeerConnection'], None]
 
 
+# Space that a frame keeps for what a call contains besides its body, bytes.
+MAX_CALL_HEAD_BYTES = 262_144
+MAX_CALL_BODY_BYTES = MAX_FRAME_BYTES - MAX_CALL_HEAD_BYTES
+
+
 class PeerConnection(Int32StringReceiver):
     """A connection to another daemon, in either direction.
 
@@ -128,6 +133,9 @@
             on_reply: Called once with the reply.
         """
         call_id = next(self.call_ids)
+        if len(request.body) > MAX_CALL_BODY_BYTES:
+            on_reply(oversized_reply(call_id))
+            return call_id
         self.pending_replies[call_id] = on_reply
         self.send(msgspec.structs.replace(request, call_id=call_id))
         return call_id
@@ -269,6 +277,17 @@
         return PeerConnection(self.context)
 
 
+def oversized_reply(call_id: int) -> CallReply:
+    """Returns the reply for a call that is too large for a frame."""
+    return refusal_reply(
+        call_id,
+        Refusal.not_run(
+            Reason.BODY_TOO_LARGE,
+            f'a body between daemons has at most {MAX_CALL_BODY_BYTES} bytes',
+        ),
+    )
+
+
 def lost_reply(call_id: int) -> CallReply:
     """Returns the reply for a call whose connection was lost."""
     return refusal_reply(
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from egretlanding.frames import (
+    MAX_FRAME_BYTES,
     CallReply,
     CallRequest,
     Hello,
@@ -127,3 +128,18 @@
     )
     assert replies == [reply]
     assert 'closed' not in received
+
+
+# Guards against the loss of all calls of a connection because the body of one
+# of them is larger than a frame may be.
+def test_a_call_with_an_oversized_body_is_not_sent() -> None:
+    sender, _ = connect()
+    receiver, received = connect()
+    replies: list[CallReply] = []
+    body = bytes(MAX_FRAME_BYTES)
+    request = CallRequest(0, 'GET', '/', [], body, 'route', 100, 50)
+    sender.call(request, replies.append)
+    sender.call(make_request(), replies.append)
+    receiver.dataReceived(sender.transport.value())
+    assert [reply.ran for reply in replies] == [Ran.NOT_RUN]
+    assert 'closed' not in received
