--- a/egretlanding/httpserver.py
+++ b/egretlanding/httpserver.py
@@ -11,6 +11,7 @@
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
+from egretlanding.containment import log_unexpected
 from egretlanding.events import Event, Severity, log_event
 from egretlanding.frames import Headers
 from egretlanding.httpheaders import LENGTH, drop_hop_headers, has_safe_framing
@@ -32,6 +33,11 @@
 MALFORMED_REQUEST_TEXT = (
     b'the request is not served; send well-formed HTTP/1.1 within limits'
 )
+FAILED_RESPONSE = HttpResponse(
+    HTTPStatus.INTERNAL_SERVER_ERROR,
+    [('content-type', 'text/plain')],
+    b'handling the request failed; see the log of the daemon\n',
+)
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -67,6 +73,11 @@
         self.response = response
         self.protocol.flush()
 
+    def fail(self) -> None:
+        """Answers that handling the request failed, unless it is answered."""
+        if self.response is None:
+            self.respond(FAILED_RESPONSE)
+
 
 Handler = Callable[[HttpExchange], None]
 
@@ -202,12 +213,18 @@
             and now - self.waiting_since > self.limits.header_s
         ):
             self.reject(HTTPStatus.REQUEST_TIMEOUT)
-        elif (
-            not self.reading_request
-            and now - self.waiting_since > self.limits.idle_s
-        ):
+        elif not self.reading_request and self.is_idle_too_long(now):
             self.drain()
 
+    def is_idle_too_long(self, now: float) -> bool:
+        """Returns whether an idle connection has exceeded its idle timeout.
+
+        A caller may rely on the timeout that was in force when the connection
+        became idle or on the present one, so the longer of the two applies.
+        """
+        idle_s = max(self.limits.idle_s, self.server.limits.idle_s)
+        return now - self.waiting_since > idle_s
+
     def flush(self) -> None:
         """Writes the responses that are complete, in the order of requests."""
         while self.pending:
@@ -217,7 +234,7 @@
             exchange = self.pending.popleft()
             last = self.server.is_draining and not self.pending
             keep_alive = exchange.request.keep_alive and not last
-            encoded = response.to_bytes(keep_alive=keep_alive)
+            encoded = encode_response(response, keep_alive=keep_alive)
             self.write(encoded, last=not keep_alive)
             if not keep_alive:
                 return
@@ -294,7 +311,20 @@
         exchange = HttpExchange(request, self)
         self.pending.append(exchange)
         self.apply_backpressure()
-        self.server.handler(exchange)
+        try:
+            self.server.handler(exchange)
+        except Exception as error:
+            log_unexpected('handler of requests', error)
+            exchange.fail()
+
+
+def encode_response(response: HttpResponse, *, keep_alive: bool) -> bytes:
+    """Encodes a response, or one that reports a failure in its place."""
+    try:
+        return response.to_bytes(keep_alive=keep_alive)
+    except Exception as error:
+        log_unexpected('encoding of a response', error)
+        return FAILED_RESPONSE.to_bytes(keep_alive=keep_alive)
 
 
 class HttpServerFactory(Factory):
--- a/egretlanding/outcomes.py
+++ b/egretlanding/outcomes.py
@@ -54,6 +54,8 @@
     OTHER_INSTANCE = 'other-instance'
     GARBLED = 'garbled'
     TARGET_ERROR = 'target-error'
+    INTERNAL_ERROR = 'internal-error'
+    BODY_TOO_LARGE = 'body-too-large'
 
 
 @attrs.frozen
@@ -157,6 +159,12 @@
     ),
     Reason.GARBLED: ReasonTraits(HTTPStatus.BAD_GATEWAY, _CHECK_EFFECT),
     Reason.TARGET_ERROR: ReasonTraits(HTTPStatus.BAD_GATEWAY, _CHECK_EFFECT),
+    Reason.BODY_TOO_LARGE: ReasonTraits(
+        HTTPStatus.REQUEST_ENTITY_TOO_LARGE, 'send the body in parts'
+    ),
+    Reason.INTERNAL_ERROR: ReasonTraits(
+        HTTPStatus.INTERNAL_SERVER_ERROR, _CHECK_EFFECT
+    ),
 }
 
 # Every daemon refuses calls for these reasons, so the call ran nowhere.
--- a/egretlanding/peers.py
+++ b/egretlanding/peers.py
@@ -10,6 +10,7 @@
 from twisted.protocols.basic import Int32StringReceiver
 from twisted.python.failure import Failure
 
+from egretlanding.containment import log_unexpected
 from egretlanding.events import Event, Severity, log_event
 from egretlanding.exceptions import FrameError
 from egretlanding.frames import (
@@ -66,6 +67,11 @@
             on_end(arrived)
 
 
+# Space that a frame keeps for what a call contains besides its body, bytes.
+MAX_CALL_HEAD_BYTES = 262_144
+MAX_CALL_BODY_BYTES = MAX_FRAME_BYTES - MAX_CALL_HEAD_BYTES
+
+
 class PeerConnection(Int32StringReceiver):
     """A connection to another daemon, in either direction.
 
@@ -151,6 +157,9 @@
             on_reply: Called once with the reply.
         """
         call_id = next(self.call_ids)
+        if len(request.body) > MAX_CALL_BODY_BYTES:
+            on_reply(oversized_reply(call_id))
+            return call_id
         self.pending_replies[call_id] = on_reply
         self.send(msgspec.structs.replace(request, call_id=call_id))
         return call_id
@@ -194,7 +203,10 @@
         except FrameError:
             self.abort()
             return
-        self.handle(frame)
+        try:
+            self.handle(frame)
+        except Exception as error:
+            log_unexpected(f'frame of type {type(frame).__name__}', error)
 
     def lengthLimitExceeded(self, length: int) -> None:
         """Closes the connection, since a frame exceeds the size limit."""
@@ -290,6 +302,17 @@
         return PeerConnection(self.context)
 
 
+def oversized_reply(call_id: int) -> CallReply:
+    """Returns the reply for a call that is too large for a frame."""
+    return refusal_reply(
+        call_id,
+        Refusal.not_run(
+            Reason.BODY_TOO_LARGE,
+            f'a body between daemons has at most {MAX_CALL_BODY_BYTES} bytes',
+        ),
+    )
+
+
 def lost_reply(call_id: int) -> CallReply:
     """Returns the reply for a call whose connection was lost."""
     return refusal_reply(
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -286,3 +286,56 @@
     tracemalloc.stop()
     assert wire.connected
     assert taken < 2 * 400 * 2_000
+
+
+# Guards against connections closed as idle under a timeout that a newer
+# configuration has raised.
+@pytest.mark.parametrize(('before_s', 'after_s'), [(2, 10), (10, 2)])
+def test_an_idle_connection_keeps_the_longer_of_two_idle_timeouts(
+    before_s: float,
+    after_s: float,
+) -> None:
+    now = 0
+    factory = HttpServerFactory(lambda _exchange: None, lambda: now)
+    factory.limits = HttpLimits(idle_s=before_s)
+    wire = attach(factory.buildProtocol(None))
+    factory.limits = HttpLimits(idle_s=after_s)
+    now = 9
+    factory.check_timeouts()
+    assert wire.connected
+    now = 11
+    factory.check_timeouts()
+    assert not wire.connected
+
+
+# Guards against a request that waits without end, and a connection that is
+# closed, because a handler failed with an unexpected error.
+def test_a_request_whose_handler_fails_is_answered(lines: Lines) -> None:
+    def handle(exchange: HttpExchange) -> None:
+        if exchange.request.path == '/fails':
+            raise LookupError
+        exchange.respond(HttpResponse(200, [], b''))
+
+    server = HttpServerFactory(handle).buildProtocol(None)
+    wire = attach(server)
+    for path in ('/fails', '/a'):
+        server.dataReceived(encode('GET', path, b'', 'length'))
+    statuses = [
+        line.split(b' ')[1]
+        for line in wire.value().splitlines()
+        if line.startswith(b'HTTP')
+    ]
+    assert statuses == [b'500', b'200']
+    assert wire.connected
+    assert [event for event, _ in lines] == [Event.TASK_FAILED]
+
+
+# Guards against a request without an answer because the answer could not be
+# encoded.
+def test_an_answer_that_cannot_be_encoded_is_replaced(lines: Lines) -> None:
+    server, exchanges, wire = connect()
+    server.dataReceived(encode('GET', '/a', b'', 'length'))
+    exchanges[0].respond(HttpResponse(200, [('a', '\u20ac')], b''))
+    assert wire.value().startswith(b'HTTP/1.1 500 ')
+    assert not server.pending
+    assert [event for event, _ in lines] == [Event.TASK_FAILED]
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -113,3 +114,39 @@
     connection, received = connect()
     connection.dataReceived((MAX_FRAME_BYTES + 1).to_bytes(4, 'big'))
     assert received == ['closed']
+
+
+# Guards against the loss of all calls of a connection because one of them
+# failed with an unexpected error.
+def test_a_call_that_fails_leaves_its_connection_and_other_calls(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    connection, received = connect()
+    replies: list[CallReply] = []
+    call_id = connection.call(make_request(), replies.append)
+
+    def fail(*_args: Any) -> None:
+        raise LookupError
+
+    monkeypatch.setattr(connection.context, 'on_call', fail)
+    reply = CallReply(call_id, 200, [], b'')
+    connection.dataReceived(
+        encode_with_length(make_request()) + encode_with_length(reply)
+    )
+    assert replies == [reply]
+    assert 'closed' not in received
+
+
+# Guards against the loss of all calls of a connection because the body of one
+# of them is larger than a frame may be.
+def test_a_call_with_an_oversized_body_is_not_sent() -> None:
+    sender, _ = connect()
+    receiver, received = connect()
+    replies: list[CallReply] = []
+    body = bytes(MAX_FRAME_BYTES)
+    request = CallRequest(0, 'GET', '/', [], body, 'route', 100, 50)
+    sender.call(request, replies.append)
+    sender.call(make_request(), replies.append)
+    receiver.dataReceived(sender.transport.value())
+    assert [reply.ran for reply in replies] == [Ran.NOT_RUN]
+    assert 'closed' not in received
