Test heads without end and frames beyond the limit

A real daemon has to answer 431 to the beginning of a head that is too long, within half a second, and a connection between daemons has to close at the length of a frame beyond the limit.

--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -1,6 +1,7 @@
 """Tests of daemon processes whose targets send answers without end."""
 
 import itertools
+import socket
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -162,3 +163,16 @@
         CLOSE_TIMEOUT_S,
     )
     assert max(map(memory_peak, endless)) < MAX_MEMORY_BYTES
+
+
+# A caller that never ended its head was answered only after the header timeout.
+@pytest.mark.parametrize('begin', [b'GET /', b'GET /a/x HTTP/1.1\r\nx: '])
+def test_a_head_of_a_caller_without_end_is_refused_at_once(
+    fleet: PlatformFleet, begin: bytes
+) -> None:
+    front = fleet.members[0]
+    address = (front.address, front.ports['callers'])
+    with socket.create_connection(address, timeout=0.5) as caller:
+        caller.sendall(b'%s%s' % (begin, b'x' * 5_000))
+        assert caller.recv(65_536).startswith(b'HTTP/1.1 431')
+    assert call(fleet, '/a/x')[0] == 200
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 
 from egretlanding.frames import (
+    MAX_FRAME_BYTES,
     CallReply,
     CallRequest,
     Hello,
@@ -105,3 +106,10 @@
     assert connection.is_open()
     connection.check_heartbeat()
     assert not connection.is_open()
+
+
+# Bytes of a frame that never ends must not be held beyond the limit.
+def test_a_frame_beyond_the_limit_closes_the_connection() -> None:
+    connection, received = connect()
+    connection.dataReceived((MAX_FRAME_BYTES + 1).to_bytes(4, 'big'))
+    assert received == ['closed']
