Close idle connections when the ports close

What callers saw: a stop that lasted until the end of the grace time and was then ended by SIGKILL, with requests in flight.

Cause: after the ports had closed, idle connections of callers stayed open until no call was in flight at all. Each could bring one more request, which started that wait anew; with steady traffic on many kept connections it never ended. A connection on which a request was still arriving was closed with the idle ones.

Fix: idle connections close together with the ports, and each busy one closes with its answer, as before. No request can begin after that, so that the wait ends with the calls taken until then. A connection on which a request is arriving stays open until it is answered. The ports now close after 3.1 s instead of 2.4 s, so that requests that are sent 3 s after SIGTERM are served.

--- a/egretlanding/calls.py
+++ b/egretlanding/calls.py
@@ -78,8 +78,9 @@
         ports: The listening ports.
         loops: The periodic tasks.
         events: Logs shunned targets and quarantined requests.
-        drain_notice_s: Time for which the ports stay open after a drain
-            began, so that other daemons and callers learn of it, seconds.
+        drain_notice_s: Time for which the ports and idle connections stay
+            open after a drain began, so that other daemons and callers learn
+            of it, seconds.
         close_timeout_s: Longest time to wait for callers to read the last
             answers, seconds.
     """
--- a/egretlanding/drains.py
+++ b/egretlanding/drains.py
@@ -28,23 +28,32 @@
     async def run(self) -> None:
         """Ends when no call is in flight and all connections are closed."""
         service = self.service
-        reactor, http = service.reactor, service.http
+        reactor = service.reactor
         reports = LoopingCall(self.report, Event.DRAIN_WAITING)
         reports.clock = reactor
         reports.start(DRAIN_REPORT_S)
         await deferLater(reactor, service.drain_notice_s)
         for port in service.ports:
             await port.stopListening()
-        while service.in_flight:
-            await deferLater(reactor, DRAIN_POLL_S)
-        http.drain()
-        deadline = reactor.seconds() + service.close_timeout_s
-        while http.connections and reactor.seconds() < deadline:
-            await deferLater(reactor, DRAIN_POLL_S)
+        # No further request begins on a connection that closes here.
+        service.http.drain()
+        await self.finish_calls()
         reports.stop()
         self.report(Event.DRAIN_ENDED)
         service.close()
 
+    async def finish_calls(self) -> None:
+        """Waits for calls in flight, and for callers to read their answers."""
+        service = self.service
+        reactor = service.reactor
+        deadline = reactor.seconds() + service.close_timeout_s
+        while service.in_flight or (
+            service.http.connections and reactor.seconds() < deadline
+        ):
+            if service.in_flight:
+                deadline = reactor.seconds() + service.close_timeout_s
+            await deferLater(reactor, DRAIN_POLL_S)
+
     def report(self, event: Event) -> None:
         """Logs what the drain waits for, or what it leaves at its end."""
         service = self.service
--- a/egretlanding/httpserver.py
+++ b/egretlanding/httpserver.py
@@ -189,8 +189,8 @@
         )
 
     def drain(self) -> None:
-        """Closes the connection unless requests wait for responses."""
-        if not self.pending:
+        """Closes the connection unless a request arrives or is served."""
+        if not self.pending and not self.reading_request:
             self.write(b'', last=True)
 
     def check_timeouts(self, now: float) -> None:
@@ -346,7 +346,7 @@
             connection.check_timeouts(now)
 
     def drain(self) -> None:
-        """Closes each connection that has no pending request."""
+        """Closes each connection on which no request arrives or is served."""
         for connection in tuple(self.connections):
             connection.drain()
 
--- a/egretlanding/sidecar.py
+++ b/egretlanding/sidecar.py
@@ -46,10 +46,10 @@
 # Least number of daemons assumed to share the slack of the retry budget, since
 # not all hosts may be known.
 MIN_DAEMON_COUNT = 40
-# Time between the start of a drain and the closing of the ports, seconds. A
-# daemon is taken out of use after two failed readiness checks; there is one
-# check per second.
-DRAIN_NOTICE_S = 2.4
+# Time between the start of a drain and the closing of the ports and of idle
+# connections, seconds. Callers may send requests for 3 s after the start; the
+# rest is the time that the last of them takes to arrive.
+DRAIN_NOTICE_S = 3.1
 # Time that callers have to read the last answers of a drain, seconds.
 CLOSE_TIMEOUT_S = 0.4
 
--- a/standins/platformfleet.py
+++ b/standins/platformfleet.py
@@ -355,11 +355,13 @@
         store: The store.
         members: The hosts.
         folder: Folder for settings files and logs.
+        idle_timeout: Longest time between two requests of a connection.
     """
 
     store: Store
     members: list[Member]
     folder: Path
+    idle_timeout: str = '2s'
 
     def configure(self, version: int, **routes: dict) -> None:
         """Publishes a configuration.
@@ -381,7 +383,7 @@
                     'max-header-bytes': 4_096,
                     'max-body-bytes': 65_536,
                     'header-timeout': '1s',
-                    'idle-timeout': '2s',
+                    'idle-timeout': self.idle_timeout,
                 },
             },
         )
--- /dev/null
+++ b/tests/test_drains.py
@@ -0,0 +1,151 @@
+"""Tests of what a stop of the call path waits for, without processes."""
+
+from typing import Any
+
+import attrs
+from twisted.internet.defer import Deferred
+from twisted.internet.testing import MemoryReactorClock
+
+from egretlanding.calls import CallService
+from egretlanding.httpmessages import HttpResponse
+from egretlanding.httpserver import HttpExchange, HttpServer
+from egretlanding.sidecarconfig import SidecarConfig
+from egretlanding.tcpwrites import UNTRIED_BUFFER
+from tests.wires import Wire
+
+GRACE_S = 6
+STEP_S = 0.05
+REQUEST = b'GET /a HTTP/1.1\r\nhost: h\r\n\r\n'
+CONFIG = SidecarConfig(
+    host_id='h1',
+    address='127.0.0.1',
+    callers='127.0.0.1:1',
+    peers='127.0.0.1:2',
+    readiness='127.0.0.1:3',
+    metrics_port=4,
+    target='127.0.0.1:5',
+    region='north',
+    failure_domain='z1',
+    regions=('z1=north',),
+    service='orders',
+    store='127.0.0.1:6',
+)
+
+
+class SlowWire(Wire):
+    """A transport whose other side reads nothing before `read_all`."""
+
+    offset = 0
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.dataBuffer = b''
+        self.half_closed = False
+        self.aborted = False
+        setattr(self, UNTRIED_BUFFER, [])
+
+    def write(self, data: bytes) -> None:
+        self.dataBuffer += data
+
+    def loseConnection(self) -> None:
+        self.disconnecting = True
+        self.close_once_sent()
+
+    def loseWriteConnection(self) -> None:
+        self.half_closed = True
+        self.close_once_sent()
+
+    def abortConnection(self) -> None:
+        self.aborted = True
+        super().loseConnection()
+
+    def read_all(self) -> None:
+        """Reads everything, and answers the end of a stream with another."""
+        super().write(self.dataBuffer)
+        self.dataBuffer = b''
+        self.close_once_sent()
+
+    def close_once_sent(self) -> None:
+        """Closes the connection if that was asked for and nothing is left."""
+        if not self.dataBuffer and (self.disconnecting or self.half_closed):
+            super().loseConnection()
+
+
+@attrs.define(eq=False)
+class Stop:
+    """A call path that is stopped, and its clock.
+
+    Attributes:
+        reactor: The clock.
+        service: The call path.
+        exchanges: The requests that it received.
+        ended: Whether the stop has ended.
+    """
+
+    reactor: MemoryReactorClock
+    service: CallService
+    exchanges: list[HttpExchange] = attrs.field(factory=list)
+    ended: bool = False
+
+    @classmethod
+    def create(cls) -> 'Stop':
+        """Builds a call path, of which nothing was stopped yet."""
+        reactor = MemoryReactorClock()
+        service = CallService.from_config(reactor, CONFIG, 1)  # type: ignore[arg-type]
+        service.drain_notice_s = 3
+        service.close_timeout_s = 0.4
+        stop = cls(reactor, service)
+        service.http.handler = stop.exchanges.append
+        return stop
+
+    def caller(self) -> tuple[HttpServer, SlowWire]:
+        """Connects a caller."""
+        server = self.service.http.buildProtocol(None)
+        return server, attach_slowly(server)
+
+    def begin(self) -> None:
+        """Begins the stop."""
+        drained: Deferred[None] = self.service.drain()
+        drained.addCallback(lambda _nothing: self.end())
+
+    def end(self) -> None:
+        """Records the end of the stop."""
+        self.ended = True
+
+    def advance(self, seconds: float) -> None:
+        """Lets time pass."""
+        self.reactor.pump([STEP_S] * round(seconds / STEP_S))
+
+
+def attach_slowly(protocol: Any) -> SlowWire:
+    """Connects a protocol to a transport that nobody reads yet."""
+    wire = SlowWire()
+    wire.protocol = protocol
+    protocol.makeConnection(wire)
+    return wire
+
+
+# Failure: idle connections stayed open while another call was in flight.
+def test_idle_connections_close_though_a_call_is_in_flight() -> None:
+    stop = Stop.create()
+    stop.service.ingress.active_calls.add(object())  # type: ignore[arg-type]
+    _, idle = stop.caller()
+    stop.begin()
+    stop.advance(2.9)
+    assert idle.connected
+    stop.advance(0.3)
+    assert not idle.connected
+
+
+# Failure: a request whose bytes still arrived was cut when the ports closed.
+def test_a_request_that_is_arriving_is_read_to_its_end() -> None:
+    stop = Stop.create()
+    server, wire = stop.caller()
+    server.dataReceived(REQUEST[:-4])
+    stop.begin()
+    stop.advance(3.2)
+    server.dataReceived(REQUEST[-4:])
+    stop.exchanges[0].respond(HttpResponse(200, [], b'whole'))
+    wire.read_all()
+    assert wire.value().endswith(b'whole')
+    assert b'connection: close' in wire.value()
--- a/tests/test_sidecar_processes.py
+++ b/tests/test_sidecar_processes.py
@@ -1,9 +1,12 @@
 """Tests of daemon processes that use a stand-in for the platform's store."""
 
+import itertools
 import signal
 import threading
 import time
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from http.client import HTTPConnection, HTTPException
 from pathlib import Path
 
 import pytest
@@ -18,6 +21,9 @@
 
 HOST_HEADER = {'Host': 'one.example'}
 APPLY_TIMEOUT_S = 2
+GRACE_S = 6
+# Time after SIGTERM for which callers still send requests, seconds.
+SERVED_AFTER_STOP_S = 3
 
 
 @pytest.fixture(name='fleet')
@@ -149,6 +155,89 @@
     assert front.process.wait(8) == 0
 
 
+class KeptConnection:
+    """A connection of a caller to a daemon that stays open between requests."""
+
+    def __init__(self, fleet: PlatformFleet, number: int) -> None:
+        member = fleet.members[0]
+        self.number = number
+        self.connection = HTTPConnection(
+            member.address, member.ports['callers'], timeout=8
+        )
+        assert self.send(f'first-{number}') == 200
+
+    def send(self, request_id: str) -> int:
+        """Sends a request; returns its status, zero if there is no answer."""
+        headers = {
+            **HOST_HEADER,
+            'Request-Id': request_id,
+            'Deadline-Ms': '3000',
+        }
+        try:
+            self.connection.request('GET', '/a/x', headers=headers)
+            answer = self.connection.getresponse()
+            answer.read()
+        except (OSError, HTTPException):
+            return 0
+        return answer.status
+
+    def send_at(self, due: float) -> tuple[str, int]:
+        """Sends a request at a monotonic time; returns its id and status."""
+        self.connection.auto_open = 0
+        time.sleep(max(0, due - time.monotonic()))
+        request_id = f'late-{self.number}'
+        return request_id, self.send(request_id)
+
+
+def ids_of_runs(fleet: PlatformFleet) -> set[str]:
+    """Returns the ids of the requests that targets received."""
+    received = itertools.chain.from_iterable(
+        member.requests_received for member in fleet.members
+    )
+    return {id_of(headers) for headers in received}
+
+
+def id_of(headers: dict) -> str:
+    """Returns the id of a request, given its headers."""
+    lower = {name.lower(): text for name, text in headers.items()}
+    return lower['request-id']
+
+
+# Failure: kept connections brought requests until the process was killed.
+def test_a_stop_ends_in_time_though_kept_connections_stay_busy(
+    fleet: PlatformFleet,
+) -> None:
+    process = fleet.members[0].process
+    assert process
+    fleet.idle_timeout = '60s'
+    fleet.configure(2, orders=ORDERS_ROUTE)
+    for member in fleet.members:
+        record = member.store_record()
+        record['info']['slots'] = 16
+        fleet.store.write(f'servers/{member.instance}', record)
+    time.sleep(0.5)
+    kept = [KeptConnection(fleet, number) for number in range(24)]
+    for member in fleet.members:
+        member.delay_s = 0.9
+    stopped_at = time.monotonic()
+    process.send_signal(signal.SIGTERM)
+    with ThreadPoolExecutor(len(kept)) as pool:
+        pending = [
+            pool.submit(connection.send_at, stopped_at + 0.25 * number)
+            for number, connection in enumerate(kept)
+        ]
+        time.sleep(GRACE_S)
+        exit_code = process.poll()
+        process.kill()
+    statuses_by_id = dict(future.result() for future in pending)
+    served = int(SERVED_AFTER_STOP_S / 0.25)
+    in_time = list(statuses_by_id.values())[:served]
+    assert exit_code == 0, statuses_by_id
+    assert in_time == [200] * served
+    cut = {name for name, status in statuses_by_id.items() if not status}
+    assert not cut & ids_of_runs(fleet)
+
+
 def test_the_limits_on_requests_are_enforced(fleet: PlatformFleet) -> None:
     assert send_to_daemon(fleet, X_Long='x' * 5_000)[0] == 431
     status, _, _ = fleet.members[0].send_request('/-/none', 'readiness')
