Let a stop wait for slow callers for the whole grace time

What callers saw: the end of a large answer was missing at a caller on a narrow link or one that reads slowly, when its daemon was stopped.

Cause: once no call was in flight, the process ended 0.4 s later, whatever callers had yet to read; on the other side nothing bounded the wait for calls in flight by the time at which the process is killed.

Evidence, before: tests/test_drains.py:: test_a_slow_caller_reads_its_answer_until_the_grace_time_ends ("assert not True": the stop had ended 5 s after it began, with the answer unsent).

Fix: the grace time is a setting of the daemon, which the platform's bounds fill in. A stop waits for calls and for callers until 0.3 s before the end of the grace time. If that is short, the ports close after three fifths of it at the latest. A daemon without the platform takes the longest timeout that a call can have as its grace time, and still waits 2 s for callers to read.

--- a/egretlanding/calls.py
+++ b/egretlanding/calls.py
@@ -39,6 +39,8 @@
 BASELINE_BALANCING = 'random'
 DRAIN_NOTICE_S = 1.0
 CLOSE_TIMEOUT_S = 2.0
+# The longest timeout that a call can have, seconds.
+GRACE_S = 3_600
 
 
 def caller_handler(ingress: Ingress, issuer: KeyIssuer) -> Handler:
@@ -83,6 +85,8 @@
             of it, seconds.
         close_timeout_s: Longest time to wait for callers to read the last
             answers, seconds.
+        grace_s: Time after the start of a drain at which the process may be
+            killed, seconds.
     """
 
     reactor: Any
@@ -102,6 +106,7 @@
     events: CallEvents = attrs.field(factory=CallEvents)
     drain_notice_s: float = DRAIN_NOTICE_S
     close_timeout_s: float = CLOSE_TIMEOUT_S
+    grace_s: float = GRACE_S
 
     @classmethod
     def from_config(
@@ -263,14 +268,15 @@
         """Stops the call path without interrupting any call.
 
         Returns:
-            Fires when no call is in flight and the answers are written, or
-            when callers haven't read them within the timeout.
+            Fires when no call is in flight and the answers are written, when
+            callers haven't read them within the timeout, or just before the
+            grace time ends.
         """
         self.draining = True
         self.http.is_draining = True
         self.announce()
         self.egress.admission.drain()
-        return ensureDeferred(Drain(self).run())
+        return ensureDeferred(Drain.of_service(self).run())
 
     def close(self) -> None:
         """Stops the periodic tasks and closes all connections."""
--- a/egretlanding/drains.py
+++ b/egretlanding/drains.py
@@ -13,6 +13,10 @@
 DRAIN_POLL_S = 0.02
 # Time between two log lines on what a drain waits for, seconds.
 DRAIN_REPORT_S = 1.0
+# Part of the grace time that is kept for the process to end, seconds.
+EXIT_MARGIN_S = 0.3
+# Largest part of the time of a drain for which the ports stay open.
+NOTICE_SHARE = 0.6
 
 
 @attrs.define(eq=False)
@@ -21,18 +25,33 @@
 
     Attributes:
         service: The call path.
+        notice_until: Time at which the ports close, monotonic seconds.
+        ends_at: Time at which the drain ends at the latest, monotonic seconds.
     """
 
     service: 'CallService'
+    notice_until: float
+    ends_at: float
+
+    @classmethod
+    def of_service(cls, service: 'CallService') -> 'Drain':
+        """Builds a drain that begins now."""
+        now = service.reactor.seconds()
+        longest_s = max(0, service.grace_s - EXIT_MARGIN_S)
+        notice_s = min(service.drain_notice_s, longest_s * NOTICE_SHARE)
+        return cls(service, now + notice_s, now + longest_s)
 
     async def run(self) -> None:
-        """Ends when no call is in flight and all connections are closed."""
+        """Ends when no call is in flight and all connections are closed.
+
+        It ends before the grace time is over, whatever is left.
+        """
         service = self.service
         reactor = service.reactor
         reports = LoopingCall(self.report, Event.DRAIN_WAITING)
         reports.clock = reactor
         reports.start(DRAIN_REPORT_S)
-        await deferLater(reactor, service.drain_notice_s)
+        await deferLater(reactor, self.notice_until - reactor.seconds())
         for port in service.ports:
             await port.stopListening()
         # No further request begins on a connection that closes here.
@@ -45,14 +64,15 @@
     async def finish_calls(self) -> None:
         """Waits for calls in flight, and for callers to read their answers."""
         service = self.service
-        reactor = service.reactor
-        deadline = reactor.seconds() + service.close_timeout_s
-        while service.in_flight or (
-            service.http.connections and reactor.seconds() < deadline
-        ):
+        now = service.reactor.seconds()
+        last_busy = now
+        while now < min(self.ends_at, last_busy + service.close_timeout_s):
             if service.in_flight:
-                deadline = reactor.seconds() + service.close_timeout_s
-            await deferLater(reactor, DRAIN_POLL_S)
+                last_busy = now
+            elif not service.http.connections:
+                break
+            await deferLater(service.reactor, DRAIN_POLL_S)
+            now = service.reactor.seconds()
 
     def report(self, event: Event) -> None:
         """Logs what the drain waits for, or what it leaves at its end."""
--- a/egretlanding/sidecar.py
+++ b/egretlanding/sidecar.py
@@ -50,8 +50,6 @@
 # connections, seconds. Callers may send requests for 3 s after the start; the
 # rest is the time that the last of them takes to arrive.
 DRAIN_NOTICE_S = 3.1
-# Time that callers have to read the last answers of a drain, seconds.
-CLOSE_TIMEOUT_S = 0.4
 
 
 @attrs.define(eq=False)
@@ -109,7 +107,6 @@
             adapter.dialect,
         )
         calls.drain_notice_s = DRAIN_NOTICE_S
-        calls.close_timeout_s = CLOSE_TIMEOUT_S
         calls.ingress.refusal_margin_ms = REFUSAL_MARGIN_MS
         calls.ingress.caller_latency_ms = CALLER_LATENCY_MS
         calls.service_states.new_budget = partial(new_retry_budget, config)
@@ -359,6 +356,9 @@
 
     def begin_drain(self) -> None:
         """Drains the call path; calls in flight end normally."""
+        # Callers may use all of the grace time to read their answers.
+        self.calls.grace_s = self.config.grace_s
+        self.calls.close_timeout_s = self.config.grace_s
         drained: Deferred[None] = self.calls.drain()
         drained.addCallback(lambda _nothing: self.finish_stop())
 
--- a/egretlanding/sidecarconfig.py
+++ b/egretlanding/sidecarconfig.py
@@ -12,9 +12,11 @@
     required_name,
     tcp_port,
 )
+from egretlanding.durations import milliseconds
 from egretlanding.schema import bounded_field, choice_field, pattern_field
 
 PERCENT = 100
+MS_PER_S = 1_000
 # Share of the allowed retries that daemons use. The rest is kept for the calls
 # that a target makes while it runs a retried call: they count as retries too.
 USED_RETRY_SHARE = 0.6
@@ -61,6 +63,7 @@
         target_check: How the daemon checks whether the target accepts calls:
             "report" asks the target, "connect" opens a connection after a
             call was lost.
+        grace: Time that the daemon has to stop before it is killed.
     """
 
     host_id: str = pattern_field(HOST_ID_PATTERN, HOST_ID_FORM)
@@ -89,6 +92,7 @@
     queue_limit: int = bounded_field(0, 10_000, 'calls', default=64)
     balancing: str = choice_field(('near', 'p2c', 'random'), default='near')
     target_check: str = choice_field(('report', 'connect'), default='connect')
+    grace: str = pattern_field(DURATION_PATTERN, DURATION_FORM, default='6s')
 
     @property
     def call_port(self) -> int:
@@ -116,6 +120,11 @@
         pairs = (pair.partition('=') for pair in self.regions)
         return {domain: region for domain, _, region in pairs}
 
+    @property
+    def grace_s(self) -> float:
+        """Time that the daemon has to stop, seconds."""
+        return milliseconds(self.grace) / MS_PER_S
+
     @property
     def retry_percent(self) -> int:
         """Retries that the daemon may make per hundred calls."""
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -93,7 +93,8 @@
         reactor = MemoryReactorClock()
         service = CallService.from_config(reactor, CONFIG, 1)  # type: ignore[arg-type]
         service.drain_notice_s = 3
-        service.close_timeout_s = 0.4
+        service.close_timeout_s = GRACE_S
+        service.grace_s = GRACE_S
         stop = cls(reactor, service)
         service.http.handler = stop.exchanges.append
         return stop
@@ -149,3 +150,30 @@
     wire.read_all()
     assert wire.value().endswith(b'whole')
     assert b'connection: close' in wire.value()
+
+
+# Failure: the end of an answer was lost 0.4 s after the last call had ended.
+def test_a_slow_caller_reads_its_answer_until_the_grace_time_ends() -> None:
+    stop = Stop.create()
+    server, wire = stop.caller()
+    server.dataReceived(REQUEST)
+    stop.begin()
+    stop.exchanges[0].respond(HttpResponse(200, [], b'whole'))
+    stop.advance(5)
+    assert not stop.ended
+    wire.read_all()
+    stop.advance(0.2)
+    assert wire.value().endswith(b'whole')
+    assert stop.ended
+
+
+def test_a_stop_ends_within_the_grace_time_though_a_caller_never_reads() -> (
+    None
+):
+    stop = Stop.create()
+    server, _ = stop.caller()
+    server.dataReceived(REQUEST)
+    stop.begin()
+    stop.exchanges[0].respond(HttpResponse(200, [], b'whole'))
+    stop.advance(GRACE_S)
+    assert stop.ended
