Refuse calls that a stopping daemon could have to cut

What callers saw: a request that arrived after SIGTERM, with more time left than the process, ended without an answer.

Cause: during a stop calls were taken whatever their deadlines.

Evidence, before: tests/test_sidecar_processes.py:: test_a_call_that_could_outlast_the_grace_time_is_refused, with a request of 5 s that was sent 1.5 s after SIGTERM: RemoteDisconnected, "Remote end closed connection without response".

Fix: once a stop has begun, a call whose deadline is later than the end of the stop is refused at once as not run: 503 with Retry-After and Connection: close. A call with less time is still served; the test checks both.

--- a/egretlanding/calls.py
+++ b/egretlanding/calls.py
@@ -276,7 +276,9 @@
         self.http.is_draining = True
         self.announce()
         self.egress.admission.drain()
-        return ensureDeferred(Drain.of_service(self).run())
+        drain = Drain.of_service(self)
+        self.ingress.stops_at = drain.ends_at
+        return ensureDeferred(drain.run())
 
     def close(self) -> None:
         """Stops the periodic tasks and closes all connections."""
--- a/egretlanding/ingress.py
+++ b/egretlanding/ingress.py
@@ -1,6 +1,7 @@
 """Accepts calls from callers and sends them to targets."""
 
 import itertools
+import math
 import random
 from collections import Counter
 from collections.abc import Callable
@@ -83,6 +84,8 @@
         caller_latency_ms: Time that requests and answers take between callers
             and the daemon, ms.
         retry_pauses: Computes when refused callers should retry.
+        stops_at: Time at which the daemon ends all calls since it stops,
+            monotonic seconds.
     """
 
     reactor: Any
@@ -105,6 +108,7 @@
     refusal_margin_ms: int = 0
     caller_latency_ms: int = 0
     retry_pauses: RetryAfterEstimator = attrs.field(factory=RetryAfterEstimator)
+    stops_at: float = math.inf
 
     def next_attempt_number(self) -> int:
         """Returns an unused attempt number."""
@@ -155,7 +159,12 @@
         match: Match,
         meta: CallMeta,
     ) -> None:
-        """Starts a call that matched a route, unless its key is refused."""
+        """Starts a call that matched a route, unless it is refused."""
+        deadline = self.deadline(match, meta)
+        if deadline > self.stops_at:
+            detail = 'the daemon may stop before the call ends'
+            self.refuse(exchange, Refusal.not_run(Reason.DRAINING, detail))
+            return
         owner = self.find_owner(view, match, meta.key)
         if isinstance(owner, Refusal):
             self.refuse(exchange, owner)
@@ -165,7 +174,7 @@
             exchange=exchange,
             match=match,
             context=CallContext(
-                deadline=self.deadline(match, meta),
+                deadline=deadline,
                 idempotent=match.idempotent,
                 key_owner=owner.host_id if owner else '',
                 depth=meta.depth,
--- a/tests/test_sidecar_processes.py
+++ b/tests/test_sidecar_processes.py
@@ -238,6 +238,30 @@
     assert not cut & ids_of_runs(fleet)
 
 
+# Failure: a call was taken that could not end before the process is killed.
+def test_a_call_that_could_outlast_the_grace_time_is_refused(
+    fleet: PlatformFleet,
+) -> None:
+    process = fleet.members[0].process
+    assert process
+    fleet.configure(2, orders={**ORDERS_ROUTE, 'timeout': '5s'})
+    time.sleep(0.5)
+    for member in fleet.members:
+        member.delay_s = 4.6
+    process.send_signal(signal.SIGTERM)
+    time.sleep(1.5)
+    status, _, headers = send_to_daemon(fleet, Deadline_Ms='6000')
+    assert status == 503
+    assert float(headers['retry-after']) > 0
+    assert headers['connection'] == 'close'
+    assert not ids_of_runs(fleet)
+    # A caller with less time still gets its answer.
+    for member in fleet.members:
+        member.delay_s = 0.5
+    assert send_to_daemon(fleet, Deadline_Ms='2000')[0] == 200
+    assert process.wait(GRACE_S - 1.5) == 0
+
+
 def test_the_limits_on_requests_are_enforced(fleet: PlatformFleet) -> None:
     assert send_to_daemon(fleet, X_Long='x' * 5_000)[0] == 431
     status, _, _ = fleet.members[0].send_request('/-/none', 'readiness')
