Send the replies to other daemons before a stop ends

What callers saw: 502 for a call that is not idempotent and that had run: its reply was lost with the connection to the daemon beside the target, which was stopped.

Cause: at the end of a stop the connections that this daemon had opened were aborted, and those that other daemons had opened were dropped with the process, with all replies that were still to be sent.

Evidence, before: tests/test_drains.py:: test_replies_to_other_daemons_are_sent_before_a_stop_ends ("assert not True": the stop had ended with the reply unsent).

Fix: a stop ends the output of each connection and waits until the other daemon has read everything and closes it, at most until the stop ends. Closing it on this side could reset it, because the other daemon still sends pings.

--- a/egretlanding/drains.py
+++ b/egretlanding/drains.py
@@ -57,6 +57,7 @@
         # No further request begins on a connection that closes here.
         service.http.drain()
         await self.finish_calls()
+        await self.finish_replies()
         reports.stop()
         self.report(Event.DRAIN_ENDED)
         service.close()
@@ -74,6 +75,20 @@
             await deferLater(service.reactor, DRAIN_POLL_S)
             now = service.reactor.seconds()
 
+    async def finish_replies(self) -> None:
+        """Waits for other daemons to read the replies to their calls."""
+        service = self.service
+        context = service.links.context
+        now = service.reactor.seconds()
+        deadline = min(self.ends_at, now + service.close_timeout_s)
+        open_now = frozenset(context.connections)
+        context.end_output()
+        while (
+            open_now & context.connections
+            and service.reactor.seconds() < deadline
+        ):
+            await deferLater(service.reactor, DRAIN_POLL_S)
+
     def report(self, event: Event) -> None:
         """Logs what the drain waits for, or what it leaves at its end."""
         service = self.service
--- a/egretlanding/peers.py
+++ b/egretlanding/peers.py
@@ -246,6 +246,17 @@
         for connection in tuple(self.connections):
             connection.send(frame)
 
+    def end_output(self) -> None:
+        """Ends what this daemon sends on all connections.
+
+        Each closes once the other daemon has read everything. Closing it here
+        could reset it while replies are on their way, because the other daemon
+        still sends.
+        """
+        for connection in tuple(self.connections):
+            transport: Any = connection.transport
+            transport.loseWriteConnection()
+
 
 class PeerFactory(Factory):
     """Builds connections that share one context."""
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -9,6 +9,7 @@
 from egretlanding.calls import CallService
 from egretlanding.httpmessages import HttpResponse
 from egretlanding.httpserver import HttpExchange, HttpServer
+from egretlanding.peers import PeerConnection, PeerFactory
 from egretlanding.sidecarconfig import SidecarConfig
 from egretlanding.tcpwrites import UNTRIED_BUFFER
 from tests.wires import Wire
@@ -104,6 +105,12 @@
         server = self.service.http.buildProtocol(None)
         return server, attach_slowly(server)
 
+    def peer(self) -> tuple[PeerConnection, SlowWire]:
+        """Connects another daemon."""
+        context = self.service.links.context
+        connection = PeerFactory(context).buildProtocol(None)
+        return connection, attach_slowly(connection)
+
     def begin(self) -> None:
         """Begins the stop."""
         drained: Deferred[None] = self.service.drain()
@@ -177,3 +184,28 @@
     stop.exchanges[0].respond(HttpResponse(200, [], b'whole'))
     stop.advance(GRACE_S)
     assert stop.ended
+
+
+# Failure: the connections to other daemons were aborted with replies in them.
+def test_replies_to_other_daemons_are_sent_before_a_stop_ends() -> None:
+    stop = Stop.create()
+    connection, wire = stop.peer()
+    stop.begin()
+    reply = b'reply'
+    connection.transport.write(reply)
+    stop.advance(4)
+    assert not stop.ended
+    assert not wire.aborted
+    wire.read_all()
+    stop.advance(0.2)
+    assert wire.value().endswith(reply)
+    assert stop.ended
+
+
+def test_a_stop_ends_in_time_though_a_daemon_never_reads() -> None:
+    stop = Stop.create()
+    connection, _ = stop.peer()
+    stop.begin()
+    connection.transport.write(b'reply')
+    stop.advance(GRACE_S)
+    assert stop.ended
--- a/tests/test_sidecar_processes.py
+++ b/tests/test_sidecar_processes.py
@@ -238,6 +238,21 @@
     assert not cut & ids_of_runs(fleet)
 
 
+def test_a_stop_without_calls_does_not_use_up_the_grace_time(
+    fleet: PlatformFleet,
+) -> None:
+    front, *orders = fleet.members
+    assert send_to_daemon(fleet)[0] == 200
+    processes = [member.process for member in (front, orders[0])]
+    for process in processes:
+        assert process
+        process.send_signal(signal.SIGTERM)
+    deadline = time.monotonic() + 5
+    for process in processes:
+        assert process
+        assert process.wait(deadline - time.monotonic()) == 0
+
+
 # Failure: a call was taken that could not end before the process is killed.
 def test_a_call_that_could_outlast_the_grace_time_is_refused(
     fleet: PlatformFleet,
--- a/tests/wires.py
+++ b/tests/wires.py
@@ -16,6 +16,10 @@
     def setTcpKeepAlive(self, enabled: bool) -> None:
         """Does nothing."""
 
+    def loseWriteConnection(self) -> None:
+        """Closes the connection, as the other side does at its end."""
+        self.loseConnection()
+
     def abortConnection(self) -> None:
         """Closes the connection at once."""
         self.loseConnection()
