Handle signals that arrive while the modules are loaded

What callers saw: requests without an answer after a reload or a stop that came while a daemon was starting: the process was ended by the signal.

Cause: the handlers were installed once all modules were loaded, which takes 0.34 s on the machine where the tests run (-X importtime) and longer on a share of a core. Until then the default action ends the process.

Evidence, before: tests/test_sidecar_processes.py:: test_signals_during_the_start_are_handled_after_it: "assert -1 is None", the process was ended by signal 1.

Fix: the signals are held back first thing and delivered once their handlers are installed. What remains is the start of the interpreter itself.

--- a/egretlanding/platform/__main__.py
+++ b/egretlanding/platform/__main__.py
@@ -5,6 +5,11 @@
 import time
 from typing import Any
 
+from egretlanding.heldsignals import hold_signals
+
+# Loading the other modules takes long enough for a signal to arrive.
+hold_signals()
+
 # Modules for TLS and its hashes, which the platform does not use. They are
 # blocked before the first import; the libraries work without them.
 UNUSED = ('OpenSSL', 'ssl', '_hashlib')
--- a/egretlanding/sidecarprocess.py
+++ b/egretlanding/sidecarprocess.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from egretlanding.events import SINKS
+from egretlanding.heldsignals import release_signals
 from egretlanding.platformadapter import PlatformAdapter
 from egretlanding.sidecar import Sidecar
 from egretlanding.sidecaradmin import SidecarAdmin
@@ -36,6 +37,7 @@
     signal.signal(signal.SIGHUP, reload)
     signal.signal(signal.SIGTERM, stop)
     signal.signal(signal.SIGINT, stop)
+    release_signals()
     reactor.callWhenRunning(sidecar.start)
     reactor.callWhenRunning(SidecarAdmin.from_sidecar(sidecar).listen)
     reactor.run(installSignalHandlers=False)
--- a/tests/test_sidecar_processes.py
+++ b/tests/test_sidecar_processes.py
@@ -1,7 +1,10 @@
 """Tests of daemon processes that use a stand-in for the platform's store."""
 
 import itertools
+import os
 import signal
+import subprocess
+import sys
 import threading
 import time
 from collections.abc import Iterator
@@ -136,6 +139,34 @@
     assert send_to_daemon(fleet)[0] == 200
 
 
+# Failure: a signal ended the process while its modules were being loaded.
+def test_signals_during_the_start_are_handled_after_it(
+    fleet: PlatformFleet,
+    tmp_path: Path,
+) -> None:
+    front = fleet.members[0]
+    assert front.process
+    front.process.kill()
+    front.process.wait()
+    settings = str(tmp_path / f'{front.address}.yaml')
+    log = tmp_path / 'imports.log'
+    process = subprocess.Popen(
+        [sys.executable, '-X', 'importtime', '-m', 'egretlanding.platform'],
+        env={**os.environ, 'EGRETLANDING_CONFIG': settings},
+        stdout=subprocess.DEVNULL,
+        stderr=log.open('wb'),
+    )
+    front.process = process
+    wait_until(lambda: b'twisted' in log.read_bytes(), START_TIMEOUT_S)
+    process.send_signal(signal.SIGHUP)
+    wait_until(
+        lambda: process.poll() is not None or front.is_ready(), START_TIMEOUT_S
+    )
+    assert process.poll() is None
+    process.send_signal(signal.SIGTERM)
+    assert process.wait(GRACE_S) == 0
+
+
 def test_a_graceful_stop_ends_no_request_early(fleet: PlatformFleet) -> None:
     front, *orders = fleet.members
     assert front.process
