--- a/egretlanding/calls.py
+++ b/egretlanding/calls.py
@@ -40,6 +40,8 @@
 BASELINE_BALANCING = 'random'
 DRAIN_NOTICE_S = 1.0
 CLOSE_TIMEOUT_S = 2.0
+# The longest timeout that a call can have, seconds.
+GRACE_S = 3_600
 
 
 def caller_handler(ingress: Ingress, issuer: KeyIssuer) -> Handler:
@@ -79,10 +81,13 @@
         ports: The listening ports.
         loops: The periodic tasks.
         events: Logs shunned targets and quarantined requests.
-        drain_notice_s: Time for which the ports stay open after a drain
-            began, so that other daemons and callers learn of it, seconds.
+        drain_notice_s: Time for which the ports and idle connections stay
+            open after a drain began, so that other daemons and callers learn
+            of it, seconds.
         close_timeout_s: Longest time to wait for callers to read the last
             answers, seconds.
+        grace_s: Time after the start of a drain at which the process may be
+            killed, seconds.
     """
 
     reactor: Any
@@ -102,6 +107,7 @@
     events: CallEvents = attrs.field(factory=CallEvents)
     drain_notice_s: float = DRAIN_NOTICE_S
     close_timeout_s: float = CLOSE_TIMEOUT_S
+    grace_s: float = GRACE_S
 
     @classmethod
     def from_config(
@@ -264,14 +270,17 @@
         """Stops the call path without interrupting any call.
 
         Returns:
-            Fires when no call is in flight and the answers are written, or
-            when callers haven't read them within the timeout.
+            Fires when no call is in flight and the answers are written, when
+            callers haven't read them within the timeout, or just before the
+            grace time ends.
         """
         self.draining = True
         self.http.is_draining = True
         self.announce()
         self.egress.admission.drain()
-        return ensureDeferred(Drain(self).run())
+        drain = Drain.of_service(self)
+        self.ingress.stops_at = drain.ends_at
+        return ensureDeferred(drain.run())
 
     def close(self) -> None:
         """Stops the periodic tasks and closes all connections."""
--- a/egretlanding/sidecarprocess.py
+++ b/egretlanding/sidecarprocess.py
@@ -6,6 +6,7 @@
 
 from egretlanding.containment import log_reactor_errors
 from egretlanding.events import SINKS
+from egretlanding.heldsignals import release_signals
 from egretlanding.platformadapter import PlatformAdapter
 from egretlanding.sidecar import Sidecar
 from egretlanding.sidecaradmin import SidecarAdmin
@@ -38,6 +39,7 @@
     signal.signal(signal.SIGHUP, reload)
     signal.signal(signal.SIGTERM, stop)
     signal.signal(signal.SIGINT, stop)
+    release_signals()
     reactor.callWhenRunning(sidecar.start)
     reactor.callWhenRunning(SidecarAdmin.from_sidecar(sidecar).listen)
     reactor.run(installSignalHandlers=False)
