Give the stand-in of the target's connections what a handle has

The stand-in of a request's handle had no answer that could have begun, and none that could be cut. The test now uses the real handle on a stand-in of the connection. Some answers have begun, and a connection that the daemon closed gives none, so that the cut is part of the random events.

--- a/tests/test_call_path.py
+++ b/tests/test_call_path.py
@@ -27,7 +27,7 @@
 from egretlanding.records import Record
 from egretlanding.sidecar import Sidecar
 from egretlanding.sidecarconfig import SidecarConfig
-from egretlanding.targetpool import TargetOutcome
+from egretlanding.targetpool import RequestHandle, TargetOutcome
 from tests.wires import Wire, attach
 
 Caller = tuple[HttpServer, Wire, list[int]]
@@ -84,6 +84,18 @@
             self.waiting.pop(rng.randrange(len(self.waiting)))()
 
 
+@attrs.define(eq=False)
+class StandInClient:
+    """Takes the place of the connection that carries a request."""
+
+    received_bytes: int
+    closed: bool = False
+
+    def close(self) -> None:
+        """Records that the daemon closed the connection."""
+        self.closed = True
+
+
 @attrs.define(eq=False)
 class StandInPool:
     """Takes the place of the connections to the target."""
@@ -102,21 +114,19 @@
         echoed: str = '',
     ) -> Any:
         """Keeps a request until it is answered, or refuses it at once."""
-        handle = SimpleNamespace(cancelled=False)
+        client: Any = StandInClient(self.rng.randrange(2))
+        handle = RequestHandle(client)
         if self.fixed_outcome is None and happens(self.rng, 10):
             on_outcome(TargetOutcome(None, Progress.UNSENT))
         else:
             self.requests.waiting.append(
-                lambda: on_outcome(self.outcome(handle.cancelled))
+                lambda: on_outcome(
+                    self.outcome(handle.cancelled, client.closed)
+                )
             )
-
-        def cancel() -> None:
-            handle.cancelled = True
-
-        handle.cancel = cancel
         return handle
 
-    def outcome(self, cancelled: bool) -> TargetOutcome:
+    def outcome(self, cancelled: bool, closed: bool) -> TargetOutcome:
         """Returns the fixed outcome, or a random one."""
         if self.fixed_outcome is not None:
             return self.fixed_outcome
@@ -125,7 +135,7 @@
         )
         status = self.rng.choice([200, 200, 421, 500, 503])
         response = HttpResponse(status, headers, b'x')
-        if cancelled or happens(self.rng, 20):
+        if closed or happens(self.rng, 20):
             progress = self.rng.choice(list(Progress))
             return TargetOutcome(None, progress, cancelled)
         return TargetOutcome(response, Progress.ANSWERING)
