Pass no request on that is behind the last answer

What callers saw: if a stopping daemon answered a pipelined request at once, for example with 503, and another request was in the bytes of the same read, that one was passed on to a target and never answered; a malformed one got a second answer after the one that closes the connection.

Cause: no further bytes are read once the connection begins to close, but the parser went on with those it had.

Before the change: test_a_request_behind_the_last_answer_is_not_passed_on assert ['/a', '/b'] == ['/a']

Fix: a request that is complete after the connection has begun to close is not passed on, and nothing is written after the last answer.

--- a/egretlanding/httpserver.py
+++ b/egretlanding/httpserver.py
@@ -254,7 +254,12 @@
             transport.resumeProducing()
 
     def write(self, encoded: bytes, *, last: bool = False) -> None:
-        """Writes to the caller, and closes the connection if `last` is set."""
+        """Writes to the caller, and closes the connection if `last` is set.
+
+        Nothing is written once the connection has begun to close.
+        """
+        if self.closing:
+            return
         transport: Any = self.transport
         write_now(transport, encoded)
         if last:
@@ -295,7 +300,9 @@
         self.body += body
 
     def on_message_complete(self) -> None:
-        """Passes the complete request to the handler."""
+        """Passes the complete request to the handler, if it can be answered."""
+        if self.closing:
+            return
         request = HttpRequest(
             self.parser.get_method().decode('ascii'),
             self.url.decode('latin-1'),
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -40,6 +40,17 @@
 )
 
 
+class ClosingWire(Wire):
+    """A transport that closes only after the present read, as TCP does."""
+
+    def loseConnection(self) -> None:
+        """Leaves the connection open for now."""
+        self.disconnecting = True
+
+    def resumeProducing(self) -> None:
+        """Reads no further once the connection is to close."""
+
+
 def connect() -> tuple[HttpServer, list[HttpExchange], Wire]:
     """Returns a connected server, its handled requests and its transport."""
     exchanges: list[HttpExchange] = []
@@ -339,3 +350,26 @@
     assert wire.value().startswith(b'HTTP/1.1 500 ')
     assert not server.pending
     assert [event for event, _ in lines] == [Event.TASK_FAILED]
+
+
+# Failure: a request behind one whose answer closed the connection was passed
+# on, although no answer could be sent any more.
+def test_a_request_behind_the_last_answer_is_not_passed_on() -> None:
+    handled: list[str] = []
+
+    def refuse(exchange: HttpExchange) -> None:
+        handled.append(exchange.request.path)
+        exchange.respond(HttpResponse(503, [], b''))
+
+    factory = HttpServerFactory(refuse)
+    factory.is_draining = True
+    server = factory.buildProtocol(None)
+    wire = ClosingWire()
+    wire.protocol = server
+    server.makeConnection(wire)
+    first, second = (
+        encode('GET', path, b'', 'length') for path in ('/a', '/b')
+    )
+    server.dataReceived(b''.join((first, second, b'nonsense\r\n\r\n')))
+    assert handled == ['/a']
+    assert wire.value().count(b'HTTP/1.1') == 1
