Send no call on a connection that was just aborted

What callers saw: 502 for calls that may not be repeated, which began just after their daemon had closed an unresponsive connection to another one.

Cause: an abort takes effect only in the next round of the reactor. Until then, among the reads of the present round, the connection still counted as open, and a call that was sent on it counted as possibly run.

Before the change: test_a_call_is_not_sent_on_an_aborted_connection assert not True (is_sent)

Fix: a connection is not open any more once it was aborted, so that the call goes on a new connection.

--- a/egretlanding/peers.py
+++ b/egretlanding/peers.py
@@ -83,6 +83,7 @@
         served: Tickets of running calls from the other daemon, by call id.
         call_ids: Source of call ids.
         ready: Whether the other daemon accepts calls.
+        aborted: Whether this daemon has closed the connection at once.
         greeting: Reports the hello, or the end of a connection without one.
         bytes_received: Number of bytes received so far.
         bytes_at_last_check: Value of `bytes_received` at the last heartbeat,
@@ -103,6 +104,7 @@
         self.served: dict[int, int] = {}
         self.call_ids = itertools.count(1)
         self.ready = True
+        self.aborted = False
         self.greeting = Greeting()
         self.bytes_received = 0
         self.bytes_at_last_check = -1
@@ -136,7 +138,7 @@
     def is_open(self) -> bool:
         """Returns whether frames can be sent."""
         transport: Any = self.transport
-        return bool(transport and transport.connected)
+        return bool(transport and transport.connected and not self.aborted)
 
     def is_idle(self) -> bool:
         """Returns whether no call is in flight in either direction."""
@@ -188,6 +190,7 @@
 
     def abort(self) -> None:
         """Closes the connection at once."""
+        self.aborted = True
         transport: Any = self.transport
         transport.abortConnection()
 
--- a/tests/test_peerlinks.py
+++ b/tests/test_peerlinks.py
@@ -94,3 +94,28 @@
     reactor.advance(HELLO_TIMEOUT_S)
     assert not wire.connected
     assert [reply.ran for reply in replies] == [Ran.NOT_RUN]
+
+
+class AbortingWire(Wire):
+    """A transport that reports its abort later, as TCP does."""
+
+    def abortConnection(self) -> None:
+        """Leaves the connection open for now."""
+
+
+# Failure: a call that began just after its connection was aborted was sent on
+# it, and failed as possibly run.
+def test_a_call_is_not_sent_on_an_aborted_connection() -> None:
+    reactor = MemoryReactorClock()
+    links = make_links(reactor)
+    _, connection, _ = open_lane(reactor, links)
+    hello = encode_frame(Hello('h1', 1, ready=True))
+    connection.dataReceived(len(hello).to_bytes(4, 'big') + hello)
+    wire = AbortingWire()
+    connection.transport = wire
+    connection.abort()
+    request = CallRequest(0, 'GET', '/late', [], b'', 'route', 100, 50)
+    pending = PendingCall(request, lambda _reply: None)
+    links.send(HOST, Lane.SHORT, pending)
+    assert not pending.is_sent()
+    assert len(reactor.tcpClients) == 2
