Count only the expected answer against the limit on bodies

What callers saw: 502 for a call whose target first sent a late answer to another request, if the two bodies together exceeded the limit.

Cause: the late answer's body was dropped, but its size went on counting. The size of the body that is kept is now what counts; the bound on all received bytes stays.

Before the change: test_a_late_answer_leaves_the_whole_size_limit_to_the_expected_one assert [None] == [HttpResponse(status=200, ...)]

--- a/egretlanding/httpclient.py
+++ b/egretlanding/httpclient.py
@@ -101,7 +101,6 @@
         self.parser = httptools.HttpResponseParser(self)
         self.headers: Headers = []
         self.body = bytearray()
-        self.body_bytes = 0
         self.received_bytes = 0
         self.max_bytes = MAX_HEADER_BYTES
         self.ends_with_connection = False
@@ -220,10 +219,9 @@
 
     def on_body(self, body: bytes) -> None:
         """Collects a piece of the body, up to the size limit."""
-        self.body_bytes += len(body)
-        if self.body_bytes > MAX_RESPONSE_BYTES:
-            raise AnswerSizeError('the body exceeds the size limit')
         self.body += body
+        if len(self.body) > MAX_RESPONSE_BYTES:
+            raise AnswerSizeError('the body exceeds the size limit')
 
     def on_message_complete(self) -> None:
         """Stores the response, unless it is interim or of another request."""
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -11,6 +11,7 @@
 from egretlanding.httpclient import (
     MAX_ANSWER_BYTES,
     MAX_HEADER_BYTES,
+    MAX_RESPONSE_BYTES,
     HttpClient,
     encode_request,
 )
@@ -119,6 +120,22 @@
     assert not client.usable
 
 
+# Failure: the body of a late answer counted against the expected answer.
+def test_a_late_answer_leaves_the_whole_size_limit_to_the_expected_one() -> (
+    None
+):
+    client, reported = connect()
+    client.send(b'', reported.append, echo=('request-id', 'mine'))
+    body = bytes(MAX_RESPONSE_BYTES // 2 + 1)
+    for request_id in (b'old', b'mine'):
+        client.dataReceived(
+            b'HTTP/1.1 200 OK\r\nrequest-id: %s\r\ncontent-length: %d\r\n\r\n'
+            % (request_id, len(body))
+        )
+        client.dataReceived(body)
+    assert reported == [HttpResponse(200, [('request-id', 'mine')], body)]
+
+
 def test_the_keep_alive_timeout_of_a_target_is_read() -> None:
     client, _ = connect()
     client.dataReceived(
