Read what has arrived before closing silent connections

What callers saw: a daemon that was busy or suspended for a while closed connections as idle although a request on them was waiting to be read, and connections to other daemons as unresponsive although their replies were waiting. All calls in flight on these count as possibly run.

Cause: the reactor runs timers before it reads. If handling what was read takes so long that the periodic round becomes due, that comes before the next read; only pauses of two seconds and more reset the heartbeats.

Fix: the periodic round schedules both checks behind one round of reads. That they still close what is idle or unresponsive has a test too.

--- a/egretlanding/calls.py
+++ b/egretlanding/calls.py
@@ -259,13 +259,19 @@
 
     def tick(self) -> None:
         """Runs the periodic tasks, once per heartbeat."""
-        self.links.check_heartbeats()
-        self.http.check_timeouts()
+        # The reactor runs timers first. After a pause, what has arrived must be
+        # read before connections are judged by it.
+        self.reactor.callLater(0, logs_failure(self.check_connections))
         self.service_peers.send_reports()
         self.egress.tick()
         self.reachability.refresh()
         self.events.update(self.service_states, self.egress.quarantine)
 
+    def check_connections(self) -> None:
+        """Closes connections that are unresponsive or idle for too long."""
+        self.links.check_heartbeats()
+        self.http.check_timeouts()
+
     def drain(self) -> Deferred[None]:
         """Stops the call path without interrupting any call.
 
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -7,8 +7,11 @@
 from twisted.internet.testing import MemoryReactorClock
 
 from egretlanding.calls import CallService
+from egretlanding.frames import Hello, Pong, encode_frame
+from egretlanding.hosts import Host
 from egretlanding.httpmessages import HttpResponse
 from egretlanding.httpserver import HttpExchange, HttpServer
+from egretlanding.peerlinks import Lane, LaneConnection
 from egretlanding.peers import PeerConnection, PeerFactory
 from egretlanding.sidecarconfig import SidecarConfig
 from egretlanding.tcpwrites import UNTRIED_BUFFER
@@ -16,6 +19,7 @@
 
 GRACE_S = 6
 STEP_S = 0.05
+HOST = Host('h2', '127.0.0.2', 1, 2, 3, 'north', 'z1', 'orders')
 REQUEST = b'GET /a HTTP/1.1\r\nhost: h\r\n\r\n'
 CONFIG = SidecarConfig(
     host_id='h1',
@@ -209,3 +213,39 @@
     connection.transport.write(b'reply')
     stop.advance(GRACE_S)
     assert stop.ended
+
+
+# Failure: a daemon that was busy or paused closed connections as idle or
+# unresponsive although requests or replies on them waited to be read.
+def test_what_has_arrived_is_read_before_connections_are_closed() -> None:
+    stop = Stop.create()
+    server, caller_wire = stop.caller()
+    connection, peer_wire = stop.peer()
+    stop.service.links.lanes[HOST, Lane.SHORT] = LaneConnection(connection)
+    connection.peer = Hello('h2', 1)
+    connection.check_heartbeat()
+    stop.reactor.rightNow += stop.service.http.limits.idle_s + 1
+    stop.service.links.lanes[HOST, Lane.SHORT].last_used = stop.reactor.rightNow
+    stop.service.tick()
+    # The reactor reads after the timers that were due.
+    server.dataReceived(REQUEST)
+    pong = encode_frame(Pong())
+    connection.dataReceived(len(pong).to_bytes(4, 'big') + pong)
+    stop.reactor.advance(0)
+    assert caller_wire.connected
+    assert not peer_wire.aborted
+    assert len(stop.exchanges) == 1
+
+
+def test_idle_and_unresponsive_connections_are_closed() -> None:
+    stop = Stop.create()
+    _, caller_wire = stop.caller()
+    connection, peer_wire = stop.peer()
+    stop.service.links.lanes[HOST, Lane.SHORT] = LaneConnection(connection)
+    connection.peer = Hello('h2', 1)
+    connection.check_heartbeat()
+    stop.reactor.rightNow += stop.service.http.limits.idle_s + 1
+    stop.service.tick()
+    stop.reactor.advance(0)
+    assert not caller_wire.connected
+    assert peer_wire.aborted
