Leave room for headers under a small limit on bodies

What callers saw: 413 for a request whose head is within its limit and arrives in pieces, where the configuration allows bodies of hardly any bytes.

Cause: all received bytes were bounded by the limit on headers, which does not count separators, plus eight times the limit on bodies. The bound is now eight times both.

Before the change: test_a_small_limit_on_bodies_leaves_room_for_headers[0] and [10] assert 0 == 1 (no request was passed on)

--- a/egretlanding/requestsize.py
+++ b/egretlanding/requestsize.py
@@ -13,8 +13,9 @@
 # What a line may hold beside a target or the name and value of a header, such
 # as the method and the version, bytes.
 LINE_FRAMING_BYTES = 32
-# Bytes received for each byte of a body: a chunk of a single byte takes six.
-MAX_CHUNKED_RATIO = 8
+# Bytes received for each byte within a limit: a header of a single byte takes
+# five, and a chunk of a single byte six.
+MAX_FRAMING_RATIO = 8
 
 
 class HeaderSizeError(ValueError):
@@ -103,8 +104,8 @@
         line_limit = limits.header_bytes + LINE_FRAMING_BYTES
         if self.header_bytes + self.line_bytes > line_limit:
             raise HeaderSizeError('a line exceeds the size limit')
-        body_limit = limits.body_bytes * MAX_CHUNKED_RATIO
-        if self.received_bytes > line_limit + body_limit:
+        counted_limit = line_limit + limits.body_bytes
+        if self.received_bytes > counted_limit * MAX_FRAMING_RATIO:
             raise BodySizeError('the framing exceeds the size limit')
 
     def unfinished_bytes(self, data: bytes) -> int:
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -285,6 +285,20 @@
     assert len(exchanges) == 1
 
 
+# Failure: the separators of headers counted as framing of a body, of which a
+# small limit on bodies allowed almost none.
+@pytest.mark.parametrize('body_bytes', [0, 10])
+def test_a_small_limit_on_bodies_leaves_room_for_headers(
+    body_bytes: int,
+) -> None:
+    server, exchanges, _ = connect()
+    server.server.limits = HttpLimits(header_bytes=4_096, body_bytes=body_bytes)
+    headers = b'n: %s\r\n' % (b'x' * 33) * 115
+    server.dataReceived(b'GET /a HTTP/1.1\r\n%s' % headers)
+    server.dataReceived(b'\r\n')
+    assert len(exchanges) == 1
+
+
 # A body in chunks of two bytes took twenty times its size in memory.
 def test_a_body_in_small_chunks_takes_little_memory() -> None:
     server, _, wire = connect()
