--- a/egretlanding/peers.py
+++ b/egretlanding/peers.py
@@ -35,6 +35,10 @@
 from egretlanding.outcomes import Reason, Refusal
 from egretlanding.tcpwrites import enable_keepalive, write_now
 
+# Space that a frame keeps for what a call contains besides its body, bytes.
+MAX_CALL_HEAD_BYTES = 262_144
+MAX_CALL_BODY_BYTES = MAX_FRAME_BYTES - MAX_CALL_HEAD_BYTES
+
 # Called with the reply to a call, or with a generated one if the connection
 # was lost.
 OnReply = Callable[[CallReply], None]
@@ -67,11 +71,6 @@
             on_end(arrived)
 
 
-# Space that a frame keeps for what a call contains besides its body, bytes.
-MAX_CALL_HEAD_BYTES = 262_144
-MAX_CALL_BODY_BYTES = MAX_FRAME_BYTES - MAX_CALL_HEAD_BYTES
-
-
 class PeerConnection(Int32StringReceiver):
     """A connection to another daemon, in either direction.
 
