--- a/egretlanding/peers.py
+++ b/egretlanding/peers.py
@@ -35,6 +35,10 @@
 from egretlanding.outcomes import Reason, Refusal
 from egretlanding.tcpwrites import enable_keepalive, write_now
 
+# Space that a frame keeps for what a call contains besides its body, bytes.
+MAX_CALL_HEAD_BYTES = 262_144
+MAX_CALL_BODY_BYTES = MAX_FRAME_BYTES - MAX_CALL_HEAD_BYTES
+
 # Called with the reply to a call, or with a generated one if the connection
 # was lost.
 OnReply = Callable[[CallReply], None]
@@ -67,11 +71,6 @@
             on_end(arrived)
 
 
-# Space that a frame keeps for what a call contains besides its body, bytes.
-MAX_CALL_HEAD_BYTES = 262_144
-MAX_CALL_BODY_BYTES = MAX_FRAME_BYTES - MAX_CALL_HEAD_BYTES
-
-
 class PeerConnection(Int32StringReceiver):
     """A connection to another daemon, in either direction.
 
@@ -83,6 +82,7 @@
         served: Tickets of running calls from the other daemon, by call id.
         call_ids: Source of call ids.
         ready: Whether the other daemon accepts calls.
+        aborted: Whether this daemon has closed the connection at once.
         greeting: Reports the hello, or the end of a connection without one.
         bytes_received: Number of bytes received so far.
         bytes_at_last_check: Value of `bytes_received` at the last heartbeat,
@@ -103,6 +103,7 @@
         self.served: dict[int, int] = {}
         self.call_ids = itertools.count(1)
         self.ready = True
+        self.aborted = False
         self.greeting = Greeting()
         self.bytes_received = 0
         self.bytes_at_last_check = -1
@@ -136,7 +137,7 @@
     def is_open(self) -> bool:
         """Returns whether frames can be sent."""
         transport: Any = self.transport
-        return bool(transport and transport.connected)
+        return bool(transport and transport.connected and not self.aborted)
 
     def is_idle(self) -> bool:
         """Returns whether no call is in flight in either direction."""
@@ -188,6 +189,7 @@
 
     def abort(self) -> None:
         """Closes the connection at once."""
+        self.aborted = True
         transport: Any = self.transport
         transport.abortConnection()
 
