Read what has arrived before a stop closes idle connections

What callers saw: a connection that ended without an answer, although the request had reached the daemon before it closed the connection.

The reactor runs timers before it reads, so a stop closed connections as idle on which a request was waiting in the kernel. Before the change: test_a_request_that_has_arrived_is_served_when_the_ports_close IndexError: list index out of range (the request was not read) One round of reads now lies between the end of the ports and that of the idle connections.

--- a/egretlanding/drains.py
+++ b/egretlanding/drains.py
@@ -54,7 +54,9 @@
         await deferLater(reactor, self.notice_until - reactor.seconds())
         for port in service.ports:
             await port.stopListening()
-        # No further request begins on a connection that closes here.
+        # What has arrived is read in the next round of the reactor; no further
+        # request begins on a connection that closes after it.
+        await deferLater(reactor, 0)
         service.http.drain()
         await self.finish_calls()
         await self.finish_replies()
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -1,9 +1,11 @@
 """Tests of what a stop of the call path waits for, without processes."""
 
+from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import attrs
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, succeed
 from twisted.internet.testing import MemoryReactorClock
 
 from egretlanding.calls import CallService
@@ -249,3 +251,35 @@
     stop.reactor.advance(0)
     assert not caller_wire.connected
     assert peer_wire.aborted
+
+
+@attrs.define(eq=False)
+class PortOfBusyReactor:
+    """A port after whose closing the reactor has a request to read.
+
+    Attributes:
+        reactor: The clock.
+        read: Reads the request.
+    """
+
+    reactor: MemoryReactorClock
+    read: Callable[[], None]
+
+    def stopListening(self) -> Deferred[None]:
+        """Closes the port; the reactor reads in its next round."""
+        self.reactor.callLater(0, self.read)
+        return succeed(None)
+
+
+# Failure: a request that had arrived when a stop closed the idle connections
+# was neither read nor answered.
+def test_a_request_that_has_arrived_is_served_when_the_ports_close() -> None:
+    stop = Stop.create()
+    server, wire = stop.caller()
+    read = partial(server.dataReceived, REQUEST)
+    stop.service.ports.append(PortOfBusyReactor(stop.reactor, read))
+    stop.begin()
+    stop.advance(3.1)
+    stop.exchanges[0].respond(HttpResponse(200, [], b'whole'))
+    wire.read_all()
+    assert wire.value().endswith(b'whole')
