Keep calls in flight when a daemon misses one or two heartbeats

What callers saw: 502 and lost answers while nothing but configurations changed.

Cause: a connection was closed, with all calls in flight on it, if one heartbeat interval of 1 s went by without a byte. Class: a slow process taken for a dead one.

A connection closes after three silent intervals now, like TCP's own time-outs here (3 s). Until then calls in flight go on, and no new call is sent on a silent connection: they are known as unsent at once and go elsewhere.

test_a_connection_without_frames_is_closed_unless_process_paused asked for the close after one silent interval, which is the fault. It asks for the same after three, and that the connection is still open before.

--- a/egretlanding/peerlinks.py
+++ b/egretlanding/peerlinks.py
@@ -106,6 +106,13 @@
             and connection.peer is not None
         )
 
+    def is_responsive(self) -> bool:
+        """Returns whether the other daemon has answered the last ping."""
+        connection = self.connection
+        return self.is_open() and not (
+            connection is None or connection.silent_intervals
+        )
+
     def record_failure(self, now: float) -> list[PendingCall]:
         """Sets the backoff and returns the calls that can't be sent."""
         pause = BACKOFF_FIRST_S * 2**self.failures
@@ -172,14 +179,14 @@
         """
         lane = self.connect(host, lane_kind)
         lane.last_used = self.reactor.seconds()
-        if lane.connection and lane.is_open():
+        if lane.connection and lane.is_responsive():
             pending.send(lane.connection)
         elif lane.connecting:
             lane.queued.append(pending)
         else:
             # The reply is sent only after this function has returned, as it is
             # after a failed attempt to connect.
-            detail = 'connecting to the daemon failed a moment ago'
+            detail = 'the daemon did not answer or connect a moment ago'
             self.reactor.callLater(0, pending.fail, detail)
 
     def connect(self, host: Host, lane_kind: Lane) -> LaneConnection:
--- a/tests/test_peerlinks.py
+++ b/tests/test_peerlinks.py
@@ -119,3 +119,21 @@
     links.send(HOST, Lane.SHORT, pending)
     assert not pending.is_sent()
     assert len(reactor.tcpClients) == 2
+
+
+# Guards against calls that wait for a daemon which doesn't answer.
+def test_a_silent_daemon_gets_no_further_call() -> None:
+    reactor = MemoryReactorClock()
+    links = make_links(reactor)
+    _, connection, _ = open_lane(reactor, links)
+    hello = encode_frame(Hello('h1', 1, ready=True))
+    connection.dataReceived(len(hello).to_bytes(4, 'big') + hello)
+    for _ in range(2):
+        links.check_heartbeats()
+    replies: list[CallReply] = []
+    request = CallRequest(0, 'GET', '/', [], b'', 'route', 100, 50)
+    pending = PendingCall(request, replies.append)
+    links.send(HOST, Lane.SHORT, pending)
+    reactor.advance(0)
+    assert not pending.is_sent()
+    assert [reply.ran for reply in replies] == [Ran.NOT_RUN]
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -15,7 +15,11 @@
     Readiness,
     encode_frame,
 )
-from egretlanding.peers import PeerConnection, PeerContext
+from egretlanding.peers import (
+    SILENT_INTERVALS_TO_CLOSE,
+    PeerConnection,
+    PeerContext,
+)
 from tests.wires import attach, feed
 
 REPLIES = st.lists(st.binary(max_size=50), min_size=1, max_size=5)
@@ -101,14 +105,29 @@
     connection, _ = connect()
     connection.check_heartbeat()
     connection.reset_heartbeat()
-    connection.check_heartbeat()
+    for _ in range(SILENT_INTERVALS_TO_CLOSE):
+        connection.check_heartbeat()
     connection.dataReceived(encode_with_length(Readiness(False)))
-    connection.check_heartbeat()
+    for _ in range(SILENT_INTERVALS_TO_CLOSE):
+        connection.check_heartbeat()
     assert connection.is_open()
     connection.check_heartbeat()
     assert not connection.is_open()
 
 
+# Guards against calls that fail as possibly run because the daemon that runs
+# them is busy for two seconds, for example with a new configuration.
+def test_the_reply_of_a_busy_daemon_arrives() -> None:
+    connection, _ = connect()
+    replies: list[CallReply] = []
+    call_id = connection.call(make_request(), replies.append)
+    for _ in range(3):
+        connection.check_heartbeat()
+    reply = CallReply(call_id, 200, [], b'')
+    connection.dataReceived(encode_with_length(reply))
+    assert replies == [reply]
+
+
 # Bytes of a frame that never ends must not be held beyond the limit.
 def test_a_frame_beyond_the_limit_closes_the_connection() -> None:
     connection, received = connect()
