--- a/egretlanding/calls.py
+++ b/egretlanding/calls.py
@@ -6,7 +6,7 @@
 
 import attrs
 from twisted.internet.defer import Deferred, ensureDeferred
-from twisted.internet.task import LoopingCall, deferLater
+from twisted.internet.task import LoopingCall
 
 from egretlanding.callevents import CallEvents
 from egretlanding.callparts import (
@@ -16,7 +16,9 @@
 )
 from egretlanding.callreport import dump_calls, explain_call
 from egretlanding.config import DaemonConfig
+from egretlanding.containment import logs_failure
 from egretlanding.dialect import DEFAULT_DIALECT, Dialect
+from egretlanding.drains import Drain
 from egretlanding.egress import Egress
 from egretlanding.httpserver import Handler, HttpExchange, HttpServerFactory
 from egretlanding.ingress import Ingress
@@ -37,8 +39,9 @@
 # The baseline for measurements: random targets, no hedges, one work class.
 BASELINE_BALANCING = 'random'
 DRAIN_NOTICE_S = 1.0
-DRAIN_POLL_S = 0.02
 CLOSE_TIMEOUT_S = 2.0
+# The longest timeout that a call can have, seconds.
+GRACE_S = 3_600
 
 
 def caller_handler(ingress: Ingress, issuer: KeyIssuer) -> Handler:
@@ -78,10 +81,13 @@
         ports: The listening ports.
         loops: The periodic tasks.
         events: Logs shunned targets and quarantined requests.
-        drain_notice_s: Time for which the ports stay open after a drain
-            began, so that other daemons and callers learn of it, seconds.
+        drain_notice_s: Time for which the ports and idle connections stay
+            open after a drain began, so that other daemons and callers learn
+            of it, seconds.
         close_timeout_s: Longest time to wait for callers to read the last
             answers, seconds.
+        grace_s: Time after the start of a drain at which the process may be
+            killed, seconds.
     """
 
     reactor: Any
@@ -101,6 +107,7 @@
     events: CallEvents = attrs.field(factory=CallEvents)
     drain_notice_s: float = DRAIN_NOTICE_S
     close_timeout_s: float = CLOSE_TIMEOUT_S
+    grace_s: float = GRACE_S
 
     @classmethod
     def from_config(
@@ -178,6 +185,7 @@
         """Connects the callbacks of the components to one another."""
         self.egress.health.on_change = self.announce
         self.links.context.on_readiness = self.reachability.handle_readiness
+        self.reachability.on_reachable = self.links.end_backoff
         self.links.on_unreachable = self.reachability.handle_unreachable
         self.links.context.on_hosts_state = self.service_peers.handle_report
         self.links.context.on_suspicion = self.suspicions.handle_suspicion
@@ -198,8 +206,8 @@
             self.ports.append(listening)
         self.egress.health.start()
         self.loops = [
-            LoopingCall(self.pause_monitor.beat),
-            LoopingCall(self.tick),
+            LoopingCall(logs_failure(self.pause_monitor.beat)),
+            LoopingCall(logs_failure(self.tick)),
         ]
         for loop, interval_s in zip(
             self.loops, (BEAT_INTERVAL_S, HEARTBEAT_S), strict=True
@@ -251,44 +259,41 @@
 
     def tick(self) -> None:
         """Runs the periodic tasks, once per heartbeat."""
-        self.links.check_heartbeats()
-        self.http.check_timeouts()
+        # The reactor runs timers first. After a pause, what has arrived must be
+        # read before connections are judged by it.
+        self.reactor.callLater(0, logs_failure(self.check_connections))
         self.service_peers.send_reports()
         self.egress.tick()
         self.reachability.refresh()
         self.events.update(self.service_states, self.egress.quarantine)
 
+    def check_connections(self) -> None:
+        """Closes connections that are unresponsive or idle for too long."""
+        self.links.check_heartbeats()
+        self.http.check_timeouts()
+
     def drain(self) -> Deferred[None]:
         """Stops the call path without interrupting any call.
 
         Returns:
-            Fires when no call is in flight and the answers are written, or
-            when callers haven't read them within the timeout.
+            Fires when no call is in flight and the answers are written, when
+            callers haven't read them within the timeout, or just before the
+            grace time ends.
         """
         self.draining = True
         self.http.is_draining = True
         self.announce()
         self.egress.admission.drain()
-        return ensureDeferred(self.finish_drain())
-
-    async def finish_drain(self) -> None:
-        """Waits for the calls in flight and closes all ports."""
-        await deferLater(self.reactor, self.drain_notice_s)
-        for port in self.ports:
-            await port.stopListening()
-        while self.in_flight:
-            await deferLater(self.reactor, DRAIN_POLL_S)
-        self.http.drain()
-        deadline = self.reactor.seconds() + self.close_timeout_s
-        while self.http.connections and self.reactor.seconds() < deadline:
-            await deferLater(self.reactor, DRAIN_POLL_S)
-        self.close()
+        drain = Drain.of_service(self)
+        self.ingress.stops_at = drain.ends_at
+        return ensureDeferred(drain.run())
 
     def close(self) -> None:
         """Stops the periodic tasks and closes all connections."""
         for loop in self.loops:
             if loop.running:
                 loop.stop()
+        self.http.close()
         self.egress.health.stop()
         self.egress.target.pool.close()
         self.links.close()
--- a/egretlanding/httpserver.py
+++ b/egretlanding/httpserver.py
@@ -1,7 +1,7 @@
 """The HTTP/1.1 server protocol for calls, based on the httptools parser."""
 
 import time
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any
@@ -11,10 +11,17 @@
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
+from egretlanding.containment import log_unexpected
+from egretlanding.events import Event, Severity, log_event
 from egretlanding.frames import Headers
 from egretlanding.httpheaders import LENGTH, drop_hop_headers, has_safe_framing
 from egretlanding.httpmessages import HttpLimits, HttpRequest, HttpResponse
-from egretlanding.tcpwrites import write_now
+from egretlanding.requestsize import (
+    BodySizeError,
+    HeaderSizeError,
+    RequestSize,
+)
+from egretlanding.tcpwrites import unsent_bytes, write_now
 
 MAX_PIPELINED = 16
 
@@ -26,6 +33,11 @@
 MALFORMED_REQUEST_TEXT = (
     b'the request is not served; send well-formed HTTP/1.1 within limits'
 )
+FAILED_RESPONSE = HttpResponse(
+    HTTPStatus.INTERNAL_SERVER_ERROR,
+    [('content-type', 'text/plain')],
+    b'handling the request failed; see the log of the daemon\n',
+)
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -40,18 +52,6 @@
     status = HTTPStatus.BAD_REQUEST
 
 
-class HeaderSizeError(ValueError):
-    """The headers of a request exceed their limit."""
-
-    status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-
-
-class BodySizeError(ValueError):
-    """The body of a request exceeds its limit."""
-
-    status = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
-
-
 @attrs.define(eq=False)
 class HttpExchange:
     """One HTTP request and its response.
@@ -73,6 +73,11 @@
         self.response = response
         self.protocol.flush()
 
+    def fail(self) -> None:
+        """Answers that handling the request failed, unless it is answered."""
+        if self.response is None:
+            self.respond(FAILED_RESPONSE)
+
 
 Handler = Callable[[HttpExchange], None]
 
@@ -84,6 +89,8 @@
         server: The factory, with the handler and the open connections.
         pending: Requests without a sent response, oldest first.
         input_closed: Whether further bytes of the caller are ignored.
+        closing: Whether the daemon has begun to close the connection.
+        size: The bytes of the request that is being received.
         limits: The limits that apply to the connection; they are replaced only
             when a request begins or the connection becomes idle.
     """
@@ -98,20 +105,21 @@
         self.pending: deque[HttpExchange] = deque()
         self.parser = httptools.HttpRequestParser(self)
         self.input_closed = False
+        self.closing = False
         self.limits = factory.limits
         # Time since which the server waits for the caller: when the connection
         # became idle or a request began to arrive, seconds.
         self.waiting_since: float = 0
         self.reading_headers = False
+        self.size = RequestSize()
         self.reset()
 
     def reset(self) -> None:
         """Clears the state of the request that was parsed."""
         self.url = b''
         self.headers: Headers = []
-        self.chunks: list[bytes] = []
-        self.header_bytes = 0
-        self.body_bytes = 0
+        self.body = bytearray()
+        self.size.reset()
         self.reading_request = False
 
     def connectionMade(self) -> None:
@@ -128,12 +136,18 @@
         """Parses received bytes; a malformed request closes the connection."""
         if self.input_closed:
             return
+        self.size.begin_read(data)
         try:
             self.parser.feed_data(data)
+            self.size.end_read(data, self.limits)
         except httptools.HttpParserUpgrade:
             self.reject(HTTPStatus.NOT_IMPLEMENTED)
-        except httptools.HttpParserCallbackError as error:
-            cause = error.__context__
+        except (
+            HeaderSizeError,
+            BodySizeError,
+            httptools.HttpParserCallbackError,
+        ) as error:
+            cause = error.__context__ or error
             self.reject(getattr(cause, 'status', HTTPStatus.BAD_REQUEST))
         except httptools.HttpParserError:
             self.reject(HTTPStatus.BAD_REQUEST)
@@ -146,10 +160,34 @@
             exchange for exchange in self.pending if not exchange.response
         ]
         self.pending.clear()
+        self.report_lost_answers(len(abandoned))
         for exchange in abandoned:
             if exchange.on_disconnect:
                 exchange.on_disconnect()
 
+    def report_lost_answers(self, unanswered: int) -> None:
+        """Logs and counts answers that the caller can't have received.
+
+        A caller that disconnects before the answer is not reported here.
+
+        Args:
+            unanswered: Number of requests without a response.
+        """
+        unsent = unsent_bytes(self.transport)
+        if not unsent and not (unanswered and self.closing):
+            return
+        closed_by = 'daemon' if self.closing else 'caller'
+        self.server.lost_answers[closed_by] += 1
+        log_event(
+            Event.ANSWER_LOST,
+            'a connection of a caller ended before its answer was sent',
+            Severity.WARNING,
+            closed_by=closed_by,
+            unanswered=unanswered,
+            unsent_bytes=unsent,
+            draining=self.server.is_draining,
+        )
+
     def reject(self, status: int) -> None:
         """Refuses an invalid request, after the responses to earlier ones."""
         self.input_closed = True
@@ -162,8 +200,8 @@
         )
 
     def drain(self) -> None:
-        """Closes the connection unless requests wait for responses."""
-        if not self.pending:
+        """Closes the connection unless a request arrives or is served."""
+        if not self.pending and not self.reading_request:
             self.write(b'', last=True)
 
     def check_timeouts(self, now: float) -> None:
@@ -175,12 +213,18 @@
             and now - self.waiting_since > self.limits.header_s
         ):
             self.reject(HTTPStatus.REQUEST_TIMEOUT)
-        elif (
-            not self.reading_request
-            and now - self.waiting_since > self.limits.idle_s
-        ):
+        elif not self.reading_request and self.is_idle_too_long(now):
             self.drain()
 
+    def is_idle_too_long(self, now: float) -> bool:
+        """Returns whether an idle connection has exceeded its idle timeout.
+
+        A caller may rely on the timeout that was in force when the connection
+        became idle or on the present one, so the longer of the two applies.
+        """
+        idle_s = max(self.limits.idle_s, self.server.limits.idle_s)
+        return now - self.waiting_since > idle_s
+
     def flush(self) -> None:
         """Writes the responses that are complete, in the order of requests."""
         while self.pending:
@@ -190,7 +234,7 @@
             exchange = self.pending.popleft()
             last = self.server.is_draining and not self.pending
             keep_alive = exchange.request.keep_alive and not last
-            encoded = response.to_bytes(keep_alive=keep_alive)
+            encoded = encode_response(response, keep_alive=keep_alive)
             self.write(encoded, last=not keep_alive)
             if not keep_alive:
                 return
@@ -210,10 +254,16 @@
             transport.resumeProducing()
 
     def write(self, encoded: bytes, *, last: bool = False) -> None:
-        """Writes to the caller, and closes the connection if `last` is set."""
+        """Writes to the caller, and closes the connection if `last` is set.
+
+        Nothing is written once the connection has begun to close.
+        """
+        if self.closing:
+            return
         transport: Any = self.transport
         write_now(transport, encoded)
         if last:
+            self.closing = True
             transport.loseConnection()
 
     def on_message_begin(self) -> None:
@@ -227,11 +277,11 @@
     def on_url(self, url: bytes) -> None:
         """Collects a piece of the request target."""
         self.url += url
-        self.limit_headers(len(url))
+        self.size.add_target(len(url), self.limits)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collects one header."""
-        self.limit_headers(len(name) + len(value))
+        self.size.add_header(len(name) + len(value), self.limits)
         self.headers.append(
             (name.decode('latin-1').lower(), value.decode('latin-1')),
         )
@@ -246,13 +296,13 @@
 
     def on_body(self, body: bytes) -> None:
         """Collects a piece of the body, up to the size limit."""
-        self.body_bytes += len(body)
-        if self.body_bytes > self.limits.body_bytes:
-            raise BodySizeError('the body exceeds the size limit')
-        self.chunks.append(body)
+        self.size.add_body(len(body), self.limits)
+        self.body += body
 
     def on_message_complete(self) -> None:
-        """Passes the complete request to the handler."""
+        """Passes the complete request to the handler, if it can be answered."""
+        if self.closing:
+            return
         request = HttpRequest(
             self.parser.get_method().decode('ascii'),
             self.url.decode('latin-1'),
@@ -261,20 +311,27 @@
                 for pair in drop_hop_headers(self.headers)
                 if pair[0] not in CONSUMED_HEADERS
             ],
-            b''.join(self.chunks),
+            bytes(self.body),
             self.parser.should_keep_alive(),
         )
         self.reset()
         exchange = HttpExchange(request, self)
         self.pending.append(exchange)
         self.apply_backpressure()
-        self.server.handler(exchange)
+        try:
+            self.server.handler(exchange)
+        except Exception as error:
+            log_unexpected('handler of requests', error)
+            exchange.fail()
 
-    def limit_headers(self, size: int) -> None:
-        """Counts header bytes against the limit."""
-        self.header_bytes += size
-        if self.header_bytes > self.limits.header_bytes:
-            raise HeaderSizeError('the headers exceed the size limit')
+
+def encode_response(response: HttpResponse, *, keep_alive: bool) -> bytes:
+    """Encodes a response, or one that reports a failure in its place."""
+    try:
+        return response.to_bytes(keep_alive=keep_alive)
+    except Exception as error:
+        log_unexpected('encoding of a response', error)
+        return FAILED_RESPONSE.to_bytes(keep_alive=keep_alive)
 
 
 class HttpServerFactory(Factory):
@@ -283,6 +340,8 @@
     Attributes:
         is_draining: Whether connections are closed after their pending
             responses.
+        lost_answers: Connections that ended before an answer was sent, by
+            who closed them.
     """
 
     noisy = False
@@ -303,6 +362,7 @@
         self.limits = HttpLimits()
         self.connections: set[HttpServer] = set()
         self.is_draining = False
+        self.lost_answers: Counter[str] = Counter()
 
     def buildProtocol(self, addr: Any) -> HttpServer:
         """Builds the protocol of one connection."""
@@ -315,6 +375,18 @@
             connection.check_timeouts(now)
 
     def drain(self) -> None:
-        """Closes each connection that has no pending request."""
+        """Closes each connection on which no request arrives or is served."""
         for connection in tuple(self.connections):
             connection.drain()
+
+    def close(self) -> None:
+        """Closes all connections, those with pending requests too."""
+        for connection in tuple(self.connections):
+            connection.write(b'', last=True)
+
+    def unsent_bytes(self) -> int:
+        """Returns the size of the responses that callers have yet to read."""
+        return sum(
+            unsent_bytes(connection.transport)
+            for connection in self.connections
+        )
--- a/egretlanding/peers.py
+++ b/egretlanding/peers.py
@@ -10,6 +10,7 @@
 from twisted.protocols.basic import Int32StringReceiver
 from twisted.python.failure import Failure
 
+from egretlanding.containment import log_unexpected
 from egretlanding.events import Event, Severity, log_event
 from egretlanding.exceptions import FrameError
 from egretlanding.frames import (
@@ -34,6 +35,13 @@
 from egretlanding.outcomes import Reason, Refusal
 from egretlanding.tcpwrites import enable_keepalive, write_now
 
+# Consecutive heartbeat intervals without a byte after which a connection is
+# closed. A daemon that takes a large configuration over may miss one or two.
+SILENT_INTERVALS_TO_CLOSE = 3
+# Space that a frame keeps for what a call contains besides its body, bytes.
+MAX_CALL_HEAD_BYTES = 262_144
+MAX_CALL_BODY_BYTES = MAX_FRAME_BYTES - MAX_CALL_HEAD_BYTES
+
 # Called with the reply to a call, or with a generated one if the connection
 # was lost.
 OnReply = Callable[[CallReply], None]
@@ -43,6 +51,27 @@
 RecordsFrame = RecordsState | RecordsRequest | RecordsUpdate
 OnRecords = Callable[['PeerConnection', RecordsFrame], None]
 OnConnection = Callable[['PeerConnection'], None]
+# Called once with whether the hello arrived before the connection ended.
+OnGreeting = Callable[[bool], None]
+
+
+@attrs.define(eq=False)
+class Greeting:
+    """Waits for the hello of the other daemon.
+
+    Attributes:
+        on_end: Called when the hello arrived or the connection ended; None
+            afterwards.
+    """
+
+    on_end: OnGreeting | None = None
+
+    def end(self, *, arrived: bool) -> None:
+        """Reports once whether the hello arrived."""
+        on_end = self.on_end
+        self.on_end = None
+        if on_end:
+            on_end(arrived)
 
 
 class PeerConnection(Int32StringReceiver):
@@ -56,9 +85,12 @@
         served: Tickets of running calls from the other daemon, by call id.
         call_ids: Source of call ids.
         ready: Whether the other daemon accepts calls.
+        aborted: Whether this daemon has closed the connection at once.
+        greeting: Reports the hello, or the end of a connection without one.
         bytes_received: Number of bytes received so far.
         bytes_at_last_check: Value of `bytes_received` at the last heartbeat,
-            -1 if the next one must not close the connection.
+            -1 if the next one must not count as silent.
+        silent_intervals: Consecutive heartbeat intervals without a byte.
     """
 
     MAX_LENGTH = MAX_FRAME_BYTES
@@ -75,8 +107,11 @@
         self.served: dict[int, int] = {}
         self.call_ids = itertools.count(1)
         self.ready = True
+        self.aborted = False
+        self.greeting = Greeting()
         self.bytes_received = 0
         self.bytes_at_last_check = -1
+        self.silent_intervals = 0
 
     def connectionMade(self) -> None:
         """Registers the connection and sends the hello of this daemon."""
@@ -101,12 +136,13 @@
             )
         for call_id, on_reply in pending_replies.items():
             on_reply(lost_reply(call_id))
+        self.greeting.end(arrived=False)
         self.context.on_close(self)
 
     def is_open(self) -> bool:
         """Returns whether frames can be sent."""
         transport: Any = self.transport
-        return bool(transport and transport.connected)
+        return bool(transport and transport.connected and not self.aborted)
 
     def is_idle(self) -> bool:
         """Returns whether no call is in flight in either direction."""
@@ -127,6 +163,9 @@
             on_reply: Called once with the reply.
         """
         call_id = next(self.call_ids)
+        if len(request.body) > MAX_CALL_BODY_BYTES:
+            on_reply(oversized_reply(call_id))
+            return call_id
         self.pending_replies[call_id] = on_reply
         self.send(msgspec.structs.replace(request, call_id=call_id))
         return call_id
@@ -137,13 +176,15 @@
             self.send(Cancel(call_id))
 
     def check_heartbeat(self) -> None:
-        """Closes the connection if nothing arrived, else sends a ping.
+        """Closes the connection after a long silence, else sends a ping.
 
-        Called once per heartbeat interval. Replies of an unresponsive daemon
-        would arrive too late; closing the connection fails the calls that
-        wait for them.
+        Called once per heartbeat interval. Replies of a daemon that is silent
+        for longer would arrive too late; closing the connection fails the
+        calls that wait for them.
         """
         if self.bytes_received == self.bytes_at_last_check:
+            self.silent_intervals += 1
+        if self.silent_intervals >= SILENT_INTERVALS_TO_CLOSE:
             self.abort()
             return
         self.bytes_at_last_check = self.bytes_received
@@ -152,15 +193,18 @@
     def reset_heartbeat(self) -> None:
         """Restarts the heartbeat after a pause of this process."""
         self.bytes_at_last_check = -1
+        self.silent_intervals = 0
 
     def abort(self) -> None:
         """Closes the connection at once."""
+        self.aborted = True
         transport: Any = self.transport
         transport.abortConnection()
 
     def dataReceived(self, data: bytes) -> None:
         """Counts the received bytes and decodes the frames in them."""
         self.bytes_received += len(data)
+        self.silent_intervals = 0
         super().dataReceived(data)
 
     def stringReceived(self, string: bytes) -> None:
@@ -170,7 +214,10 @@
         except FrameError:
             self.abort()
             return
-        self.handle(frame)
+        try:
+            self.handle(frame)
+        except Exception as error:
+            log_unexpected(f'frame of type {type(frame).__name__}', error)
 
     def lengthLimitExceeded(self, length: int) -> None:
         """Closes the connection, since a frame exceeds the size limit."""
@@ -204,6 +251,7 @@
             self.peer = frame
         self.ready = frame.ready
         self.context.on_readiness(self, frame.ready)
+        self.greeting.end(arrived=True)
 
 
 @attrs.define(eq=False)
@@ -246,6 +294,17 @@
         for connection in tuple(self.connections):
             connection.send(frame)
 
+    def end_output(self) -> None:
+        """Ends what this daemon sends on all connections.
+
+        Each closes once the other daemon has read everything. Closing it here
+        could reset it while replies are on their way, because the other daemon
+        still sends.
+        """
+        for connection in tuple(self.connections):
+            transport: Any = connection.transport
+            transport.loseWriteConnection()
+
 
 class PeerFactory(Factory):
     """Builds connections that share one context."""
@@ -265,6 +324,17 @@
         return PeerConnection(self.context)
 
 
+def oversized_reply(call_id: int) -> CallReply:
+    """Returns the reply for a call that is too large for a frame."""
+    return refusal_reply(
+        call_id,
+        Refusal.not_run(
+            Reason.BODY_TOO_LARGE,
+            f'a body between daemons has at most {MAX_CALL_BODY_BYTES} bytes',
+        ),
+    )
+
+
 def lost_reply(call_id: int) -> CallReply:
     """Returns the reply for a call whose connection was lost."""
     return refusal_reply(
--- a/egretlanding/sidecar.py
+++ b/egretlanding/sidecar.py
@@ -13,6 +13,7 @@
 
 from egretlanding.calls import CallService
 from egretlanding.check import find_faults
+from egretlanding.containment import contained, logs_failure
 from egretlanding.durations import milliseconds
 from egretlanding.events import Event, Severity, log_event
 from egretlanding.exceptions import PlatformError, SettingsError
@@ -46,12 +47,10 @@
 # Least number of daemons assumed to share the slack of the retry budget, since
 # not all hosts may be known.
 MIN_DAEMON_COUNT = 40
-# Time between the start of a drain and the closing of the ports, seconds. A
-# daemon is taken out of use after two failed readiness checks; there is one
-# check per second.
-DRAIN_NOTICE_S = 2.4
-# Time that callers have to read the last answers of a drain, seconds.
-CLOSE_TIMEOUT_S = 0.4
+# Time between the start of a drain and the closing of the ports and of idle
+# connections, seconds. Callers may send requests for 3 s after the start; the
+# rest is the time that the last of them takes to arrive.
+DRAIN_NOTICE_S = 3.1
 
 
 @attrs.define(eq=False)
@@ -109,7 +108,6 @@
             adapter.dialect,
         )
         calls.drain_notice_s = DRAIN_NOTICE_S
-        calls.close_timeout_s = CLOSE_TIMEOUT_S
         calls.ingress.refusal_margin_ms = REFUSAL_MARGIN_MS
         calls.ingress.caller_latency_ms = CALLER_LATENCY_MS
         calls.service_states.new_budget = partial(new_retry_budget, config)
@@ -187,7 +185,7 @@
         )
         self.lifecycle.opened()
         self.feed.start()
-        self.ticker = LoopingCall(self.tick)
+        self.ticker = LoopingCall(logs_failure(self.tick))
         self.ticker.clock = self.reactor
         self.ticker.start(TICK_S, now=False)
 
@@ -216,20 +214,9 @@
 
     def apply_records(self, records: list[Record]) -> None:
         """Applies records that changed in the store."""
-        decoder = self.adapter.decoder
         for record in records:
-            try:
-                if decoder.is_publication(record):
-                    self.apply_publication(record)
-                elif decoder.target_of_entry(record):
-                    self.apply_target_entry(record)
-            except PlatformError as error:
-                log_event(
-                    Event.ENTRY_REFUSED,
-                    str(error),
-                    Severity.WARNING,
-                    revision=record.revision,
-                )
+            with contained(f'application of the record {record.key}'):
+                apply_record(self, record)
         self.refresh()
 
     def apply_publication(self, record: Record) -> None:
@@ -257,8 +244,8 @@
                 f'configuration {candidate.number} has a fault ({faults[0]})',
                 'publish a configuration without the fault',
             )
-        self.publication = candidate
         self.view = View.from_release(candidate.to_release(), HostList())
+        self.publication = candidate
         self.applied_roster_revision = -1
         self.calls.http.limits = candidate.limits
         log_event(
@@ -322,7 +309,11 @@
                 max(len(hosts.hosts), MIN_DAEMON_COUNT)
             )
             self.sync_local_target()
+        was_ready = self.is_ready
         self.lifecycle.synced()
+        if self.is_ready and not was_ready:
+            # Other daemons learn without delay that this one takes calls.
+            self.relay.tick()
 
     def sync_local_target(self) -> None:
         """Applies the store's entry of the target beside this daemon."""
@@ -359,6 +350,9 @@
 
     def begin_drain(self) -> None:
         """Drains the call path; calls in flight end normally."""
+        # Callers may use all of the grace time to read their answers.
+        self.calls.grace_s = self.config.grace_s
+        self.calls.close_timeout_s = self.config.grace_s
         drained: Deferred[None] = self.calls.drain()
         drained.addCallback(lambda _nothing: self.finish_stop())
 
@@ -368,6 +362,23 @@
         self.log.flush()
 
 
+def apply_record(sidecar: Sidecar, record: Record) -> None:
+    """Applies one record, or logs why it is refused."""
+    decoder = sidecar.adapter.decoder
+    try:
+        if decoder.is_publication(record):
+            sidecar.apply_publication(record)
+        elif decoder.target_of_entry(record):
+            sidecar.apply_target_entry(record)
+    except PlatformError as error:
+        log_event(
+            Event.ENTRY_REFUSED,
+            str(error),
+            Severity.WARNING,
+            revision=record.revision,
+        )
+
+
 def new_retry_budget(config: SidecarConfig, now: float) -> WindowBudget:
     """Returns the retry budget of one service.
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -2,10 +2,12 @@
 
 from typing import Any
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from egretlanding.frames import (
+    MAX_FRAME_BYTES,
     CallReply,
     CallRequest,
     Hello,
@@ -13,7 +15,11 @@
     Readiness,
     encode_frame,
 )
-from egretlanding.peers import PeerConnection, PeerContext
+from egretlanding.peers import (
+    SILENT_INTERVALS_TO_CLOSE,
+    PeerConnection,
+    PeerContext,
+)
 from tests.wires import attach, feed
 
 REPLIES = st.lists(st.binary(max_size=50), min_size=1, max_size=5)
@@ -99,9 +105,67 @@
     connection, _ = connect()
     connection.check_heartbeat()
     connection.reset_heartbeat()
-    connection.check_heartbeat()
+    for _ in range(SILENT_INTERVALS_TO_CLOSE):
+        connection.check_heartbeat()
     connection.dataReceived(encode_with_length(Readiness(False)))
-    connection.check_heartbeat()
+    for _ in range(SILENT_INTERVALS_TO_CLOSE):
+        connection.check_heartbeat()
     assert connection.is_open()
     connection.check_heartbeat()
     assert not connection.is_open()
+
+
+# Guards against calls that fail as possibly run because the daemon that runs
+# them is busy for two seconds, for example with a new configuration.
+def test_the_reply_of_a_busy_daemon_arrives() -> None:
+    connection, _ = connect()
+    replies: list[CallReply] = []
+    call_id = connection.call(make_request(), replies.append)
+    for _ in range(3):
+        connection.check_heartbeat()
+    reply = CallReply(call_id, 200, [], b'')
+    connection.dataReceived(encode_with_length(reply))
+    assert replies == [reply]
+
+
+# Bytes of a frame that never ends must not be held beyond the limit.
+def test_a_frame_beyond_the_limit_closes_the_connection() -> None:
+    connection, received = connect()
+    connection.dataReceived((MAX_FRAME_BYTES + 1).to_bytes(4, 'big'))
+    assert received == ['closed']
+
+
+# Guards against the loss of all calls of a connection because one of them
+# failed with an unexpected error.
+def test_a_call_that_fails_leaves_its_connection_and_other_calls(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    connection, received = connect()
+    replies: list[CallReply] = []
+    call_id = connection.call(make_request(), replies.append)
+
+    def fail(*_args: Any) -> None:
+        raise LookupError
+
+    monkeypatch.setattr(connection.context, 'on_call', fail)
+    reply = CallReply(call_id, 200, [], b'')
+    connection.dataReceived(
+        encode_with_length(make_request()) + encode_with_length(reply)
+    )
+    assert replies == [reply]
+    assert 'closed' not in received
+
+
+# Guards against the loss of all calls of a connection because the body of one
+# of them is larger than a frame may be.
+def test_a_call_with_an_oversized_body_is_not_sent() -> None:
+    sender, _ = connect()
+    receiver, received = connect()
+    replies: list[CallReply] = []
+    body = bytes(MAX_FRAME_BYTES)
+    request = CallRequest(0, 'GET', '/', [], body, 'route', 100, 50)
+    sender.call(request, replies.append)
+    sender.call(make_request(), replies.append)
+    receiver.dataReceived(sender.transport.value())
+    assert [reply.ran for reply in replies] == [Ran.NOT_RUN]
+    assert 'closed' not in received
