End a stop although a step of it fails

What callers saw: nothing directly; a stopping process that met an unexpected error was still running when it was killed, with its port closed or not.

Cause: the process ends in a callback of the stop, which an error skips.

Before the change, test_a_stop_ends_though_a_step_of_it_fails failed for each of three steps: assert False (ended)

Fix: an error in one step is logged, and the next step begins. None is skipped, so that calls in flight still end before the process does.

--- a/egretlanding/drains.py
+++ b/egretlanding/drains.py
@@ -5,6 +5,7 @@
 import attrs
 from twisted.internet.task import LoopingCall, deferLater
 
+from egretlanding.containment import contained
 from egretlanding.events import Event, log_event
 
 if TYPE_CHECKING:
@@ -44,13 +45,25 @@
     async def run(self) -> None:
         """Ends when no call is in flight and all connections are closed.
 
-        It ends before the grace time is over, whatever is left.
+        It ends before the grace time is over, whatever is left, and also if a
+        step fails with an unexpected error.
         """
-        service = self.service
-        reactor = service.reactor
         reports = LoopingCall(self.report, Event.DRAIN_WAITING)
-        reports.clock = reactor
+        reports.clock = self.service.reactor
         reports.start(DRAIN_REPORT_S)
+        steps = (self.close_ports, self.finish_calls, self.finish_replies)
+        for step in steps:
+            with contained(f'stop, {step.__name__}'):
+                await step()
+        reports.stop()
+        self.report(Event.DRAIN_ENDED)
+        with contained('stop, close'):
+            self.service.close()
+
+    async def close_ports(self) -> None:
+        """Closes the ports and idle connections at the end of the notice."""
+        service = self.service
+        reactor = service.reactor
         await deferLater(reactor, self.notice_until - reactor.seconds())
         for port in service.ports:
             await port.stopListening()
@@ -58,11 +71,6 @@
         # request begins on a connection that closes after it.
         await deferLater(reactor, 0)
         service.http.drain()
-        await self.finish_calls()
-        await self.finish_replies()
-        reports.stop()
-        self.report(Event.DRAIN_ENDED)
-        service.close()
 
     async def finish_calls(self) -> None:
         """Waits for calls in flight, and for callers to read their answers."""
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import attrs
+import pytest
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.testing import MemoryReactorClock
 
@@ -12,9 +13,9 @@
 from egretlanding.frames import Hello, Pong, encode_frame
 from egretlanding.hosts import Host
 from egretlanding.httpmessages import HttpResponse
-from egretlanding.httpserver import HttpExchange, HttpServer
+from egretlanding.httpserver import HttpExchange, HttpServer, HttpServerFactory
 from egretlanding.peerlinks import Lane, LaneConnection
-from egretlanding.peers import PeerConnection, PeerFactory
+from egretlanding.peers import PeerConnection, PeerContext, PeerFactory
 from egretlanding.sidecarconfig import SidecarConfig
 from egretlanding.tcpwrites import UNTRIED_BUFFER
 from tests.wires import Wire
@@ -283,3 +284,26 @@
     stop.exchanges[0].respond(HttpResponse(200, [], b'whole'))
     wire.read_all()
     assert wire.value().endswith(b'whole')
+
+
+# Failure: an unexpected error in one step of a stop kept the process running
+# until it was killed.
+@pytest.mark.parametrize(
+    ('owner', 'step'),
+    [
+        (HttpServerFactory, 'drain'),
+        (HttpServerFactory, 'close'),
+        (PeerContext, 'end_output'),
+    ],
+)
+def test_a_stop_ends_though_a_step_of_it_fails(
+    owner: type, step: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def fail(_owner: Any) -> None:
+        raise LookupError
+
+    monkeypatch.setattr(owner, step, fail)
+    stop = Stop.create()
+    stop.begin()
+    stop.advance(GRACE_S)
+    assert stop.ended
