Read what has arrived before a call fails at its deadline

What callers saw: 504 for a call whose answer had reached the daemon before the deadline, while the daemon was busy with other work.

Cause: the same as for idle connections; the reactor runs timers before it reads. The step that lets it read first is one function now.

--- a/egretlanding/attempts.py
+++ b/egretlanding/attempts.py
@@ -32,6 +32,7 @@
     Refusal,
     combine_failures,
 )
+from egretlanding.reads import after_reads
 from egretlanding.retries import (
     CallContext,
     Retry,
@@ -149,7 +150,12 @@
         reactor = self.ingress.reactor
         remaining = self.context.deadline - self.now
         self.timers.append(
-            reactor.callLater(remaining + REPLY_GRACE_S, self.handle_deadline),
+            reactor.callLater(
+                remaining + REPLY_GRACE_S,
+                after_reads,
+                reactor,
+                self.handle_deadline,
+            ),
         )
         timer = self.ingress.service_states.hedge_timer(self.match.route_name)
         delay = timer.delay(self.context, self.match.policy)
@@ -333,7 +339,9 @@
 
     @answers_failed_call
     def handle_deadline(self) -> None:
-        """Answers a call whose deadline has passed."""
+        """Answers a call whose deadline has passed, if it is unanswered."""
+        if self.is_finished:
+            return
         unanswered = [
             FailedAttempt(
                 Reason.DEADLINE,
--- a/egretlanding/calls.py
+++ b/egretlanding/calls.py
@@ -31,6 +31,7 @@
 from egretlanding.peerserver import PeerServer
 from egretlanding.quarantinenotices import merge_notice, quarantine_notices
 from egretlanding.reachability import Reachability
+from egretlanding.reads import after_reads
 from egretlanding.servicepeers import ServicePeers
 from egretlanding.servicestates import ServiceStates
 from egretlanding.suspicions import Suspicions
@@ -259,9 +260,7 @@
 
     def tick(self) -> None:
         """Runs the periodic tasks, once per heartbeat."""
-        # The reactor runs timers first. After a pause, what has arrived must be
-        # read before connections are judged by it.
-        self.reactor.callLater(0, logs_failure(self.check_connections))
+        after_reads(self.reactor, logs_failure(self.check_connections))
         self.service_peers.send_reports()
         self.egress.tick()
         self.reachability.refresh()
--- a/tests/test_call_path.py
+++ b/tests/test_call_path.py
@@ -13,6 +13,7 @@
 from twisted.internet.testing import MemoryReactorClock
 from twisted.python.failure import Failure
 
+from egretlanding.attempts import REPLY_GRACE_S
 from egretlanding.egress import Egress
 from egretlanding.events import SINKS, Event
 from egretlanding.frames import CallReply, Hello, refusal_reply
@@ -579,3 +580,17 @@
     daemon.configure()
     assert daemon.sidecar.is_ready
     assert daemon.reactor.tcpClients[0][0] == '10.0.0.2'
+
+
+# Guards against calls that fail at their deadline although the answer has
+# arrived, because the daemon was busy.
+def test_an_answer_that_has_arrived_by_the_deadline_is_delivered() -> None:
+    daemon = Daemon.build_plain()
+    daemon.pool.fixed_outcome = ANSWERED
+    wire = call_daemon(daemon)
+    call = next(iter(daemon.sidecar.calls.ingress.active_calls))
+    left_s = call.context.deadline + REPLY_GRACE_S - daemon.reactor.seconds()
+    # The reactor reads after the timers that were due.
+    daemon.reactor.callLater(left_s, daemon.requests.answer_one, daemon.rng)
+    daemon.reactor.advance(left_s)
+    assert status_of(wire) == 200
