Say that a daemon lost an answer only if it closed all connections

A caller that reset a connection after its last answer was logged and counted as closed by the daemon, which docs/EVENTS.md keeps for the end of a stop.

--- a/egretlanding/httpserver.py
+++ b/egretlanding/httpserver.py
@@ -174,9 +174,9 @@
             unanswered: Number of requests without a response.
         """
         unsent = unsent_bytes(self.transport)
-        if not unsent and not (unanswered and self.closing):
+        if not unsent and not (unanswered and self.server.is_closed):
             return
-        closed_by = 'daemon' if self.closing else 'caller'
+        closed_by = 'daemon' if self.server.is_closed else 'caller'
         self.server.lost_answers[closed_by] += 1
         log_event(
             Event.ANSWER_LOST,
@@ -340,6 +340,7 @@
     Attributes:
         is_draining: Whether connections are closed after their pending
             responses.
+        is_closed: Whether all connections were closed.
         lost_answers: Connections that ended before an answer was sent, by
             who closed them.
     """
@@ -362,6 +363,7 @@
         self.limits = HttpLimits()
         self.connections: set[HttpServer] = set()
         self.is_draining = False
+        self.is_closed = False
         self.lost_answers: Counter[str] = Counter()
 
     def buildProtocol(self, addr: Any) -> HttpServer:
@@ -381,6 +383,7 @@
 
     def close(self) -> None:
         """Closes all connections, those with pending requests too."""
+        self.is_closed = True
         for connection in tuple(self.connections):
             connection.write(b'', last=True)
 
