Avoid a silent daemon, but use it if no other answers

What callers would have seen: 503 at once from all targets of a small service, if a large configuration kept their daemons busy for a second.

A silent daemon counts as unreachable for the balancer now, until it speaks again: other targets come first, and if all are silent, calls go to them and wait. The test of the refusal is replaced by one of this: test_a_silent_daemon_counts_as_unreachable_until_it_speaks assert [] == ['h1'] before the change The hello of a daemon is read, too, before its time-out acts on it: test_a_hello_that_has_arrived_is_read_before_its_time_out assert False (connected) before the change

--- a/egretlanding/peerlinks.py
+++ b/egretlanding/peerlinks.py
@@ -13,6 +13,7 @@
 from egretlanding.hosts import Host
 from egretlanding.outcomes import Reason, Refusal
 from egretlanding.peers import OnReply, PeerConnection, PeerContext, PeerFactory
+from egretlanding.reads import after_reads
 
 CONNECT_TIMEOUT_S = 0.5
 # Time from an open connection to the hello of the other daemon, seconds.
@@ -106,13 +107,6 @@
             and connection.peer is not None
         )
 
-    def is_responsive(self) -> bool:
-        """Returns whether the other daemon has answered the last ping."""
-        connection = self.connection
-        return self.is_open() and not (
-            connection is None or connection.silent_intervals
-        )
-
     def record_failure(self, now: float) -> list[PendingCall]:
         """Sets the backoff and returns the calls that can't be sent."""
         pause = BACKOFF_FIRST_S * 2**self.failures
@@ -140,7 +134,7 @@
         reactor: The reactor to connect with.
         context: The state and callbacks that all connections share.
         on_unreachable: Called with the id of a host after an attempt to
-            connect failed.
+            connect failed, and while its daemon doesn't answer pings.
         lanes: The connections by lane and by host, which includes its address.
     """
 
@@ -179,14 +173,14 @@
         """
         lane = self.connect(host, lane_kind)
         lane.last_used = self.reactor.seconds()
-        if lane.connection and lane.is_responsive():
+        if lane.connection and lane.is_open():
             pending.send(lane.connection)
         elif lane.connecting:
             lane.queued.append(pending)
         else:
             # The reply is sent only after this function has returned, as it is
             # after a failed attempt to connect.
-            detail = 'the daemon did not answer or connect a moment ago'
+            detail = 'connecting to the daemon failed a moment ago'
             self.reactor.callLater(0, pending.fail, detail)
 
     def connect(self, host: Host, lane_kind: Lane) -> LaneConnection:
@@ -221,7 +215,9 @@
     ) -> None:
         """Waits for the hello of the other daemon."""
         lane.connection = connection
-        timer = self.reactor.callLater(HELLO_TIMEOUT_S, connection.abort)
+        timer = self.reactor.callLater(
+            HELLO_TIMEOUT_S, self.end_without_hello, connection
+        )
 
         def on_greeting(arrived: bool) -> None:
             if timer.active():
@@ -234,6 +230,15 @@
 
         connection.greeting.on_end = on_greeting
 
+    def end_without_hello(self, connection: PeerConnection) -> None:
+        """Closes a connection unless its hello waits to be read."""
+
+        def close() -> None:
+            if connection.peer is None:
+                connection.abort()
+
+        after_reads(self.reactor, close)
+
     def on_greeted(
         self,
         connection: PeerConnection,
@@ -286,21 +291,24 @@
         now = self.reactor.seconds()
         for key, lane in tuple(self.lanes.items()):
             if lane.connection and lane.is_open():
-                self.check_connection(lane, lane.connection, now)
+                self.check_connection(key[0], lane, lane.connection)
             elif not lane.connecting and now - lane.last_used > IDLE_LIMIT_S:
                 del self.lanes[key]
 
     def check_connection(
         self,
+        host: Host,
         lane: LaneConnection,
         connection: PeerConnection,
-        now: float,
     ) -> None:
         """Closes a connection if it is idle, else checks its heartbeat."""
-        if now - lane.last_used > IDLE_LIMIT_S and connection.is_idle():
+        unused_s = self.reactor.seconds() - lane.last_used
+        if unused_s > IDLE_LIMIT_S and connection.is_idle():
             connection.abort()
-        else:
-            connection.check_heartbeat()
+            return
+        connection.check_heartbeat()
+        if connection.silent_intervals:
+            self.on_unreachable(host.host_id)
 
     def reset_heartbeats(self) -> None:
         """Restarts all heartbeats after a pause of this process."""
--- a/egretlanding/peers.py
+++ b/egretlanding/peers.py
@@ -204,7 +204,9 @@
     def dataReceived(self, data: bytes) -> None:
         """Counts the received bytes and decodes the frames in them."""
         self.bytes_received += len(data)
-        self.silent_intervals = 0
+        if self.silent_intervals:
+            self.silent_intervals = 0
+            self.context.on_readiness(self, self.ready)
         super().dataReceived(data)
 
     def stringReceived(self, string: bytes) -> None:
