Keep the product's daemon running at SIGHUP

What callers saw: a connection that ended without an answer when the daemon got SIGHUP, which no handler took. The daemon on the users' platform lost requests for the same cause once. Before the change, test_a_hangup_does_not_end_a_daemon: RemoteDisconnected: Remote end closed connection without response This daemon reads its settings at the start only, so it ignores the signal.

--- a/egretlanding/daemon.py
+++ b/egretlanding/daemon.py
@@ -47,6 +47,8 @@
     def stop(*_args: Any) -> None:
         reactor.callFromThread(supervisor.stop)
 
+    # The settings are read at the start only.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     signal.signal(signal.SIGTERM, stop)
     signal.signal(signal.SIGINT, stop)
     reactor.callWhenRunning(supervisor.start)
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -96,6 +96,18 @@
     assert ingress.daemon.wait(STOP_TIMEOUT_S) == 0
 
 
+# Guards against a daemon that ends with calls in flight when it gets SIGHUP.
+def test_a_hangup_does_not_end_a_daemon(calls: CallFleet) -> None:
+    ingress = calls.member(INGRESS_HOST)
+    with ThreadPoolExecutor(1) as pool:
+        batch = pool.submit(run_batch, calls, INGRESS_HOST, 'solo', 'held')
+        time.sleep(0.3)
+        assert ingress.daemon
+        ingress.daemon.send_signal(signal.SIGHUP)
+        assert has_expected_body(batch.result(), 'held', 100_000)
+    assert ingress.daemon.poll() is None
+
+
 def test_calls_to_a_stopping_owner_do_not_run(calls: CallFleet) -> None:
     owner = calls.member('solo-0')
     key = calls.issue_key()
