Let the fault soak see stops that outlast their grace time

Callers of a second kind keep connections open and idle, and send requests that take long. A stop that outlasts the grace time ends by a kill, as on the platform. Two more checks: a stop ends within the grace time, and a daemon answers what it has read.

--- a/soak/cmdline.py
+++ b/soak/cmdline.py
@@ -11,7 +11,7 @@
 import attrs
 import defopt
 
-from soak.callers import Caller
+from soak.callers import Caller, KeptCaller
 from soak.faults import fault_context, pick_fault
 from soak.promises import RECOVERY_LIMIT_S, Breach, find_breaches
 from soak.records import SoakAction, clock
@@ -20,6 +20,7 @@
 # Number of threads that inject faults. Faults of different threads overlap.
 SERIES_COUNT = 3
 CALLERS_PER_DAEMON = 2
+KEPT_CONNECTIONS_PER_DAEMON = 8
 MAX_PAUSE_S = 1.0
 FAULT_DURATION_S = (0.2, 3.0)
 # Time after the recovery limit in which callers still send requests, so that
@@ -91,15 +92,16 @@
 
 def start_callers(testbed: Testbed, rng: random.Random) -> list[Caller]:
     """Starts callers for every daemon."""
+    kinds = (
+        (Caller, testbed.current_paths, CALLERS_PER_DAEMON),
+        (KeptCaller, testbed.slow_paths, KEPT_CONNECTIONS_PER_DAEMON),
+    )
     callers = [
-        Caller(
-            member,
-            testbed.history,
-            random.Random(rng.random()),
-            testbed.current_paths,
+        caller_class(
+            member, testbed.history, random.Random(rng.random()), get_paths
         )
-        for member in testbed.fleet.members
-        for _ in range(CALLERS_PER_DAEMON)
+        for caller_class, get_paths, count in kinds
+        for member in testbed.fleet.members * count
     ]
     for caller in callers:
         caller.start()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,7 +6,7 @@
 import random
 import signal
 from collections.abc import Callable, Iterator
-from contextlib import AbstractContextManager, contextmanager
+from contextlib import AbstractContextManager, ExitStack, contextmanager
 from http import HTTPStatus
 
 from soak.testbed import STORE_LINK, SoakMember, Testbed
@@ -15,6 +15,8 @@
 # Injects a fault before its only yield and undoes it afterwards.
 Fault = Callable[[Testbed, SoakMember], Iterator[None]]
 FAULTS: dict[str, Fault] = {}
+# How often a fault is chosen, relative to others, if not once.
+FAULT_WEIGHTS = {'term': 3, 'term-several': 2}
 DELAY_MS = 150.0
 BLACKHOLED = DirectionFaults(blackhole=True)
 
@@ -44,7 +46,9 @@
 
 def pick_fault(rng: random.Random) -> str:
     """Returns the name of a random fault."""
-    return rng.choice(sorted(FAULTS))
+    names = sorted(FAULTS)
+    weights = [FAULT_WEIGHTS.get(name, 1) for name in names]
+    return rng.choices(names, weights)[0]
 
 
 @fault('kill')
@@ -61,6 +65,43 @@
     yield
 
 
+@fault('term-several')
+def restart_daemons(testbed: Testbed, member: SoakMember) -> Iterator[None]:
+    """Stops all daemons but one gracefully at once and starts them again.
+
+    Daemons with another fault are left alone.
+    """
+    with ExitStack() as stack:
+        stopped = [member, *lock_others(testbed, member, stack)]
+        testbed.restart_several(stopped)
+        yield
+
+
+def lock_others(
+    testbed: Testbed,
+    member: SoakMember,
+    stack: ExitStack,
+) -> list[SoakMember]:
+    """Reserves the daemons without a fault, all but one, for a fault.
+
+    Args:
+        testbed: The daemons.
+        member: The host that is reserved already.
+        stack: Ends the reservation of the daemons.
+    """
+    others = [
+        other
+        for other in testbed.fleet.members
+        if isinstance(other, SoakMember) and other is not member
+    ]
+    locked = []
+    for other in others[1:]:
+        if other.fault_lock.acquire(blocking=False):
+            stack.callback(other.fault_lock.release)
+            locked.append(other)
+    return locked
+
+
 @fault('reload')
 def reload_daemon(testbed: Testbed, member: SoakMember) -> Iterator[None]:
     """Makes a daemon reload its settings."""
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from soak.records import CallerRequest, History
+from soak.records import CallerRequest, History, SoakAction
 
 REFUSAL_STATUSES = frozenset((408, 421, 429, 503))
 OK = 200
@@ -18,6 +18,9 @@
 FAULT_AFTERMATH_S = 3.0
 # Time after the last fault in which all daemons must serve again, seconds.
 RECOVERY_LIMIT_S = 15.0
+# Time before the end of a connection after which a request may cross its
+# closing unread, seconds.
+CROSSING_S = 0.5
 # Faults of the store, which can delay updates.
 STORE_FAULTS = ('store-cut', 'store-silent', 'store-slow')
 # Faults of daemons and of the connections between them.
@@ -224,6 +227,81 @@
     )
 
 
+@promise('stop-in-time')
+def check_stop_in_time(history: History) -> Iterator[str]:
+    """A graceful stop ends within the grace time."""
+    return (
+        f'{action.subject} was killed '
+        f'{round(action.undone_at - action.started_at, 1)} s after SIGTERM'
+        for action in history.actions
+        if action.kind == 'overdue' and not is_excused(history, action)
+    )
+
+
+def is_excused(history: History, overdue: SoakAction) -> bool:
+    """Returns whether the daemon had just been started or paused."""
+    earliest = overdue.started_at - FAULT_AFTERMATH_S
+    return any(
+        action.subject == overdue.subject
+        and action.kind in {'kill', 'pause', 'term'}
+        and earliest < action.undone_at <= overdue.started_at
+        for action in history.actions
+    )
+
+
+@promise('answered')
+def check_answered(history: History) -> Iterator[str]:
+    """A daemon answers each request that it has read, unless it is killed.
+
+    Requests that cross the closing of their connection may stay unanswered if
+    no target has run them.
+    """
+    run_ids = {run.request_id for run in history.runs}
+    return (
+        f'{request.request_id} got no answer from {request.host} in '
+        f'{round(request.ended - request.sent, 1)} s'
+        for request in history.requests
+        if not request.status
+        and (
+            was_read(request)
+            or (request.request_id in run_ids and was_changed(history, request))
+        )
+        and not was_cut_off(history, request)
+    )
+
+
+def was_read(request: CallerRequest) -> bool:
+    """Returns whether a daemon had the time to read a request."""
+    return (
+        request.written is not None
+        and request.ended > request.written + CROSSING_S
+    )
+
+
+def was_changed(history: History, request: CallerRequest) -> bool:
+    """Returns whether a daemon's process or configuration was changed."""
+    return was_stopped(history, request) or history.has_actions(
+        request.sent - IN_FORCE_LIMIT_S, request.ended, 'publish'
+    )
+
+
+def was_cut_off(history: History, request: CallerRequest) -> bool:
+    """Returns whether a daemon was killed or paused by the soak."""
+    return history.has_actions(
+        request.sent - FAULT_AFTERMATH_S,
+        request.ended,
+        'kill',
+        'pause',
+        subject=request.host,
+    ) or any(
+        action.kind == 'overdue'
+        and action.subject == request.host
+        and request.sent < action.undone_at < request.ended + CROSSING_S
+        and is_excused(history, action)
+        for action in history.actions
+    )
+
+
 @promise('recovery')
 def check_recovery(history: History) -> Iterator[str]:
     """Every daemon serves at least half of the requests after recovery."""
--- a/soak/records.py
+++ b/soak/records.py
@@ -23,6 +23,7 @@
         ended: When its answer arrived or its connection ended, seconds.
         status: The status of the answer, zero if the connection ended.
         body: The body of the answer.
+        written: When its last byte was sent, seconds; None if it wasn't.
     """
 
     request_id: str
@@ -33,6 +34,7 @@
     ended: float
     status: int
     body: str = ''
+    written: float | None = None
 
 
 @attrs.frozen
@@ -57,7 +59,8 @@
     """A fault or a publication by the soak.
 
     Attributes:
-        kind: The name of the fault.
+        kind: The name of the fault; `overdue` for a graceful stop that ended
+            by a kill at the end of the grace time.
         subject: The host id of a daemon; for `leave`, the instance name of a
             target; for `publish`, the path segment of the new route.
         started_at: When it began, seconds.
@@ -96,10 +99,24 @@
             else:
                 self.actions.append(event)
 
-    def has_actions(self, began: float, ended: float, *kinds: str) -> bool:
-        """Returns whether actions of some kinds overlap a time span."""
+    def has_actions(
+        self,
+        began: float,
+        ended: float,
+        *kinds: str,
+        subject: str | None = None,
+    ) -> bool:
+        """Returns whether actions of some kinds overlap a time span.
+
+        Args:
+            began: The start of the time span, seconds.
+            ended: The end of the time span, seconds.
+            kinds: The names of the faults.
+            subject: The only subject that counts; None for all.
+        """
         return any(
             action.kind in kinds
+            and subject in {None, action.subject}
             and action.started_at < ended
             and action.undone_at > began
             for action in self.actions
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -1,9 +1,12 @@
 """The testbed of a soak: daemon processes behind a fault proxy, and a store."""
 
 import signal
+import subprocess
 import tempfile
 import threading
 import time
+from collections.abc import Sequence
+from concurrent.futures import ThreadPoolExecutor
 from http import HTTPStatus
 from pathlib import Path
 from typing import Any
@@ -26,6 +29,16 @@
 
 PORT_NAMES = ('callers', 'peers', 'readiness', 'metrics', 'target')
 STOP_TIMEOUT_S = 8
+# Time after SIGTERM at which the platform kills a daemon, seconds.
+GRACE_S = 6.0
+# Requests that a target works on at a time at most.
+SLOT_COUNT = 16
+# Paths of requests that take long, and whether the route of each is idempotent.
+SLOW_PATHS = {'/slow-read/a': True, '/slow-write/a': False}
+# Time that a target works on such a request, seconds.
+SLOW_WORK_S = 1.0
+# Longer than callers leave their connections idle.
+IDLE_TIMEOUT = '8s'
 # Last octet of the addresses of the first host.
 FIRST_HOST_NUMBER = 11
 STORE_LINK = 'store'
@@ -34,20 +47,37 @@
 MS_PER_S = 1_000
 
 
-def route(prefix: str, *, idempotent: bool) -> dict:
+def route(
+    prefix: str,
+    *,
+    idempotent: bool,
+    target_latency: str = '400ms',
+) -> dict:
     """Returns a route to the only service of the fleet."""
     return {
         'host': 'one.example',
         'prefix': prefix,
         'route-kind': 'safe' if idempotent else 'unsafe',
         'timeout': '1500ms',
-        'target-latency': '400ms',
+        'target-latency': target_latency,
         'priority': int(idempotent),
         'service': 'orders',
         'max-attempts': 2,
     }
 
 
+def slow_routes() -> dict[str, dict]:
+    """Returns the routes of the requests that take long."""
+    return {
+        path.split('/')[1]: route(
+            path.removesuffix('a'),
+            idempotent=idempotent,
+            target_latency='1200ms',
+        )
+        for path, idempotent in SLOW_PATHS.items()
+    }
+
+
 @attrs.define(eq=False)
 class SoakMember(Member):
     """A host whose target records its runs and can be replaced.
@@ -78,11 +108,15 @@
         instance = self.instance
         if self.status == HTTPStatus.OK:
             self.history.record(TargetRun(request_id, instance, path, clock()))
+            if path in SLOW_PATHS:
+                time.sleep(SLOW_WORK_S)
         return self.status, f'{request_id} {instance}'.encode()
 
     def store_record(self, state: str = 'ready') -> dict:
         """Returns the record of the target in the store."""
-        return {**super().store_record(state), 'born': self.born_ms}
+        fields = super().store_record(state)
+        fields['info']['slots'] = SLOT_COUNT
+        return {**fields, 'born': self.born_ms}
 
     def replace_target(self) -> None:
         """Stops the target and starts it again as another instance."""
@@ -139,7 +173,10 @@
         ]
         directory = folder or Path(tempfile.mkdtemp(prefix='soak-'))
         testbed = cls(
-            PlatformFleet(Store(), members, directory), proxy, history, {}
+            PlatformFleet(Store(), members, directory, IDLE_TIMEOUT),
+            proxy,
+            history,
+            {},
         )
         testbed.open_links()
         for member in members:
@@ -185,6 +222,7 @@
             permanent_routes = {
                 'read': route('/read/', idempotent=True),
                 'write': route('/write/', idempotent=False),
+                **slow_routes(),
             }
             self.fleet.configure(
                 self.version,
@@ -207,6 +245,10 @@
         """Returns the paths of requests, and whether each is idempotent."""
         return self.paths
 
+    def slow_paths(self) -> dict[str, bool]:
+        """Returns the paths of requests that take long, like `paths`."""
+        return SLOW_PATHS
+
     def set_rule(self, link: str, *rules: LinkRule) -> None:
         """Replaces the rules of a link; without rules it has no faults."""
         self.proxy.set_rules(link, *rules)
@@ -218,11 +260,39 @@
 
     def restart(self, member: Member, number: signal.Signals) -> None:
         """Ends a daemon by a signal and starts it again once it has ended."""
+        began = clock()
         self.send_signal(member, number)
         if member.process:
-            member.process.wait(STOP_TIMEOUT_S)
+            try:
+                member.process.wait(GRACE_S)
+            except subprocess.TimeoutExpired:
+                self.kill_overdue(member, began)
         self.start_daemon(member)
 
+    def kill_overdue(self, member: Member, began: float) -> None:
+        """Kills a daemon whose stop has outlasted the grace time.
+
+        Args:
+            member: The daemon's host.
+            began: When the stop began, seconds.
+        """
+        self.send_signal(member, signal.SIGKILL)
+        self.history.record(
+            SoakAction('overdue', member.advertised_address, began, clock())
+        )
+        if member.process:
+            member.process.wait(STOP_TIMEOUT_S)
+
+    def restart_several(self, members: Sequence[Member]) -> None:
+        """Stops daemons gracefully at once and starts them again."""
+        began = clock()
+        with ThreadPoolExecutor(len(members)) as pool:
+            for member in members:
+                pool.submit(self.restart, member, signal.SIGTERM)
+        for member in members:
+            host = member.advertised_address
+            self.history.record(SoakAction('term', host, began, clock()))
+
     def close(self) -> None:
         """Stops all processes, servers and the proxy."""
         for member in self.fleet.members:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,8 +18,16 @@
     host = overrides.pop('host', 'a')
     idempotent = overrides.pop('idempotent', False)
     ended = overrides.pop('ended', sent + 0.1)
+    written = overrides.pop('written', None)
     return CallerRequest(
-        request_id, host, path, idempotent, sent, ended, status, body
+        request_id, host, path, idempotent, sent, ended, status, body, written
+    )
+
+
+def unanswered(sent, ended):
+    """Returns a request to host `a` whose connection ended."""
+    return caller_request(
+        status=0, sent=sent, ended=ended, body='', written=sent
     )
 
 
@@ -90,6 +98,37 @@
                 target_run(began=100.5),
             ],
         ),
+        (
+            'stop-in-time',
+            [
+                SoakAction('overdue', 'a', 100.0, 106.0),
+                SoakAction('term', 'a', 100.0, 106.5),
+            ],
+        ),
+        (
+            'answered',
+            [
+                SoakAction('overdue', 'a', 100.0, 106.0),
+                SoakAction('term', 'a', 100.0, 106.5),
+                unanswered(sent=105.0, ended=106.0),
+            ],
+        ),
+        (
+            'answered',
+            [
+                SoakAction('reload', 'a', 100.0, 101.0),
+                unanswered(sent=100.1, ended=100.2),
+                target_run(),
+            ],
+        ),
+        (
+            'answered',
+            [
+                SoakAction('kill', 'b', 100.0, 101.0),
+                SoakAction('publish', 'v3', 100.0, 100.0),
+                unanswered(sent=100.0, ended=104.0),
+            ],
+        ),
         (
             'recovery',
             [
@@ -119,6 +158,32 @@
     )
 
 
+def test_requests_may_cross_the_closing_of_their_connection():
+    stop = SoakAction('term', 'a', 100.0, 104.0)
+    assert not broken_promises(stop, unanswered(sent=103.1, ended=103.2))
+
+
+@pytest.mark.parametrize(
+    'fault',
+    [
+        SoakAction('kill', 'a', 100.0, 101.0),
+        SoakAction('pause', 'a', 96.0, 98.0),
+    ],
+)
+def test_a_killed_or_paused_daemon_may_leave_requests_unanswered(fault):
+    request = unanswered(sent=99.5, ended=100.5)
+    assert not broken_promises(fault, request, target_run())
+
+
+def test_a_stop_may_take_longer_right_after_the_start():
+    assert not broken_promises(
+        SoakAction('kill', 'a', 96.0, 98.0),
+        SoakAction('overdue', 'a', 100.0, 106.0),
+        SoakAction('term', 'a', 100.0, 106.5),
+        unanswered(sent=105.0, ended=106.0),
+    )
+
+
 @pytest.mark.parametrize('seed', [*REGRESSION_SEEDS, FRESH_SEED])
 def test_short_soak_breaks_no_promise(seed):
     outcome = run(seed, hosts=3, seconds=6)
