--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -105,12 +105,12 @@
     ) -> tuple[int, bytes]:
         """Records a run and answers with the request id and the instance."""
         request_id = headers.get('Request-Id') or headers.get('request-id', '')
-        instance = self.instance
-        if self.status == HTTPStatus.OK:
+        instance, status = self.instance, self.status
+        if status == HTTPStatus.OK:
             self.history.record(TargetRun(request_id, instance, path, clock()))
             if path in SLOW_PATHS:
                 time.sleep(SLOW_WORK_S)
-        return self.status, f'{request_id} {instance}'.encode()
+        return status, f'{request_id} {instance}'.encode()
 
     def store_record(self, state: str = 'ready') -> dict:
         """Returns the record of the target in the store."""
