--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -287,8 +287,12 @@
         """Stops daemons gracefully at once and starts them again."""
         began = clock()
         with ThreadPoolExecutor(len(members)) as pool:
-            for member in members:
+            restarts = [
                 pool.submit(self.restart, member, signal.SIGTERM)
+                for member in members
+            ]
+        for restarted in restarts:
+            restarted.result()
         for member in members:
             host = member.advertised_address
             self.history.record(SoakAction('term', host, began, clock()))
