Let no silent daemon hold a stop up to the end of its grace time

Cause: a stop waited until all other daemons had closed their connections; one that doesn't answer never does.

Before the change, test_a_daemon_that_never_closes_does_not_hold_a_stop failed: the stop had not ended 1.2 s after the notice. Once everything is sent, the other daemons have 1 s to close.

--- a/egretlanding/drains.py
+++ b/egretlanding/drains.py
@@ -7,6 +7,7 @@
 
 from egretlanding.containment import contained
 from egretlanding.events import Event, log_event
+from egretlanding.tcpwrites import unsent_bytes
 
 if TYPE_CHECKING:
     from egretlanding.calls import CallService
@@ -16,6 +17,8 @@
 DRAIN_REPORT_S = 1.0
 # Part of the grace time that is kept for the process to end, seconds.
 EXIT_MARGIN_S = 0.3
+# Time for other daemons to close connections on which all was sent, seconds.
+PEER_CLOSE_TIMEOUT_S = 1.0
 # Largest part of the time of a drain for which the ports stay open.
 NOTICE_SHARE = 0.6
 
@@ -90,14 +93,16 @@
         service = self.service
         context = service.links.context
         now = service.reactor.seconds()
-        deadline = min(self.ends_at, now + service.close_timeout_s)
+        closing_until = now + PEER_CLOSE_TIMEOUT_S
         open_now = frozenset(context.connections)
         context.end_output()
-        while (
-            open_now & context.connections
-            and service.reactor.seconds() < deadline
-        ):
+        while now < self.ends_at:
+            left = open_now & context.connections
+            is_sent = not any(unsent_bytes(peer.transport) for peer in left)
+            if not left or (is_sent and now >= closing_until):
+                break
             await deferLater(service.reactor, DRAIN_POLL_S)
+            now = service.reactor.seconds()
 
     def report(self, event: Event) -> None:
         """Logs what the drain waits for, or what it leaves at its end."""
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -49,6 +49,7 @@
         super().__init__()
         self.dataBuffer = b''
         self.half_closed = False
+        self.half_closes = True
         self.aborted = False
         setattr(self, UNTRIED_BUFFER, [])
 
@@ -75,7 +76,8 @@
 
     def close_once_sent(self) -> None:
         """Closes the connection if that was asked for and nothing is left."""
-        if not self.dataBuffer and (self.disconnecting or self.half_closed):
+        answers_close = self.half_closed and self.half_closes
+        if not self.dataBuffer and (self.disconnecting or answers_close):
             super().loseConnection()
 
 
@@ -209,6 +211,20 @@
     assert stop.ended
 
 
+# Failure: a daemon that didn't answer held every stop of the others up to the
+# end of the grace time.
+def test_a_daemon_that_never_closes_does_not_hold_a_stop() -> None:
+    stop = Stop.create()
+    _, wire = stop.peer()
+    wire.half_closes = False
+    wire.read_all()
+    stop.begin()
+    stop.advance(3.1)
+    assert not stop.ended
+    stop.advance(1.2)
+    assert stop.ended
+
+
 def test_a_stop_ends_in_time_though_a_daemon_never_reads() -> None:
     stop = Stop.create()
     connection, _ = stop.peer()
