--- a/egretlanding/peers.py
+++ b/egretlanding/peers.py
@@ -35,6 +35,13 @@
 from egretlanding.outcomes import Reason, Refusal
 from egretlanding.tcpwrites import enable_keepalive, write_now
 
+# Consecutive heartbeat intervals without a byte after which a connection is
+# closed. A daemon that takes a large configuration over may miss one or two.
+SILENT_INTERVALS_TO_CLOSE = 3
+# Space that a frame keeps for what a call contains besides its body, bytes.
+MAX_CALL_HEAD_BYTES = 262_144
+MAX_CALL_BODY_BYTES = MAX_FRAME_BYTES - MAX_CALL_HEAD_BYTES
+
 # Called with the reply to a call, or with a generated one if the connection
 # was lost.
 OnReply = Callable[[CallReply], None]
@@ -67,11 +74,6 @@
             on_end(arrived)
 
 
-# Space that a frame keeps for what a call contains besides its body, bytes.
-MAX_CALL_HEAD_BYTES = 262_144
-MAX_CALL_BODY_BYTES = MAX_FRAME_BYTES - MAX_CALL_HEAD_BYTES
-
-
 class PeerConnection(Int32StringReceiver):
     """A connection to another daemon, in either direction.
 
@@ -83,10 +85,12 @@
         served: Tickets of running calls from the other daemon, by call id.
         call_ids: Source of call ids.
         ready: Whether the other daemon accepts calls.
+        aborted: Whether this daemon has closed the connection at once.
         greeting: Reports the hello, or the end of a connection without one.
         bytes_received: Number of bytes received so far.
         bytes_at_last_check: Value of `bytes_received` at the last heartbeat,
-            -1 if the next one must not close the connection.
+            -1 if the next one must not count as silent.
+        silent_intervals: Consecutive heartbeat intervals without a byte.
     """
 
     MAX_LENGTH = MAX_FRAME_BYTES
@@ -103,9 +107,11 @@
         self.served: dict[int, int] = {}
         self.call_ids = itertools.count(1)
         self.ready = True
+        self.aborted = False
         self.greeting = Greeting()
         self.bytes_received = 0
         self.bytes_at_last_check = -1
+        self.silent_intervals = 0
 
     def connectionMade(self) -> None:
         """Registers the connection and sends the hello of this daemon."""
@@ -136,7 +142,7 @@
     def is_open(self) -> bool:
         """Returns whether frames can be sent."""
         transport: Any = self.transport
-        return bool(transport and transport.connected)
+        return bool(transport and transport.connected and not self.aborted)
 
     def is_idle(self) -> bool:
         """Returns whether no call is in flight in either direction."""
@@ -170,13 +176,15 @@
             self.send(Cancel(call_id))
 
     def check_heartbeat(self) -> None:
-        """Closes the connection if nothing arrived, else sends a ping.
+        """Closes the connection after a long silence, else sends a ping.
 
-        Called once per heartbeat interval. Replies of an unresponsive daemon
-        would arrive too late; closing the connection fails the calls that
-        wait for them.
+        Called once per heartbeat interval. Replies of a daemon that is silent
+        for longer would arrive too late; closing the connection fails the
+        calls that wait for them.
         """
         if self.bytes_received == self.bytes_at_last_check:
+            self.silent_intervals += 1
+        if self.silent_intervals >= SILENT_INTERVALS_TO_CLOSE:
             self.abort()
             return
         self.bytes_at_last_check = self.bytes_received
@@ -185,15 +193,18 @@
     def reset_heartbeat(self) -> None:
         """Restarts the heartbeat after a pause of this process."""
         self.bytes_at_last_check = -1
+        self.silent_intervals = 0
 
     def abort(self) -> None:
         """Closes the connection at once."""
+        self.aborted = True
         transport: Any = self.transport
         transport.abortConnection()
 
     def dataReceived(self, data: bytes) -> None:
         """Counts the received bytes and decodes the frames in them."""
         self.bytes_received += len(data)
+        self.silent_intervals = 0
         super().dataReceived(data)
 
     def stringReceived(self, string: bytes) -> None:
