Name the bounds on answers by what they bound, and split a timed step

No change of behaviour: the bound on a body stands beside those on the head and on all bytes, with names that tell them apart; the cut of an endless answer is a function of its own in place of a flag; two aliases named Handler are told apart.

--- a/egretlanding/callfailures.py
+++ b/egretlanding/callfailures.py
@@ -19,21 +19,21 @@
     from egretlanding.jobs import Job
 
 DETAIL = 'the daemon failed to handle the call; see its log'
-Handler = Callable[..., None]
+Step = Callable[..., None]
 
 
-def answers_failed_call(handler: Handler) -> Handler:
+def answers_failed_call(step: Step) -> Step:
     """Makes a method of `ActiveCall` answer the call if it fails."""
 
-    @functools.wraps(handler)
-    def handle(call: 'ActiveCall', *details: Any) -> None:
+    @functools.wraps(step)
+    def run(call: 'ActiveCall', *details: Any) -> None:
         try:
-            handler(call, *details)
+            step(call, *details)
         except Exception as error:
-            log_unexpected(f'call, {handler.__name__}', error)
+            log_unexpected(f'call, {step.__name__}', error)
             fail_call(call)
 
-    return handle
+    return run
 
 
 def fail_call(call: 'ActiveCall') -> None:
@@ -56,18 +56,18 @@
     return refusal_reply(0, Refusal.unknown(Reason.INTERNAL_ERROR, DETAIL))
 
 
-def replies_to_failed_job(handler: Handler) -> Handler:
+def replies_to_failed_job(step: Step) -> Step:
     """Makes a method of `Egress` reply to its job if it fails."""
 
-    @functools.wraps(handler)
-    def handle(egress: 'Egress', job: 'Job', *details: Any) -> None:
+    @functools.wraps(step)
+    def run(egress: 'Egress', job: 'Job', *details: Any) -> None:
         try:
-            handler(egress, job, *details)
+            step(egress, job, *details)
         except Exception as error:
-            log_unexpected(f'job, {handler.__name__}', error)
+            log_unexpected(f'job, {step.__name__}', error)
             fail_job(egress, job)
 
-    return handle
+    return run
 
 
 def fail_job(egress: 'Egress', job: 'Job') -> None:
--- a/egretlanding/egress.py
+++ b/egretlanding/egress.py
@@ -307,23 +307,27 @@
         self.quarantine.expire(self.reactor.seconds())
 
 
-def limit_answer(egress: Egress, job: Job, *, had_begun: bool = False) -> None:
+def limit_answer(egress: Egress, job: Job) -> None:
     """Cuts the answer to an abandoned call if it begins but doesn't end.
 
+    An answer that hasn't begun is not cut, since the target may still be
+    running the call.
+
     Args:
         egress: Runs the call.
         job: The call.
-        had_begun: Whether its answer had begun one time-out ago.
     """
     if job.job_id not in egress.table.jobs:
         return
-    has_begun = bool(job.request_handle and job.request_handle.is_answering)
-    if had_begun and has_begun:
+    has_begun = job.request_handle and job.request_handle.is_answering
+    next_step = cut_answer if has_begun else limit_answer
+    egress.reactor.callLater(ANSWER_TIMEOUT_S, next_step, egress, job)
+
+
+def cut_answer(egress: Egress, job: Job) -> None:
+    """Cuts the answer to a call unless it has ended; it counts as lost."""
+    if job.job_id in egress.table.jobs:
         job.request_handle.cut()
-        return
-    egress.reactor.callLater(
-        ANSWER_TIMEOUT_S, limit_answer, egress, job, had_begun=has_begun
-    )
 
 
 def refusal_in_response(
--- a/egretlanding/httpclient.py
+++ b/egretlanding/httpclient.py
@@ -20,10 +20,10 @@
 from egretlanding.httpmessages import BODILESS, HttpRequest, HttpResponse
 from egretlanding.tcpwrites import enable_keepalive, write_now
 
-MAX_RESPONSE_BYTES = MAX_FRAME_BYTES // 2
-# Bounds on the bytes that a target sends for one request, framing included: up
-# to the end of the answer's head, and in all.
-MAX_HEADER_BYTES = 65_536
+# Bounds on what a target sends for one request: the bytes up to the end of the
+# answer's head, the decoded body, and all bytes with their framing.
+MAX_HEAD_BYTES = 65_536
+MAX_BODY_BYTES = MAX_FRAME_BYTES // 2
 MAX_ANSWER_BYTES = MAX_FRAME_BYTES
 
 # Called with the complete response, or with None if the connection was lost
@@ -102,7 +102,7 @@
         self.headers: Headers = []
         self.body = bytearray()
         self.received_bytes = 0
-        self.max_bytes = MAX_HEADER_BYTES
+        self.max_bytes = MAX_HEAD_BYTES
         self.ends_with_connection = False
         self.complete_response: HttpResponse | None = None
 
@@ -220,7 +220,7 @@
     def on_body(self, body: bytes) -> None:
         """Collects a piece of the body, up to the size limit."""
         self.body += body
-        if len(self.body) > MAX_RESPONSE_BYTES:
+        if len(self.body) > MAX_BODY_BYTES:
             raise AnswerSizeError('the body exceeds the size limit')
 
     def on_message_complete(self) -> None:
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -10,8 +10,8 @@
 
 from egretlanding.httpclient import (
     MAX_ANSWER_BYTES,
-    MAX_HEADER_BYTES,
-    MAX_RESPONSE_BYTES,
+    MAX_BODY_BYTES,
+    MAX_HEAD_BYTES,
     HttpClient,
     encode_request,
 )
@@ -126,7 +126,7 @@
 ):
     client, reported = connect()
     client.send(b'', reported.append, echo=('request-id', 'mine'))
-    body = bytes(MAX_RESPONSE_BYTES // 2 + 1)
+    body = bytes(MAX_BODY_BYTES // 2 + 1)
     for request_id in (b'old', b'mine'):
         client.dataReceived(
             b'HTTP/1.1 200 OK\r\nrequest-id: %s\r\ncontent-length: %d\r\n\r\n'
@@ -235,7 +235,7 @@
 ) -> None:
     begin, piece = ENDLESS_HEADS[name]
     taken = bytes_until_close(begin, piece, read_bytes)
-    assert taken <= MAX_HEADER_BYTES + read_bytes
+    assert taken <= MAX_HEAD_BYTES + read_bytes
 
 
 # A target that sent framing without end held a connection for as long.
@@ -253,7 +253,7 @@
 ) -> None:
     client, reported = connect()
     head = b'%scontent-length: 4\r\na: ' % HEAD
-    padding = b'x' * (MAX_HEADER_BYTES - len(head) - len(b'\r\n\r\n') + excess)
+    padding = b'x' * (MAX_HEAD_BYTES - len(head) - len(b'\r\n\r\n') + excess)
     feed(client, b'%s%s\r\n\r\nbody' % (head, padding), cuts)
     assert [bool(response) for response in reported] == [excess <= 0]
 
