--- a/egretlanding/peerlinks.py
+++ b/egretlanding/peerlinks.py
@@ -134,7 +134,7 @@
         reactor: The reactor to connect with.
         context: The state and callbacks that all connections share.
         on_unreachable: Called with the id of a host after an attempt to
-            connect failed, and while its daemon doesn't answer pings.
+            connect failed.
         lanes: The connections by lane and by host, which includes its address.
     """
 
@@ -291,24 +291,21 @@
         now = self.reactor.seconds()
         for key, lane in tuple(self.lanes.items()):
             if lane.connection and lane.is_open():
-                self.check_connection(key[0], lane, lane.connection)
+                self.check_connection(lane, lane.connection, now)
             elif not lane.connecting and now - lane.last_used > IDLE_LIMIT_S:
                 del self.lanes[key]
 
     def check_connection(
         self,
-        host: Host,
         lane: LaneConnection,
         connection: PeerConnection,
+        now: float,
     ) -> None:
         """Closes a connection if it is idle, else checks its heartbeat."""
-        unused_s = self.reactor.seconds() - lane.last_used
-        if unused_s > IDLE_LIMIT_S and connection.is_idle():
+        if now - lane.last_used > IDLE_LIMIT_S and connection.is_idle():
             connection.abort()
-            return
-        connection.check_heartbeat()
-        if connection.silent_intervals:
-            self.on_unreachable(host.host_id)
+        else:
+            connection.check_heartbeat()
 
     def reset_heartbeats(self) -> None:
         """Restarts all heartbeats after a pause of this process."""
--- a/egretlanding/peers.py
+++ b/egretlanding/peers.py
@@ -35,9 +35,6 @@
 from egretlanding.outcomes import Reason, Refusal
 from egretlanding.tcpwrites import enable_keepalive, write_now
 
-# Consecutive heartbeat intervals without a byte after which a connection is
-# closed. A daemon that takes a large configuration over may miss one or two.
-SILENT_INTERVALS_TO_CLOSE = 3
 # Space that a frame keeps for what a call contains besides its body, bytes.
 MAX_CALL_HEAD_BYTES = 262_144
 MAX_CALL_BODY_BYTES = MAX_FRAME_BYTES - MAX_CALL_HEAD_BYTES
@@ -89,8 +86,7 @@
         greeting: Reports the hello, or the end of a connection without one.
         bytes_received: Number of bytes received so far.
         bytes_at_last_check: Value of `bytes_received` at the last heartbeat,
-            -1 if the next one must not count as silent.
-        silent_intervals: Consecutive heartbeat intervals without a byte.
+            -1 if the next one must not close the connection.
     """
 
     MAX_LENGTH = MAX_FRAME_BYTES
@@ -111,7 +107,6 @@
         self.greeting = Greeting()
         self.bytes_received = 0
         self.bytes_at_last_check = -1
-        self.silent_intervals = 0
 
     def connectionMade(self) -> None:
         """Registers the connection and sends the hello of this daemon."""
@@ -176,15 +171,13 @@
             self.send(Cancel(call_id))
 
     def check_heartbeat(self) -> None:
-        """Closes the connection after a long silence, else sends a ping.
+        """Closes the connection if nothing arrived, else sends a ping.
 
-        Called once per heartbeat interval. Replies of a daemon that is silent
-        for longer would arrive too late; closing the connection fails the
-        calls that wait for them.
+        Called once per heartbeat interval. Replies of an unresponsive daemon
+        would arrive too late; closing the connection fails the calls that
+        wait for them.
         """
         if self.bytes_received == self.bytes_at_last_check:
-            self.silent_intervals += 1
-        if self.silent_intervals >= SILENT_INTERVALS_TO_CLOSE:
             self.abort()
             return
         self.bytes_at_last_check = self.bytes_received
@@ -193,7 +186,6 @@
     def reset_heartbeat(self) -> None:
         """Restarts the heartbeat after a pause of this process."""
         self.bytes_at_last_check = -1
-        self.silent_intervals = 0
 
     def abort(self) -> None:
         """Closes the connection at once."""
@@ -204,9 +196,6 @@
     def dataReceived(self, data: bytes) -> None:
         """Counts the received bytes and decodes the frames in them."""
         self.bytes_received += len(data)
-        if self.silent_intervals:
-            self.silent_intervals = 0
-            self.context.on_readiness(self, self.ready)
         super().dataReceived(data)
 
     def stringReceived(self, string: bytes) -> None:
--- a/tests/test_peerlinks.py
+++ b/tests/test_peerlinks.py
@@ -6,7 +6,6 @@
     CallReply,
     CallRequest,
     Hello,
-    Pong,
     Ran,
     encode_frame,
 )
@@ -122,26 +121,6 @@
     assert len(reactor.tcpClients) == 2
 
 
-# Guards against calls that wait for a silent daemon while others answer.
-def test_a_silent_daemon_counts_as_unreachable_until_it_speaks() -> None:
-    reactor = MemoryReactorClock()
-    links = make_links(reactor)
-    unreachable: list[str] = []
-    ready: list[bool] = []
-    links.on_unreachable = unreachable.append
-    links.context.on_readiness = lambda _connection, up: ready.append(up)
-    _, connection, _ = open_lane(reactor, links)
-    hello = encode_frame(Hello('h1', 1, ready=True))
-    connection.dataReceived(len(hello).to_bytes(4, 'big') + hello)
-    links.check_heartbeats()
-    assert not unreachable
-    links.check_heartbeats()
-    assert unreachable == [HOST.host_id]
-    pong = encode_frame(Pong())
-    connection.dataReceived(len(pong).to_bytes(4, 'big') + pong)
-    assert ready == [True, True]
-
-
 # Guards against a connection that is closed although its hello has arrived.
 def test_a_hello_that_has_arrived_is_read_before_its_time_out() -> None:
     reactor = MemoryReactorClock()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -16,7 +16,6 @@
     encode_frame,
 )
 from egretlanding.peers import (
-    SILENT_INTERVALS_TO_CLOSE,
     PeerConnection,
     PeerContext,
 )
@@ -105,11 +104,9 @@
     connection, _ = connect()
     connection.check_heartbeat()
     connection.reset_heartbeat()
-    for _ in range(SILENT_INTERVALS_TO_CLOSE):
-        connection.check_heartbeat()
+    connection.check_heartbeat()
     connection.dataReceived(encode_with_length(Readiness(False)))
-    for _ in range(SILENT_INTERVALS_TO_CLOSE):
-        connection.check_heartbeat()
+    connection.check_heartbeat()
     assert connection.is_open()
     connection.check_heartbeat()
     assert not connection.is_open()
