Log and count what a target states beside its answers

Logs could not tell whether a limit was never read, lost with a process or passed by. Events 304 to 306 say what a target named and who told, and the metrics sent_to_target and target_limit show the rate of calls beside it. No decision depends on it yet.

--- a/egretlanding/dialect.py
+++ b/egretlanding/dialect.py
@@ -23,6 +23,9 @@
         required_instance: The process of the target that must run the call.
         seal: Present in each answer that a target produced by running a
             call.
+        rate_limit: Calls a second that a target takes from all hosts
+            together; present in its answers while that is so.
+        leaving: Present in the answers of a target that is about to stop.
         forward_call_headers: Whether the headers with call depth and retry
             mark are sent with each attempt.
         sends_reason_headers: Whether refusals carry the headers of this
@@ -40,6 +43,8 @@
     origin: str = ''
     required_instance: str = ''
     seal: str = ''
+    rate_limit: str = ''
+    leaving: str = ''
     forward_call_headers: bool = True
     sends_reason_headers: bool = True
     status_shows_execution: bool = False
--- a/egretlanding/egress.py
+++ b/egretlanding/egress.py
@@ -40,6 +40,7 @@
 )
 from egretlanding.ownership import ClockReading
 from egretlanding.quarantine import Quarantine, request_signature
+from egretlanding.statements import TargetStatements, statement_in
 from egretlanding.targetcalls import TargetCalls, failed_attempt
 from egretlanding.targethealth import TargetHealth
 from egretlanding.targetpool import TargetOutcome
@@ -62,6 +63,8 @@
         table: The calls queued or running.
         numbers: Source of job ids and tickets.
         timer: Runs `advance` when the next wait of the queue ends.
+        statements: What the target states about itself in its answers.
+        sent: Number of calls that were sent to the target.
         abandoned: Number of calls that were cancelled while they ran.
         dialect: The header names that the target uses.
         queue_times: Histogram of how long calls waited for a slot.
@@ -77,6 +80,8 @@
     table: JobTable = attrs.field(factory=JobTable)
     numbers: Any = attrs.field(factory=lambda: itertools.count(1))
     timer: Any = None
+    statements: TargetStatements = attrs.field(factory=TargetStatements)
+    sent: int = 0
     abandoned: int = 0
     dialect: Dialect = DEFAULT_DIALECT
     queue_times: Histogram = attrs.field(factory=Histogram)
@@ -175,6 +180,7 @@
         """Sends a call to the target after it was given a slot."""
         job.running = True
         job.started = self.reactor.seconds()
+        self.sent += 1
         self.queue_times.observe(job.started - job.arrived)
         self.target.send(
             job,
@@ -187,6 +193,7 @@
         """Frees the slot of a call that has ended, and replies to it."""
         now = self.reactor.seconds()
         refusal = refusal_in_response(outcome.response, self.dialect)
+        hear_statement(self, job, outcome.response)
         self.run_times.observe(now - job.started)
         unsent = outcome.progress is Progress.UNSENT
         job.running = not unsent
@@ -307,6 +314,16 @@
         self.quarantine.expire(self.reactor.seconds())
 
 
+def hear_statement(
+    egress: Egress, job: Job, response: HttpResponse | None
+) -> None:
+    """Applies what the target states beside its answer to a call."""
+    statement = statement_in(response, egress.dialect) if response else None
+    if statement:
+        instance, now = job.call.instance, egress.reactor.seconds()
+        egress.statements.hear(instance, statement, job.started, now)
+
+
 def limit_answer(egress: Egress, job: Job) -> None:
     """Cuts the answer to an abandoned call if it begins but doesn't end.
 
--- a/egretlanding/frames.py
+++ b/egretlanding/frames.py
@@ -43,6 +43,22 @@
     ready: bool = True
 
 
+class Statement(Frame, frozen=True):
+    """What a target states about itself beside its answers.
+
+    Attributes:
+        rate_per_s: Calls a second that it takes from all hosts together, None
+            if it names no limit.
+        leaving: Whether it is about to stop.
+    """
+
+    rate_per_s: float | None = None
+    leaving: bool = False
+
+
+NO_STATEMENT = Statement()
+
+
 class CallRequest(Frame, frozen=True, tag='call'):
     """Asks the daemon beside a target to run a call.
 
--- a/egretlanding/sidecarmetrics.py
+++ b/egretlanding/sidecarmetrics.py
@@ -4,6 +4,7 @@
 import resource
 from collections.abc import Callable, Iterable
 
+from egretlanding.frames import Statement
 from egretlanding.histograms import Histogram
 from egretlanding.metrics import Metric, Sample
 from egretlanding.sidecar import Sidecar
@@ -55,6 +56,11 @@
             'calls ended at the target because nobody waited for them',
             lambda: [Sample(egress.abandoned)],
         ),
+        (
+            'sent_to_target',
+            'calls sent to the target beside the daemon',
+            lambda: [Sample(egress.sent)],
+        ),
         (
             'target_connections_opened',
             'connections opened to the target',
@@ -140,6 +146,12 @@
             'calls that wait or run at the target',
             lambda: [Sample(len(calls.egress.table.jobs))],
         ),
+        (
+            'target_limit',
+            '1/s',
+            'calls a second that the target takes, while it names a limit',
+            lambda: limit_samples(calls.egress.statements.current),
+        ),
         (
             'peak_memory',
             'By',
@@ -177,6 +189,12 @@
     return [Sample(count, {'le': bound}) for bound, count in times.cumulative()]
 
 
+def limit_samples(statement: Statement) -> list[Sample]:
+    """Returns the limit that a target states, nothing if there is none."""
+    rate_per_s = statement.rate_per_s
+    return [] if rate_per_s is None else [Sample(rate_per_s)]
+
+
 def peak_memory() -> int:
     """Returns the peak resident memory of the process, bytes."""
     usage = resource.getrusage(resource.RUSAGE_SELF)
