--- a/standins/platformfleet.py
+++ b/standins/platformfleet.py
@@ -128,13 +128,14 @@
         status, body = member.handle_request(self.path, dict(self.headers))
         time.sleep(member.delay_s)
         if status == 503:
-            self.reply(503, b'', Not_Run='1')
+            self.reply(503, b'', Not_Run='1', **member.statements)
             return
         self.reply(
             status,
             body,
             Request_Id=self.headers.get('Request-Id', ''),
             Server_Stamp='stamp',
+            **member.statements,
         )
 
     do_POST = do_GET
@@ -213,6 +214,9 @@
         service: The service that its target runs.
         ports: The ports of the daemon and the target by name.
         requests_received: The headers of the requests that the target received.
+        arrivals: When the target received each request, monotonic seconds.
+        statements: Headers that the target adds to its answers; names use
+            underscores for hyphens.
         delay_s: Time that the target takes for a request, seconds.
         status: The status that the target answers with.
         process: The daemon's process, None before it starts.
@@ -225,6 +229,8 @@
     service: str
     ports: dict[str, int]
     requests_received: list[dict] = attrs.field(factory=list)
+    arrivals: list[float] = attrs.field(factory=list)
+    statements: dict[str, str] = attrs.field(factory=dict)
     delay_s: float = 0
     status: int = 200
     process: subprocess.Popen | None = None
@@ -254,6 +260,7 @@
     ) -> tuple[int, bytes]:
         """Records a request and returns the status and body of its answer."""
         self.requests_received.append(headers)
+        self.arrivals.append(time.monotonic())
         return self.status, self.address.encode()
 
     def store_record(self, state: str = 'ready') -> dict:
