Give a target no more calls than the limit that it names

Callers saw refusals and slow answers of targets in need: a target that named a limit of 20.4 calls a second got 136 within 4 s.

The daemon beside a target is the only one that gives it calls, so the limit is kept there and needs no agreement: calls start at that pace, up to a quarter of a second saved. A call that the limit would keep too long is refused at once as not run. Replies carry what the target states, and calls carry it back, so a daemon that starts again knows the limit with the first call of any daemon that passed it on. An answer to an earlier call doesn't end a limit; a new process starts without one. Daemons leave a target whose limit is used up for a pause that grows with their number.

--- a/egretlanding/admission.py
+++ b/egretlanding/admission.py
@@ -9,6 +9,7 @@
 from egretlanding.limits import ConcurrencyLimit
 from egretlanding.objects import Service, WorkClass
 from egretlanding.outcomes import Reason, Refusal
+from egretlanding.pacing import Pace
 from egretlanding.servicetimes import ServiceTimes
 from egretlanding.slots import ClassifiedCall, SlotRequest, Slots
 
@@ -72,6 +73,7 @@
         short: Queue of short work.
         long: Queue of long work.
         draining: Whether new calls are refused because the host drains.
+        pace: Spreads the starts of calls if the target limits their rate.
     """
 
     queue_limit: int
@@ -80,6 +82,7 @@
     short: CallQueue = attrs.field(factory=CallQueue)
     long: CallQueue = attrs.field(factory=CallQueue)
     draining: bool = False
+    pace: Pace = attrs.field(factory=Pace)
 
     @classmethod
     def from_service(cls, service: Service) -> 'Admission':
@@ -90,7 +93,7 @@
         )
 
     def predicted_wait(self, is_long: bool) -> float:
-        """Returns how long a call that arrives now would wait, seconds."""
+        """Returns how long a new call would wait for a slot, seconds."""
         queue = self._queue(is_long)
         if not queue and self.slots.may_start(is_long):
             return 0
@@ -110,6 +113,8 @@
             for queued in expiring
             if queued
         ]
+        if times and not self.pace.allows(now):
+            times.append(now + self.pace.wait_s(1, now))
         short_call = self.short.shortest_long_wait()
         if short_call is not None and self.slots.is_behind_long(short_call):
             times.append(now + self.slots.wait_left(short_call, now))
@@ -135,8 +140,9 @@
         if refusal is not None:
             return Refuse(call, refusal)
         queue = self._queue(queued.is_long)
-        if self.slots.may_start(queued.is_long) and not queue:
-            self.slots.occupy(queued, now)
+        can_start = self.slots.may_start(queued.is_long)
+        if can_start and not queue and self.pace.allows(now):
+            begin_call(self, queued, now)
             return Start(call)
         waiting = len(self.short) + len(self.long)
         if call.is_hedge or waiting >= self.queue_limit:
@@ -144,7 +150,7 @@
                 call,
                 Refusal.not_run(
                     Reason.QUEUE_FULL,
-                    "no slot is free and the call can't be queued",
+                    "the call can't start now and can't be queued",
                 ),
             )
         queue.add(queued, latest_start(call, self.times))
@@ -164,7 +170,7 @@
         started = []
         while (queued := self._next_startable(now)) is not None:
             self._queue(queued.is_long).remove(queued.call.call_id)
-            self.slots.occupy(queued, now)
+            begin_call(self, queued, now)
             started.append(Start(queued.call))
         return (*refused, *started)
 
@@ -204,6 +210,7 @@
         wait = self.predicted_wait(queued.is_long)
         if wait and math.isfinite(call.soft_deadline):
             wait = predicted_wait_by_urgency(self, queued, now)
+        wait = max(wait, paced_wait(self, queued, now))
         if wait and now + wait >= latest_start(call, self.times):
             return Refusal.not_run(
                 Reason.DEADLINE,
@@ -220,6 +227,8 @@
         return self.long if is_long else self.short
 
     def _next_startable(self, now: float) -> ClassifiedCall | None:
+        if not self.pace.allows(now):
+            return None
         queues = [self.short, self.long]
         # Short work goes first. If there are several slots and long work holds
         # none, long work gets the next one, because it would starve otherwise.
@@ -268,6 +277,14 @@
         )
 
 
+def begin_call(
+    admission: Admission, queued: ClassifiedCall, now: float
+) -> None:
+    """Gives a call a slot, and counts it against the target's limit."""
+    admission.slots.occupy(queued, now)
+    admission.pace.take(now)
+
+
 def latest_start(call: SlotRequest, times: ServiceTimes) -> float:
     """Returns when a call must start at the latest, seconds."""
     latest = times.latest_start(call.route, call.deadline)
@@ -290,14 +307,41 @@
         now: Monotonic time, seconds.
     """
     expected = admission.times.expected
-    queue = admission.long if queued.is_long else admission.short
-    own_key = queued.call.urgency_key(expected(queued.call.route), now)
     ahead = [
         expected(other.call.route)
-        for other in queue.waiting.values()
-        if other.call.urgency_key(expected(other.call.route), now) < own_key
+        for other in more_urgent_calls(admission, queued, now)
     ]
     slots = admission.slots
     running = map(expected, slots.routes_running(queued.is_long))
     # A running call is on average half done.
     return (sum(ahead) + sum(running) / 2) / slots.usable(queued.is_long)
+
+
+def paced_wait(
+    admission: Admission, queued: ClassifiedCall, now: float
+) -> float:
+    """Returns how long a call would wait for the limit of the target, seconds.
+
+    Args:
+        admission: The queues and the pace of the target.
+        queued: The call, which is not queued yet.
+        now: Monotonic time, seconds.
+    """
+    if admission.pace.rate_per_s is None:
+        return 0
+    calls = len(more_urgent_calls(admission, queued, now)) + 1
+    return admission.pace.wait_s(calls, now)
+
+
+def more_urgent_calls(
+    admission: Admission, queued: ClassifiedCall, now: float
+) -> list[ClassifiedCall]:
+    """Returns the queued calls of a call's class that start before it."""
+    expected = admission.times.expected
+    queue = admission.long if queued.is_long else admission.short
+    own_key = queued.call.urgency_key(expected(queued.call.route), now)
+    return [
+        other
+        for other in queue.waiting.values()
+        if other.call.urgency_key(expected(other.call.route), now) <= own_key
+    ]
--- a/egretlanding/attempts.py
+++ b/egretlanding/attempts.py
@@ -43,6 +43,7 @@
 from egretlanding.routing import Match
 from egretlanding.servicestates import ServiceState, has_spare_capacity
 from egretlanding.subsets import Distance
+from egretlanding.targets import record_statement
 
 if TYPE_CHECKING:
     from egretlanding.ingress import Ingress
@@ -237,6 +238,8 @@
         targets = self.service_state.balancer.targets
         host_id = attempt.host.host_id
         targets.record_load(host_id, reply.load, self.now)
+        if reply.stated:
+            record_statement(targets, attempt.host, reply.stated)
         if reply.ran is Ran.YES:
             targets.record_answer(host_id, attempt.number, self.now)
             if should_retry_error(self, reply):
--- a/egretlanding/callframes.py
+++ b/egretlanding/callframes.py
@@ -6,6 +6,7 @@
 from egretlanding.frames import CallReply, CallRequest, Ran
 from egretlanding.jobs import MS_PER_S
 from egretlanding.outcomes import FailedAttempt, Progress, Reason
+from egretlanding.targets import heard_from
 
 if TYPE_CHECKING:
     from egretlanding.attempts import ActiveCall, Attempt
@@ -37,6 +38,7 @@
         instance=attempt.host.instance,
         priority=call.match.policy.priority,
         patience_ms=remaining_patience_ms(call),
+        heard=heard_from(call.service_state.balancer.targets, attempt.host),
     )
 
 
--- a/egretlanding/egress.py
+++ b/egretlanding/egress.py
@@ -106,6 +106,9 @@
         Returns:
             A ticket to pass to `cancel`.
         """
+        if call.heard:
+            self.statements.adopt(call.instance, call.heard)
+            apply_statements(self)
         ticket = next(self.numbers)
         now = self.reactor.seconds()
         job = Job(
@@ -233,6 +236,7 @@
                 headers,
                 response.body,
                 load=len(self.table.jobs),
+                stated=self.statements.known,
             ),
         )
 
@@ -250,8 +254,8 @@
         self, refusal: Refusal, *, arrived: bool = False
     ) -> CallReply:
         """Returns the reply that carries a refusal."""
-        load = len(self.table.jobs)
-        return refusal_reply(0, refusal, load, arrived=arrived)
+        load, stated = len(self.table.jobs), self.statements.known
+        return refusal_reply(0, refusal, load, arrived=arrived, stated=stated)
 
     def cancel(self, ticket: int) -> None:
         """Abandons a call.
@@ -322,6 +326,13 @@
     if statement:
         instance, now = job.call.instance, egress.reactor.seconds()
         egress.statements.hear(instance, statement, job.started, now)
+        apply_statements(egress)
+
+
+def apply_statements(egress: Egress) -> None:
+    """Gives the target no more calls than it states that it takes."""
+    rate_per_s = egress.statements.current.rate_per_s
+    egress.admission.pace.change(rate_per_s, egress.reactor.seconds())
 
 
 def limit_answer(egress: Egress, job: Job) -> None:
--- a/egretlanding/evidence.py
+++ b/egretlanding/evidence.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from egretlanding.frames import Statement
 from egretlanding.hosts import Host
 from egretlanding.subsets import Distance
 
@@ -91,6 +92,8 @@
         failed_connects: Failed attempts to connect, in a row.
         unreachable_until: Until when it counts as unreachable, seconds.
         probation: Set while the target is shunned for being slow.
+        heard: What the target's process last stated, None if nothing was
+            heard from it.
         full_until: Until when it is expected to refuse calls for lack of
             capacity, by route, seconds.
     """
@@ -106,6 +109,7 @@
     failed_connects: int = 0
     unreachable_until: float = -math.inf
     probation: Probation | None = None
+    heard: Statement | None = None
     full_until: dict[str, float] = attrs.field(factory=dict)
 
     def current_slowness(self, now: float) -> float:
@@ -141,6 +145,32 @@
         """Returns whether the target counts as unreachable."""
         return now < self.unreachable_until
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the target's process said that it will stop."""
+        return self.heard is not None and self.heard.leaving
+
+    @property
+    def rate_per_s(self) -> float | None:
+        """Calls per second that the target takes, None without a limit."""
+        return self.heard.rate_per_s if self.heard else None
+
+    def update_host(self, host: Host, distance: Distance) -> None:
+        """Applies a new entry of the host on the host list."""
+        same_process = (
+            host.instance == self.host.instance
+            and host.born_ms == self.host.born_ms
+        )
+        self.host = host
+        self.distance = distance
+        if not same_process:
+            self.heard = None
+
+    def record_statement(self, statement: Statement) -> None:
+        """Records what the target states; one that leaves never stays."""
+        leaving = statement.leaving or self.is_leaving
+        self.heard = Statement(statement.rate_per_s, leaving)
+
     def is_full(self, route: str, now: float) -> bool:
         """Returns whether the target is expected to refuse calls of a route."""
         return now < self.full_until.get(route, -math.inf)
--- a/egretlanding/frames.py
+++ b/egretlanding/frames.py
@@ -81,6 +81,8 @@
         instance: The target process that is to run it, or empty for any.
         priority: Rank of the call under overload, 0 is served first.
         patience_ms: Time from now after which an answer is worth less, ms.
+        heard: What the sender last heard from `instance`, None if nothing.
+            The receiver may have started since and not have heard it.
     """
 
     call_id: int
@@ -98,6 +100,7 @@
     instance: str = ''
     priority: int = 0
     patience_ms: int = 0
+    heard: Statement | None = None
 
 
 class CallReply(Frame, frozen=True, tag='reply'):
@@ -113,6 +116,7 @@
         detail: The circumstances of a refusal, in one clause.
         load: Number of calls running or queued at the target, as a hint.
         arrived: Whether the call reached a target, even one that refused it.
+        stated: What the target states about itself, None if unknown.
     """
 
     call_id: int
@@ -124,6 +128,7 @@
     detail: str = ''
     load: int = 0
     arrived: bool = True
+    stated: Statement | None = None
 
 
 class Cancel(Frame, frozen=True, tag='cancel'):
@@ -275,6 +280,7 @@
     load: int = 0,
     *,
     arrived: bool = True,
+    stated: Statement | None = None,
 ) -> CallReply:
     """Returns the reply that carries a refusal.
 
@@ -283,6 +289,7 @@
         refusal: The refusal to report.
         load: Number of calls running or queued at the target, as a hint.
         arrived: Whether the call may have reached a target.
+        stated: What the target states about itself, None if unknown.
     """
     not_run = refusal.execution is Execution.NOT_RUN
     return CallReply(
@@ -295,4 +302,5 @@
         refusal.detail,
         load,
         arrived,
+        stated,
     )
--- a/egretlanding/hosts.py
+++ b/egretlanding/hosts.py
@@ -29,6 +29,8 @@
         instance: Id of its target's process, empty if unknown.
         slots: Calls that its target runs at a time; zero if the
             service's setting applies.
+        born_ms: When the target's process started, ms since the epoch, zero
+            if unknown.
     """
 
     host_id: str
@@ -42,6 +44,7 @@
     state: HostState = HostState.LIVE
     instance: str = ''
     slots: int = 0
+    born_ms: int = 0
 
 
 @attrs.frozen
--- a/egretlanding/roster.py
+++ b/egretlanding/roster.py
@@ -144,6 +144,7 @@
             state=HostState.LEAVING if entry.draining else HostState.LIVE,
             instance=entry.instance,
             slots=entry.slots,
+            born_ms=entry.born_ms,
         )
 
 
--- a/egretlanding/servicestates.py
+++ b/egretlanding/servicestates.py
@@ -117,6 +117,11 @@
     balancer: Balancer
     budget: RetryBudget
 
+    def update_daemon_count(self, daemon_count: int) -> None:
+        """Records how many daemons share the budget and the targets."""
+        self.budget.update_daemon_count(daemon_count)
+        self.balancer.targets.daemon_count = daemon_count
+
 
 @attrs.define(eq=False)
 class ServiceStates:
@@ -168,7 +173,7 @@
         balancer = Balancer.for_service(self.locality, spec, self.link)
         state = ServiceState(balancer, self.new_budget(now))
         if self.daemon_count:
-            state.budget.update_daemon_count(self.daemon_count)
+            state.update_daemon_count(self.daemon_count)
         self.services[name] = state
         targets = balancer.targets
         targets.update_hosts(self.view.hosts.of_service(name), now)
@@ -198,10 +203,10 @@
             state.balancer.targets.update_hosts(hosts, now)
 
     def update_daemon_count(self, daemon_count: int) -> None:
-        """Divides the slack of the retry budgets by a number of daemons."""
+        """Records how many daemons share the retry budgets and the targets."""
         self.daemon_count = daemon_count
         for state in self.services.values():
-            state.budget.update_daemon_count(daemon_count)
+            state.update_daemon_count(daemon_count)
 
     def refuse_calls(self) -> None:
         """Refuses new calls until `apply`, as the view may be stale."""
--- a/egretlanding/sidecar.py
+++ b/egretlanding/sidecar.py
@@ -319,10 +319,12 @@
         """Applies the store's entry of the target beside this daemon."""
         config = self.config
         entry = self.roster.entry_at(config.target_address, config.target_port)
-        if entry:
-            health = self.calls.egress.health
-            health.update(up=health.up, draining=entry.draining)
-            self.calls.egress.admission.slots.limit.fix(entry.slots)
+        if entry is None:
+            return
+        egress = self.calls.egress
+        egress.statements.record_start(entry.instance, entry.born_ms)
+        egress.health.update(up=egress.health.up, draining=entry.draining)
+        egress.admission.slots.limit.fix(entry.slots)
 
     def reload(self) -> None:
         """Reads the settings again and applies those that can change."""
--- a/egretlanding/statements.py
+++ b/egretlanding/statements.py
@@ -48,6 +48,12 @@
     return rate_per_s if 0 <= rate_per_s < math.inf else None
 
 
+def lower_limit(first: float | None, second: float | None) -> float | None:
+    """Returns the lower of two limits, None if neither is one."""
+    limits = [rate for rate in (first, second) if rate is not None]
+    return min(limits, default=None)
+
+
 @attrs.define
 class TargetStatements:
     """What the process of the local target has stated so far.
@@ -56,11 +62,27 @@
         instance: The target's process that stated it, empty if unknown.
         current: The statement in force.
         limit_named_at: When an answer last named a limit, seconds.
+        has_answered: Whether an answer of this process was heard.
+        listed_instance: The process that the store last listed.
+        listed_born_ms: When it started, ms since the epoch.
     """
 
     instance: str = ''
     current: Statement = NO_STATEMENT
     limit_named_at: float = -math.inf
+    has_answered: bool = False
+    listed_instance: str = ''
+    listed_born_ms: int = 0
+
+    @property
+    def known(self) -> Statement | None:
+        """The statement in force, None if nothing was heard yet."""
+        is_unheard = not self.has_answered and self.current == NO_STATEMENT
+        return None if is_unheard else self.current
+
+    def says_leaving(self, instance: str) -> bool:
+        """Returns whether a process of the target said that it will stop."""
+        return instance == self.instance and self.current.leaving
 
     def hear(
         self, instance: str, statement: Statement, sent_at: float, now: float
@@ -74,9 +96,8 @@
                 answer doesn't end a limit that was named later.
             now: Monotonic time, seconds.
         """
-        if instance != self.instance:
-            self.instance = instance
-            self.current = NO_STATEMENT
+        self.meet(instance)
+        self.has_answered = True
         rate_per_s = statement.rate_per_s
         if rate_per_s is not None:
             self.limit_named_at = now
@@ -86,6 +107,48 @@
         leaving = statement.leaving or self.current.leaving
         self.change(Statement(rate_per_s, leaving), 'target')
 
+    def adopt(self, instance: str, statement: Statement) -> None:
+        """Applies what another daemon heard from the target's process.
+
+        It counts until the process has answered a call of this daemon. Of
+        several limits the lowest counts, since an answer soon raises it.
+
+        Args:
+            instance: The process that the other daemon means.
+            statement: What that daemon last heard from it.
+        """
+        if self.has_answered:
+            return
+        self.meet(instance)
+        rate_per_s = lower_limit(self.current.rate_per_s, statement.rate_per_s)
+        leaving = statement.leaving or self.current.leaving
+        self.change(Statement(rate_per_s, leaving), 'daemon')
+
+    def meet(self, instance: str) -> None:
+        """Drops what an earlier process of the target stated."""
+        if instance != self.instance:
+            self.forget()
+            self.instance = instance
+
+    def record_start(self, instance: str, born_ms: int) -> None:
+        """Drops what a process stated that has started again under its name.
+
+        Args:
+            instance: The target's process that the store lists.
+            born_ms: When it started, ms since the epoch.
+        """
+        is_same = instance == self.listed_instance == self.instance
+        if is_same and born_ms != self.listed_born_ms:
+            self.forget()
+        self.listed_instance = instance
+        self.listed_born_ms = born_ms
+
+    def forget(self) -> None:
+        """Drops all that the target stated."""
+        self.has_answered = False
+        self.limit_named_at = -math.inf
+        self.change(NO_STATEMENT, 'start')
+
     def change(self, statement: Statement, heard_from: str) -> None:
         """Puts a statement in force, and logs what it changes."""
         previous = self.current
--- a/egretlanding/targets.py
+++ b/egretlanding/targets.py
@@ -6,6 +6,7 @@
 import attrs
 
 from egretlanding.evidence import Flight, ReportedLoad, TargetEvidence
+from egretlanding.frames import Statement
 from egretlanding.hosts import Host
 from egretlanding.objects import Service
 from egretlanding.servicetimes import ServiceTimes
@@ -23,6 +24,10 @@
 NEAR_FULL_PAUSE_S = 0.08
 # The same for hosts of other regions, to which a refused call costs more.
 REMOTE_FULL_PAUSE_S = 0.5
+# Calls per second that all daemons together offer to a target that takes fewer
+# than it could be given: at most this many, or this multiple of what it takes.
+MAX_OFFERS_PER_S = 400
+OFFERS_PER_CALL = 4
 # Relative latency that is recorded for a call that the target lost or rejected.
 FAILURE_SLOWNESS = 4
 
@@ -39,6 +44,7 @@
         evidence: Evidence that this daemon gathered, by host id.
         unready_hosts: Ids of the hosts that get no calls because they are
             draining or not ready.
+        daemon_count: Number of daemons that may send calls to the targets.
         resumed_at: When the process last resumed after a pause, seconds.
             Calls sent up to this time leave no evidence.
     """
@@ -49,6 +55,7 @@
     order: list[Host] = attrs.field(factory=list)
     evidence: dict[str, TargetEvidence] = attrs.field(factory=dict)
     unready_hosts: frozenset[str] = frozenset()
+    daemon_count: int = 0
     resumed_at: float = -math.inf
 
     def usable_targets(
@@ -149,6 +156,11 @@
         if target is not None:
             is_remote = target.distance is Distance.REMOTE
             pause = REMOTE_FULL_PAUSE_S if is_remote else NEAR_FULL_PAUSE_S
+            if target.rate_per_s is not None:
+                limited_s = limited_pause_s(
+                    target.rate_per_s, self.daemon_count
+                )
+                pause = max(pause, limited_s)
             target.record_refusal(route, now + pause)
 
     def record_failure(self, host_id: str, now: float) -> None:
@@ -206,8 +218,7 @@
         target = self.evidence.get(host.host_id)
         if target is None:
             return TargetEvidence(host, self.locality.distance(host), now)
-        target.host = host
-        target.distance = self.locality.distance(host)
+        target.update_host(host, self.locality.distance(host))
         return target
 
     def _bounded(self, group: list[TargetEvidence]) -> list[TargetEvidence]:
@@ -218,3 +229,32 @@
             target for target in group if target.distance is Distance.REMOTE
         ]
         return [*near[:MAX_NEAR_TARGETS], *remote[:MAX_REMOTE_TARGETS]]
+
+
+def heard_from(targets: TargetTable, host: Host) -> Statement | None:
+    """Returns what the target's process of a host last stated, if any."""
+    target = targets.evidence.get(host.host_id)
+    return target.heard if target else None
+
+
+def record_statement(
+    targets: TargetTable, host: Host, statement: Statement
+) -> None:
+    """Records what a target's process states about itself."""
+    target = targets.evidence.get(host.host_id)
+    if target is not None and target.host.instance == host.instance:
+        target.record_statement(statement)
+
+
+def limited_pause_s(rate_per_s: float, daemon_count: int) -> float:
+    """Returns how long to leave out a target whose limit is used up, seconds.
+
+    The pause grows with the number of daemons, so that they use the whole limit
+    together without offering many calls in vain.
+
+    Args:
+        rate_per_s: Calls per second that the target takes.
+        daemon_count: Number of daemons that may send calls to it.
+    """
+    offers_per_s = max(MAX_OFFERS_PER_S, OFFERS_PER_CALL * rate_per_s)
+    return daemon_count / offers_per_s
