Send no new calls to a target that says it leaves

Callers' calls reached a target that had said in its answers that it will stop, for as long as its entry in the store lagged. Cause: nothing read what it said. The daemon beside the target refuses calls from the first such answer on and tells the others; each daemon remembers it from the replies as well, so a daemon that starts again beside the target doesn't bring it back. It holds for that process, by its name and start, whatever the store lists.

--- a/egretlanding/egress.py
+++ b/egretlanding/egress.py
@@ -331,8 +331,11 @@
 
 def apply_statements(egress: Egress) -> None:
     """Gives the target no more calls than it states that it takes."""
-    rate_per_s = egress.statements.current.rate_per_s
-    egress.admission.pace.change(rate_per_s, egress.reactor.seconds())
+    current, health = egress.statements.current, egress.health
+    now = egress.reactor.seconds()
+    egress.admission.pace.change(current.rate_per_s, now)
+    if current.leaving and not health.draining:
+        health.update(up=health.up, draining=True)
 
 
 def limit_answer(egress: Egress, job: Job) -> None:
--- a/egretlanding/sidecar.py
+++ b/egretlanding/sidecar.py
@@ -323,7 +323,9 @@
             return
         egress = self.calls.egress
         egress.statements.record_start(entry.instance, entry.born_ms)
-        egress.health.update(up=egress.health.up, draining=entry.draining)
+        says_leaving = egress.statements.says_leaving(entry.instance)
+        draining = entry.draining or says_leaving
+        egress.health.update(up=egress.health.up, draining=draining)
         egress.admission.slots.limit.fix(entry.slots)
 
     def reload(self) -> None:
--- a/egretlanding/targets.py
+++ b/egretlanding/targets.py
@@ -77,6 +77,7 @@
             for host in self.order
             if host.host_id not in self.unready_hosts
             and host.host_id not in excluded
+            and not self.evidence[host.host_id].is_leaving
         ]
         reachable = [
             target for target in listed if not target.is_unreachable(now)
