Log each list of the store's records with its revision and era

Logs could not tell whether readers read the store after it was restored and passed over what they read, or never read it. The store's count of restorations is decoded; nothing depends on it yet.

--- a/egretlanding/platform/names.py
+++ b/egretlanding/platform/names.py
@@ -22,4 +22,6 @@
 CONFIG_KEY = 'op/config'
 ENTRY_PREFIX = 'servers/'
 ITEM_LIST_PATH = '/-/kv-range'
+# Rises by one each time the store comes back from an older copy.
+ERA_HEADER = 'store-era'
 WATCH_PATH = '/-/kv-watch'
--- a/egretlanding/platform/store.py
+++ b/egretlanding/platform/store.py
@@ -9,8 +9,13 @@
 from twisted.internet.defer import Deferred
 
 from egretlanding.exceptions import HistoryLostError, PlatformError
+from egretlanding.httpheaders import header_values
 from egretlanding.httpmessages import HttpRequest, HttpResponse
-from egretlanding.platform.names import ITEM_LIST_PATH, WATCH_PATH
+from egretlanding.platform.names import (
+    ERA_HEADER,
+    ITEM_LIST_PATH,
+    WATCH_PATH,
+)
 from egretlanding.recordfeed import Changes, Page
 from egretlanding.records import Record
 from egretlanding.targetpool import TargetOutcome, TargetPool
@@ -105,7 +110,12 @@
         response = await self.get(ITEM_LIST_PATH, query, REPLY_TIMEOUT_S)
         body = decode(response, ItemList)
         records = tuple(map(to_record, body.items))
-        return Page(records, body.current_rev, not body.truncated)
+        return Page(
+            records,
+            body.current_rev,
+            not body.truncated,
+            era_of(response),
+        )
 
     async def watch(self, after: int, wait_s: float) -> Changes:
         """Waits for records that are written after a revision."""
@@ -116,7 +126,11 @@
         }
         response = await self.get(WATCH_PATH, query, wait_s + WATCH_MARGIN_S)
         body = decode(response, EventList)
-        return Changes(tuple(map(to_record, body.events)), body.current_rev)
+        return Changes(
+            tuple(map(to_record, body.events)),
+            body.current_rev,
+            era_of(response),
+        )
 
     async def get(
         self,
@@ -160,6 +174,21 @@
     return Record(item.key, item.revision, item.value, item.tombstone)
 
 
+def era_of(response: HttpResponse) -> int:
+    """Returns how often the store was restored, zero if it doesn't say.
+
+    Raises:
+        PlatformError: The header isn't a whole number.
+    """
+    text = next(iter(header_values(response.headers, ERA_HEADER)), '0')
+    if not text.isascii() or not text.isdigit():
+        raise PlatformError(
+            f'the store names the era {text!r}, which is not a number',
+            RETRY_REMEDY,
+        )
+    return int(text)
+
+
 def decode(response: HttpResponse, of_type: Any) -> Any:
     """Decodes the body of an answer.
 
--- a/egretlanding/recordfeed.py
+++ b/egretlanding/recordfeed.py
@@ -39,11 +39,14 @@
         records: The records, in the order of their keys.
         revision: The store's revision when the page was read.
         is_last: Whether no more pages follow.
+        era: How often the store was restored from an older copy; its revisions
+            begin anew below those that it had given out.
     """
 
     records: tuple[Record, ...]
     revision: int
     is_last: bool
+    era: int = 0
 
 
 @attrs.frozen
@@ -53,10 +56,12 @@
     Attributes:
         records: The records.
         revision: The records include all changes up to this revision.
+        era: How often the store was restored from an older copy.
     """
 
     records: tuple[Record, ...]
     revision: int
+    era: int = 0
 
 
 class RecordStore(Protocol):
@@ -207,7 +212,17 @@
             page = await self.store.read_page(page.records[-1].key)
             all_records.extend(page.records)
         self.record_success()
+        held = self.table.complete_revision
         changed = self.table.replace(all_records, first_page.revision)
+        log_event(
+            Event.RECORDS_LISTED,
+            'all records of the store were read',
+            era=first_page.era,
+            revision=first_page.revision,
+            held=held,
+            listed=len(all_records),
+            changed=len(changed),
+        )
         self.relist = False
         self.confirm(0)
         self.notify(changed)
