Reproduce changes that are passed over after the store was restored

With real daemons and a store whose counter goes back, a route that is published afterwards is not served, and readers ask the store 66 times in 1.5 s instead of 4.

--- a/standins/platformfleet.py
+++ b/standins/platformfleet.py
@@ -103,6 +103,7 @@
     def do_GET(self) -> None:
         """Answers a list or watch request."""
         store = self.server.state
+        store.reads += 1
         parts = urlsplit(self.path)
         query = {
             name: texts[0] for name, texts in parse_qs(parts.query).items()
@@ -111,7 +112,9 @@
             content = store.items()
         else:
             content = store.watch(int(query['after']), int(query['wait-ms']))
-        self.reply(200, json.dumps(content).encode())
+        status = 410 if content is None else 200
+        encoded = json.dumps(content).encode()
+        self.reply(status, encoded, Store_Era=str(store.era))
 
 
 class TargetHandler(UnloggedHandler):
@@ -147,12 +150,16 @@
 
     Attributes:
         events: All writes, oldest first.
+        era: How often it was restored from an older copy, from 1.
+        reads: Number of list and watch requests.
         events_added: Condition that is notified after each write.
         server: The server that answers reads and watches.
         unavailable_server: A server that refuses every request with status 503.
     """
 
     events: list[dict] = attrs.field(factory=list)
+    era: int = 1
+    reads: int = 0
     events_added: threading.Condition = attrs.field(factory=threading.Condition)
     server: StatefulServer = attrs.field(init=False)
     unavailable_server: StatefulServer = attrs.field(init=False)
@@ -181,6 +188,13 @@
             self.events.append(event)
             self.events_added.notify_all()
 
+    def restore(self, revision: int) -> None:
+        """Loses all writes after a revision, and gives it out again."""
+        with self.events_added:
+            del self.events[revision:]
+            self.era += 1
+            self.events_added.notify_all()
+
     def items(self) -> dict:
         """Returns the newest write of each key that is not deleted."""
         with self.events_added:
@@ -192,13 +206,20 @@
                 'current-rev': len(self.events),
             }
 
-    def watch(self, after: int, wait_ms: int) -> dict:
-        """Returns the writes after a revision; waits if there are none."""
+    def watch(self, after: int, wait_ms: int) -> dict | None:
+        """Returns the writes after a revision; waits if there are none.
+
+        Returns:
+            The writes, or None if the store doesn't have that revision.
+        """
         with self.events_added:
+            era = self.era
             self.events_added.wait_for(
-                lambda: len(self.events) > after,
+                lambda: len(self.events) != after or self.era != era,
                 wait_ms / 1_000,
             )
+            if after > len(self.events):
+                return None
             return {
                 'events': self.events[after:],
                 'current-rev': len(self.events),
