Order the store's records by era before revision

Callers got 404 for routes that had been published and confirmed, and calls went where only an older configuration sends them, after the store had been restored from an older copy. Cause: everything that holds records orders them by the store's revision, which such a store gives out again: the table passed over whatever had a lower revision, watches went on from a revision that meant something else by then, and daemons that relay to each other compared revisions alone.

A table belongs to one era now, the count of restorations that the store names. The list of a later era replaces it whole; one of an earlier era is passed over; a watch whose answer is of another era than its question starts a new list; and daemons compare era and revision, fetch everything where the era differs, and name the era in their frames. A daemon of the build before this one doesn't name it and can't tell which of its records the store has lost, so nothing is taken from it, while it can read what it is sent. The configuration in force still doesn't go back, since its own number decides.

The tests of the relay name an era in their frames now: without one they stand for the earlier build, from which nothing is taken.

--- a/egretlanding/frames.py
+++ b/egretlanding/frames.py
@@ -191,12 +191,16 @@
             changes, ms.
         asks: Whether the receiver is to reply with its own state.
         distance_ms: Time that the sender takes to connect to the store, ms.
+        era: How often the store had been restored from an older copy, None
+            from a daemon of an earlier version, which doesn't know. Positions
+            are ordered by era and then by revision.
     """
 
     revision: int
     age_ms: int
     asks: bool = False
     distance_ms: int = 0
+    era: int | None = None
 
 
 class RecordsRequest(Frame, frozen=True, tag='records-wanted'):
@@ -204,9 +208,11 @@
 
     Attributes:
         after: The sender holds all changes up to this revision.
+        era: The era of that revision, None from an earlier version.
     """
 
     after: int
+    era: int | None = None
 
 
 class RecordsUpdate(Frame, frozen=True, tag='records'):
@@ -219,12 +225,14 @@
             changes, ms.
         packed: The records as msgpack, compressed with zlib.
         whole: Whether these are all existing records instead of changes.
+        era: The era of the store, None from an earlier version.
     """
 
     revision: int
     age_ms: int
     packed: bytes
     whole: bool = False
+    era: int | None = None
 
 
 class Ping(Frame, frozen=True, tag='ping'):
--- a/egretlanding/recordfeed.py
+++ b/egretlanding/recordfeed.py
@@ -101,6 +101,8 @@
         is_reader: Whether this daemon reads the store on behalf of others.
         confirmed_at: When the table last matched the store, seconds.
         failed_at: When a request to the store last failed, seconds.
+        restored_at: When the store was last found to have been restored from
+            an older copy, seconds.
         failures: Requests that failed since the last successful one.
         reachable: Whether the last request to the store succeeded.
         relist: Whether the next read must list all records.
@@ -118,6 +120,7 @@
     is_reader: bool = True
     confirmed_at: float = float('-inf')
     failed_at: float = float('-inf')
+    restored_at: float = float('-inf')
     failures: int = 0
     reachable: bool = True
     relist: bool = True
@@ -130,8 +133,9 @@
         return now - self.confirmed_at
 
     def was_recently_unreachable(self, now: float) -> bool:
-        """Returns whether a request to the store failed recently."""
-        return now - self.failed_at < OUTAGE_MEMORY_S
+        """Returns whether the store failed or was restored recently."""
+        failed_at = max(self.failed_at, self.restored_at)
+        return now - failed_at < OUTAGE_MEMORY_S
 
     def should_read_store(self, now: float) -> bool:
         """Returns whether this daemon should read the store itself."""
@@ -191,11 +195,17 @@
         wait_s = (
             MAX_WATCH_S if self.age(self.reactor.seconds()) < STALE_S else 0
         )
+        era = self.table.era
         changes = await self.store.watch(
             self.table.complete_revision,
             wait_s * self.rng.uniform(MIN_WATCH_FRACTION, 1),
         )
         self.record_success()
+        if changes.era != era or self.table.era != era:
+            # The store was restored, or another daemon told so meanwhile.
+            self.relist = changes.era >= self.table.era
+            await self.pause(BATCH_PAUSE_S)
+            return
         changed = self.table.apply(changes.records)
         self.table.confirm(changes.revision)
         self.confirm(0)
@@ -211,9 +221,15 @@
         while not page.is_last and page.records:
             page = await self.store.read_page(page.records[-1].key)
             all_records.extend(page.records)
+        if page.era != first_page.era or page.era < self.table.era:
+            raise PlatformError(
+                f'the list of era {first_page.era} is not of one copy of the '
+                'store, or older than the records held',
+                'wait; if the store was set up anew, restart all daemons',
+            )
         self.record_success()
         held = self.table.complete_revision
-        changed = self.table.replace(all_records, first_page.revision)
+        changed = self.replace(all_records, first_page.revision, page.era)
         log_event(
             Event.RECORDS_LISTED,
             'all records of the store were read',
@@ -227,6 +243,24 @@
         self.confirm(0)
         self.notify(changed)
 
+    def replace(
+        self, records: Iterable[Record], revision: int, era: int
+    ) -> list[Record]:
+        """Replaces the table, and returns the records that changed."""
+        table = self.table
+        if table.complete_revision and era > table.era:
+            self.restored_at = self.reactor.seconds()
+            log_event(
+                Event.STORE_RESTORED,
+                'the store was restored from an older copy',
+                Severity.WARNING,
+                era=era,
+                revision=revision,
+                era_before=table.era,
+                held=table.complete_revision,
+            )
+        return table.replace(records, revision, era)
+
     def confirm(self, age_s: float) -> None:
         """Records that the table matched the store some time ago.
 
@@ -249,6 +283,7 @@
         age_s: float,
         *,
         whole: bool,
+        era: int = 0,
     ) -> None:
         """Applies records that another daemon read.
 
@@ -257,9 +292,13 @@
             revision: The table includes all changes up to this one afterwards.
             age_s: Time since the store confirmed them, seconds.
             whole: Whether these are all records that exist.
+            era: The era of the store in which they were written. Changes of
+                another era than the table's can't be applied to it.
         """
         if whole:
-            changed = self.table.replace(records, revision)
+            changed = self.replace(records, revision, era)
+        elif era != self.table.era:
+            return
         else:
             changed = self.table.apply(records)
             self.table.confirm(revision)
--- a/egretlanding/recordrelay.py
+++ b/egretlanding/recordrelay.py
@@ -62,8 +62,7 @@
         has_downstream: Whether other daemons fetch records from this one.
         behind_since: When this daemon first learned that it lacks records,
             seconds; infinite while it lacks none.
-        reply_cache: Replies for the current revision, by the revision after
-            which they begin.
+        reply_cache: Replies for the current position, by the request.
         announced_at: When a reader last announced changes, or the time for
             which an announcement is scheduled, seconds.
         requested_at: When records were last requested, seconds; minus infinity
@@ -80,7 +79,7 @@
     upstream: Host | None = None
     has_downstream: bool = False
     behind_since: float = float('inf')
-    reply_cache: dict[int, RecordsUpdate] = attrs.field(factory=dict)
+    reply_cache: dict[RecordsRequest, RecordsUpdate] = attrs.field(factory=dict)
     announced_at: float = float('-inf')
     requested_at: float = float('-inf')
 
@@ -96,6 +95,7 @@
             int(age_s * MS_PER_S),
             asks,
             self.distance_ms(),
+            self.feed.table.era,
         )
 
     def distance_ms(self) -> int:
@@ -190,12 +190,25 @@
         if frame.asks:
             connection.send(self.state_frame())
         self.yield_to_nearer_reader(connection, frame)
-        if frame.revision > self.feed.table.complete_revision:
+        if self.is_later(frame):
             if self.may_request_from(connection):
                 self.request_records(connection)
-        elif frame.revision == self.feed.table.complete_revision:
+        elif (frame.era, frame.revision) == (
+            self.feed.table.era,
+            self.feed.table.complete_revision,
+        ):
             self.feed.confirm(frame.age_ms / MS_PER_S)
 
+    def is_later(self, frame: RecordsState | RecordsUpdate) -> bool:
+        """Returns whether another daemon holds changes that this one lacks.
+
+        A daemon of an earlier version doesn't name the era. It may hold
+        records that the store has lost, so nothing is taken from it.
+        """
+        if frame.era is None:
+            return False
+        return self.feed.table.is_before(frame.era, frame.revision)
+
     def may_request_from(self, connection: PeerConnection) -> bool:
         """Returns whether to request records from a daemon that has later ones.
 
@@ -235,20 +248,21 @@
         now = self.reactor.seconds()
         if now - self.requested_at > REQUEST_TIMEOUT_S:
             self.requested_at = now
-            connection.send(RecordsRequest(self.feed.table.complete_revision))
+            table = self.feed.table
+            connection.send(RecordsRequest(table.complete_revision, table.era))
 
     def reply_to(self, frame: RecordsRequest) -> RecordsUpdate:
         """Returns the records that another daemon lacks, cached if possible."""
         state = self.state_frame()
-        reply = self.reply_cache.get(frame.after)
-        if reply is None or reply.revision != state.revision:
+        reply = self.reply_cache.get(frame)
+        if reply is None or not is_at(reply, state):
             reply = self.pack_records(frame, state)
             self.reply_cache = {
-                after: cached
-                for after, cached in self.reply_cache.items()
-                if cached.revision == state.revision
+                request: cached
+                for request, cached in self.reply_cache.items()
+                if is_at(cached, state)
             }
-            self.reply_cache[frame.after] = reply
+            self.reply_cache[frame] = reply
         return msgspec.structs.replace(reply, age_ms=state.age_ms)
 
     def pack_records(
@@ -257,22 +271,25 @@
         """Packs the records that another daemon lacks.
 
         All records are sent if deletions after its revision may have been
-        dropped here, or if that daemon has no records.
+        dropped here, or if that daemon has no records or those of another era.
         """
         send_all = (
             not self.feed.table.has_deletions_since(frame.after)
             or not frame.after
+            or frame.era not in {None, state.era}
         )
         records = self.feed.table.since(0 if send_all else frame.after)
         if send_all:
             records = [record for record in records if not record.deleted]
         packed = zlib.compress(msgspec.msgpack.encode(records))
-        return RecordsUpdate(state.revision, state.age_ms, packed, send_all)
+        return RecordsUpdate(
+            state.revision, state.age_ms, packed, send_all, state.era
+        )
 
     def handle_records(self, frame: RecordsUpdate) -> None:
         """Applies the records that another daemon sent."""
         self.requested_at = float('-inf')
-        if frame.revision <= self.feed.table.complete_revision:
+        if not self.is_later(frame):
             return
         try:
             unpacked = inflate(frame.packed, MAX_UNPACKED_BYTES)
@@ -288,10 +305,19 @@
         self.behind_since = float('inf')
         age_s = frame.age_ms / MS_PER_S
         self.feed.apply_records(
-            records, frame.revision, age_s, whole=frame.whole
+            records,
+            frame.revision,
+            age_s,
+            whole=frame.whole,
+            era=frame.era or 0,
         )
 
 
+def is_at(reply: RecordsUpdate, state: RecordsState) -> bool:
+    """Returns whether a reply brings another daemon to a state."""
+    return (reply.era, reply.revision) == (state.era, state.revision)
+
+
 def rank_of(host_id: str, order: tuple[Host, ...]) -> int:
     """Returns the index of a host, or the list's length if it isn't listed."""
     ranks = (rank for rank, host in enumerate(order) if host.host_id == host_id)
--- a/egretlanding/records.py
+++ b/egretlanding/records.py
@@ -26,19 +26,30 @@
 
 @attrs.define
 class RecordTable:
-    """The newest known record of each key; its revision never goes down.
+    """The newest known record of each key.
+
+    Its position, the era of the store and the revision within that era, never
+    goes down. All records in it are of one era.
 
     Attributes:
         records: The records by key, including deleted ones.
+        era: How often the store had been restored from an older copy. A
+            restored store gives out revisions again, so revisions of
+            different eras can't be compared.
         complete_revision: All changes up to this revision have been applied.
         deletions_dropped_to: Deletions up to this revision may be missing,
             because only a bounded number is kept.
     """
 
     records: dict[str, Record] = attrs.field(factory=dict)
+    era: int = 0
     complete_revision: int = 0
     deletions_dropped_to: int = 0
 
+    def is_before(self, era: int, revision: int) -> bool:
+        """Returns whether the table lacks changes up to a position."""
+        return (self.era, self.complete_revision) < (era, revision)
+
     def since(self, revision: int) -> list[Record]:
         """Returns the records written after a revision, oldest first."""
         changed = (
@@ -74,18 +85,26 @@
         """Records that all changes up to a revision were applied."""
         self.complete_revision = max(self.complete_revision, revision)
 
-    def replace(self, existing: Iterable[Record], since: int) -> list[Record]:
+    def replace(
+        self, existing: Iterable[Record], since: int, era: int = 0
+    ) -> list[Record]:
         """Applies a list of all records that exist in the store.
 
         Args:
             existing: The records.
             since: The store's revision when reading the list began. Later
                 writes may be missing from the list.
+            era: The era in which the list was read. A list of an earlier era
+                than the table's is passed over.
 
         Returns:
             The records that changed, with deletions for those not listed.
         """
         listed = {record.key: record for record in existing}
+        if era < self.era:
+            return []
+        if era > self.era:
+            return self._begin_era(listed, since, era)
         missing = [
             Record(key, since, deleted=True)
             for key, held in self.records.items()
@@ -97,6 +116,30 @@
         self.confirm(since)
         return changed
 
+    def _begin_era(
+        self, listed: dict[str, Record], since: int, era: int
+    ) -> list[Record]:
+        held = {
+            key: record
+            for key, record in self.records.items()
+            if not record.deleted
+        }
+        self.records = listed
+        self.era = era
+        self.complete_revision = since
+        self.deletions_dropped_to = since
+        missing = [
+            Record(key, since, deleted=True)
+            for key in held
+            if key not in listed
+        ]
+        changed = [
+            record
+            for key, record in listed.items()
+            if key not in held or held[key].content != record.content
+        ]
+        return [*missing, *changed]
+
     def _drop_old_deletions(self) -> None:
         deleted = [held for held in self.records.values() if held.deleted]
         if len(deleted) <= MAX_DELETED:
--- a/egretlanding/sidecar.py
+++ b/egretlanding/sidecar.py
@@ -163,6 +163,7 @@
             'phase': self.lifecycle_state.phase.value,
             'release': self.release_number,
             'records': {
+                'era': self.feed.table.era,
                 'revision': self.feed.table.complete_revision,
                 'count': len(self.feed.table.records),
                 'age_s': self.feed.age(self.reactor.seconds()),
--- a/egretlanding/sidecarmetrics.py
+++ b/egretlanding/sidecarmetrics.py
@@ -116,6 +116,12 @@
             "the store's revision up to which all records are held",
             lambda: [Sample(feed.table.complete_revision)],
         ),
+        (
+            'records_era',
+            '1',
+            'how often the store had been restored from an older copy',
+            lambda: [Sample(feed.table.era)],
+        ),
         (
             'records_age',
             's',
--- a/tests/test_recordrelay.py
+++ b/tests/test_recordrelay.py
@@ -130,7 +130,7 @@
     )
     relay, clock = build_relay(idle.address, idle.region)
     relay.feed.table.confirm(5)
-    relay.handle_state(connect_from('10.0.0.9'), RecordsState(5, 100))
+    relay.handle_state(connect_from('10.0.0.9'), RecordsState(5, 100, era=0))
     assert not relay.feed.should_read_store(clock.seconds())
     clock.advance(1.1 * STALE_S)
     assert relay.feed.should_read_store(clock.seconds())
@@ -142,7 +142,7 @@
     relay, clock = build_relay(reader.address, 'north')
     relay.feed.table.confirm(5)
     assert relay.feed.should_read_store(clock.seconds())
-    near = RecordsState(5, 0, asks=False, distance_ms=3)
+    near = RecordsState(5, 0, asks=False, distance_ms=3, era=0)
     relay.handle_state(connect_from('10.9.9.9'), near)
     assert relay.feed.should_read_store(clock.seconds())
     relay.handle_state(connect_from(other.host_id), near)
@@ -156,7 +156,7 @@
     other = first_ranked('south', HOSTS, 1)[0]
     relay, clock = build_relay(reader.address, 'north')
     relay.handle_state(
-        connect_from(other.host_id), RecordsState(0, 0, distance_ms=15)
+        connect_from(other.host_id), RecordsState(0, 0, distance_ms=15, era=0)
     )
     assert relay.feed.should_read_store(clock.seconds())
 
@@ -180,7 +180,7 @@
     uncompressed = msgspec.msgpack.encode([Record('a', 1, b'x')])
     for packed in (b'', b'nonsense', uncompressed):
         relay.handle_frame(
-            connect_from('10.0.0.2'), RecordsUpdate(9, 0, packed)
+            connect_from('10.0.0.2'), RecordsUpdate(9, 0, packed, era=0)
         )
     assert not relay.feed.table.records
     assert not relay.feed.table.complete_revision
@@ -220,7 +220,7 @@
     idle = first_ranked('north', HOSTS, len(HOSTS))[READERS_PER_REGION]
     relay, clock = build_relay(idle.address, 'north')
     relay.feed.table.confirm(5)
-    other, later = connect_from('10.9.9.9'), RecordsState(6, 0)
+    other, later = connect_from('10.9.9.9'), RecordsState(6, 0, era=0)
     relay.handle_state(other, later)
     assert not other.sent
     clock.advance(1.1 * UPSTREAM_WAIT_S)
@@ -234,7 +234,7 @@
     relay.feed.table.confirm(5)
     assert relay.upstream
     upstream = connect_from(relay.upstream.host_id)
-    relay.handle_state(upstream, RecordsState(6, 0))
+    relay.handle_state(upstream, RecordsState(6, 0, era=0))
     assert isinstance(upstream.sent[-1], RecordsRequest)
 
 
@@ -245,7 +245,7 @@
     for reader in first_ranked('north', HOSTS, READERS_PER_REGION):
         relay.requested_at = 0
         connection = connect_from(reader.host_id)
-        relay.handle_state(connection, RecordsState(6, 0))
+        relay.handle_state(connection, RecordsState(6, 0, era=0))
         assert isinstance(connection.sent[-1], RecordsRequest)
 
 
