Keep a target that left away though the restored store lists it

Calls reached targets that had drained or left before the store was restored from an older copy, since the roster took whatever the store listed. The order of one target's entries is the target's own: its start and its count of entries, which no copy turns back. Within an era the store's order decides as before. Targets that the copy doesn't list yet have the usual time to write their entries again.

--- a/egretlanding/platform/records.py
+++ b/egretlanding/platform/records.py
@@ -135,9 +135,11 @@
 
     Attributes:
         state: `ready` if it takes new requests, `draining` if not.
+        sequence: Number of the entry among those of the target's process.
     """
 
     state: str
+    sequence: int = 0
 
 
 class EntryBody(msgspec.Struct, rename='kebab'):
@@ -246,6 +248,7 @@
                 slots=max(1, body.info.slots),
                 draining=body.status.state == DRAINING_STATE,
                 born_ms=body.born,
+                sequence=body.status.sequence,
             )
         except DECODE_ERRORS as error:
             raise PlatformError(
--- a/egretlanding/roster.py
+++ b/egretlanding/roster.py
@@ -9,6 +9,7 @@
 # Time that a target has to write its entry again if the entry lapsed during an
 # outage of the store, counted from the deletion of the entry, seconds.
 RENEWAL_GRACE_S = 2.5
+MAX_DEPARTURES = 4_096
 
 
 @attrs.frozen
@@ -26,6 +27,7 @@
         draining: Whether it is draining: it takes no new calls and will stop.
         born_ms: When its process started, ms since the epoch, zero if
             unknown.
+        sequence: Number of the entry among those of its process.
     """
 
     instance: str
@@ -37,6 +39,25 @@
     slots: int
     draining: bool = False
     born_ms: int = 0
+    sequence: int = 0
+
+    @property
+    def written(self) -> tuple[int, int]:
+        """The order in which a target writes its entries."""
+        return self.born_ms, self.sequence
+
+
+@attrs.frozen
+class Departure:
+    """The removal of a target.
+
+    Attributes:
+        entry: Its last entry.
+        era: The era of the store in which it was removed.
+    """
+
+    entry: TargetEntry
+    era: int
 
 
 @attrs.define
@@ -46,12 +67,14 @@
     Attributes:
         entry: The last known entry.
         revision: The store's revision of the entry.
+        era: The era of the store in which it was read.
         held_until: When to remove the target, because its entry is gone,
             seconds; None while the entry exists.
     """
 
     entry: TargetEntry
     revision: int
+    era: int = 0
     held_until: float | None = None
 
 
@@ -63,26 +86,53 @@
         peer_port: TCP port on which every daemon accepts calls from other
             daemons.
         targets: The targets by instance.
+        departures: The targets that were removed last, by instance.
         revision: Number of changes of the roster so far.
     """
 
     peer_port: int
     targets: dict[str, RosterTarget] = attrs.field(factory=dict)
+    departures: dict[str, Departure] = attrs.field(factory=dict)
     revision: int = 0
 
-    def update(self, entry: TargetEntry, revision: int) -> None:
+    def is_outdated(self, entry: TargetEntry, era: int) -> bool:
+        """Returns whether an entry was known before the store was restored.
+
+        The store may return with entries that targets have replaced since or
+        whose deletion is known. The target's own count tells them apart.
+
+        Args:
+            entry: The entry.
+            era: The era of the store in which it was read.
+        """
+        held = self.targets.get(entry.instance)
+        if held is not None:
+            return era > held.era and entry.written < held.entry.written
+        departure = self.departures.get(entry.instance)
+        if departure is None:
+            return False
+        return era > departure.era and entry.written <= departure.entry.written
+
+    def update(self, entry: TargetEntry, revision: int, era: int = 0) -> None:
         """Applies an entry that was written to the store."""
-        self.targets[entry.instance] = RosterTarget(entry, revision)
+        self.targets[entry.instance] = RosterTarget(entry, revision, era)
+        self.departures.pop(entry.instance, None)
         self.revision += 1
 
     def remove(
-        self, instance: str, now: float, *, store_was_unreachable: bool
+        self,
+        instance: str,
+        now: float,
+        era: int = 0,
+        *,
+        store_was_unreachable: bool,
     ) -> None:
         """Applies the deletion of an entry.
 
         Args:
             instance: Name of the target's process.
             now: Monotonic time, seconds.
+            era: The era of the store in which it was deleted.
             store_was_unreachable: Whether the store was unreachable recently,
                 so that the entry may have lapsed although the target runs and
                 will write it again. Unless the target is draining, it then
@@ -93,10 +143,18 @@
             return
         if store_was_unreachable and not target.entry.draining:
             target.held_until = now + RENEWAL_GRACE_S
+            target.era = era
             return
-        del self.targets[instance]
+        self.drop(instance, era)
         self.revision += 1
 
+    def drop(self, instance: str, era: int) -> None:
+        """Takes a target off the roster and remembers its last entry."""
+        entry = self.targets.pop(instance).entry
+        self.departures[instance] = Departure(entry, era)
+        if len(self.departures) > MAX_DEPARTURES:
+            del self.departures[next(iter(self.departures))]
+
     def expire(self, now: float) -> list[str]:
         """Removes targets that did not write their entries again in time.
 
@@ -109,7 +167,7 @@
             if target.held_until is not None and target.held_until <= now
         ]
         for instance in expired:
-            del self.targets[instance]
+            self.drop(instance, self.targets[instance].era)
         self.revision += bool(expired)
         return expired
 
@@ -157,6 +215,7 @@
         key=lambda target: (
             target.held_until is None,
             target.entry.born_ms,
+            target.era,
             target.revision,
         ),
         default=None,
--- a/egretlanding/sidecar.py
+++ b/egretlanding/sidecar.py
@@ -267,7 +267,10 @@
         if record.deleted:
             store_was_unreachable = self.feed.was_recently_unreachable(now)
             self.roster.remove(
-                instance, now, store_was_unreachable=store_was_unreachable
+                instance,
+                now,
+                self.feed.table.era,
+                store_was_unreachable=store_was_unreachable,
             )
             log_event(
                 Event.TARGET_GONE,
@@ -281,9 +284,23 @@
             entry = self.adapter.decoder.decode_entry(record)
         except PlatformError:
             # An entry that can't be decoded names no usable target.
-            self.roster.remove(instance, now, store_was_unreachable=False)
+            self.roster.remove(
+                instance,
+                now,
+                self.feed.table.era,
+                store_was_unreachable=False,
+            )
             raise
-        self.roster.update(entry, record.revision)
+        if self.roster.is_outdated(entry, self.feed.table.era):
+            log_event(
+                Event.ENTRY_OUTDATED,
+                'the restored store lists an entry that was replaced before',
+                instance=instance,
+                sequence=entry.sequence,
+                era=self.feed.table.era,
+            )
+            return
+        self.roster.update(entry, record.revision, self.feed.table.era)
         log_event(
             Event.TARGET_LISTED,
             'the entry of a target was written',
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -67,3 +67,41 @@
     roster.remove('i-1', 10, store_was_unreachable=True)
     roster.update(attrs.evolve(ENTRY, instance='i-2', born_ms=1), 5)
     assert roster.host_list().hosts['10.0.0.1'].instance == 'i-2'
+
+
+# Failure: a target that was draining or had left got calls again once the store
+# was restored from a copy in which it had not.
+def test_an_entry_of_a_restored_store_that_was_replaced_is_outdated() -> None:
+    first = attrs.evolve(ENTRY, born_ms=50, sequence=3)
+    draining = attrs.evolve(first, draining=True, sequence=7)
+    roster = Roster(7_000)
+    roster.update(draining, 9, era=1)
+    assert roster.is_outdated(first, era=2)
+    assert not roster.is_outdated(draining, era=2)
+    restarted = attrs.evolve(first, born_ms=60, sequence=1)
+    assert not roster.is_outdated(restarted, era=2)
+    # Within an era, the store's own order decides.
+    assert not roster.is_outdated(first, era=1)
+
+
+def test_a_target_that_left_returns_only_with_a_later_entry() -> None:
+    last = attrs.evolve(ENTRY, born_ms=50, sequence=3)
+    roster = Roster(7_000)
+    roster.update(last, 9, era=1)
+    roster.remove('i-1', 10, 1, store_was_unreachable=False)
+    assert roster.is_outdated(last, era=2)
+    assert not roster.is_outdated(last, era=1)
+    assert not roster.is_outdated(attrs.evolve(last, sequence=4), era=2)
+
+
+def test_a_target_that_the_restored_store_does_not_list_may_write_again() -> (
+    None
+):
+    entry = attrs.evolve(ENTRY, born_ms=50, sequence=3)
+    roster = Roster(7_000)
+    roster.update(entry, 9, era=1)
+    roster.remove('i-1', 10, 2, store_was_unreachable=True)
+    assert not roster.is_outdated(entry, era=2)
+    assert roster.expire(10 + RENEWAL_GRACE_S) == ['i-1']
+    assert not roster.is_outdated(entry, era=2)
+    assert roster.is_outdated(entry, era=3)
