--- a/egretlanding/publication.py
+++ b/egretlanding/publication.py
@@ -4,7 +4,7 @@
 
 from egretlanding.httpmessages import HttpLimits
 from egretlanding.objects import ConfigObject
-from egretlanding.release import Position, Release
+from egretlanding.release import Release
 
 
 @attrs.frozen
@@ -17,17 +17,24 @@
         revision: The store's revision at which it was written.
         objects: The objects of the configuration.
         limits: Limits on the requests and connections of callers.
+        era: The era of the store in which it was read.
     """
 
     number: int
     revision: int
     objects: tuple[ConfigObject, ...]
     limits: HttpLimits
+    era: int = 0
 
-    @property
-    def position(self) -> Position:
-        """Position of the release, by which daemons order releases."""
-        return Position(self.number, self.revision)
+    def follows(self, other: 'Publication') -> bool:
+        """Returns whether it is later than another publication.
+
+        The number comes first, because a restored store may list an earlier
+        publication than it did before. Of two with one number, the store took
+        the later one in the later era, or at the greater revision.
+        """
+        own = (self.number, self.era, self.revision)
+        return own > (other.number, other.era, other.revision)
 
     def to_release(self) -> Release:
         """Returns the release that daemons serve calls with."""
--- a/egretlanding/sidecar.py
+++ b/egretlanding/sidecar.py
@@ -228,8 +228,11 @@
         """
         if record.deleted:
             return
-        candidate = self.adapter.decoder.decode_publication(record)
-        if self.publication and candidate.position <= self.publication.position:
+        candidate = attrs.evolve(
+            self.adapter.decoder.decode_publication(record),
+            era=self.feed.table.era,
+        )
+        if self.publication and not candidate.follows(self.publication):
             log_event(
                 Event.RELEASE_REFUSED,
                 'the configuration is not later than the one in force',
@@ -253,6 +256,7 @@
             Event.RELEASE_APPLIED,
             'configuration in force',
             number=candidate.number,
+            era=candidate.era,
             revision=candidate.revision,
         )
 
