Take a refusal for the call that it names only

Callers could be told 'not run' for a call that a target had run or was running, or it ran at a second target, when a faulty target wrote an earlier refusal once more on a kept connection. Two cases were open: a refusal that doesn't name its request was believed, and a call that was sent again on the connection on which it had been refused could get the copy of its first refusal. The first counts as an answer that says nothing now; a request isn't sent again on a connection on which it failed. The stand-in's refusals name their request now, as the platform's targets do.

--- a/egretlanding/egress.py
+++ b/egretlanding/egress.py
@@ -20,6 +20,7 @@
 from egretlanding.exceptions import KeyFormatError
 from egretlanding.frames import CallReply, CallRequest, refusal_reply
 from egretlanding.histograms import Histogram
+from egretlanding.httpheaders import header_values
 from egretlanding.httpmessages import HttpResponse
 from egretlanding.idempotency import (
     Answer,
@@ -195,7 +196,9 @@
     def finish(self, job: Job, outcome: TargetOutcome) -> None:
         """Frees the slot of a call that has ended, and replies to it."""
         now = self.reactor.seconds()
-        refusal = refusal_in_response(outcome.response, self.dialect)
+        refusal = refusal_in_response(
+            outcome.response, request_id_of(job, self.dialect), self.dialect
+        )
         hear_statement(self, job, outcome.response)
         self.run_times.observe(now - job.started)
         unsent = outcome.progress is Progress.UNSENT
@@ -361,13 +364,32 @@
         job.request_handle.cut()
 
 
+def request_id_of(job: Job, dialect: Dialect) -> str:
+    """Returns the id that a target repeats in its answer, '' if none."""
+    return next(iter(header_values(job.call.headers, dialect.request_id)), '')
+
+
 def refusal_in_response(
     response: HttpResponse | None,
+    request_id: str,
     dialect: Dialect,
 ) -> Refusal | None:
-    """Returns the refusal that a response stands for, None for an answer."""
+    """Returns the refusal that a response stands for, None for an answer.
+
+    Args:
+        response: The response, if there was one.
+        request_id: Id of the request; empty if responses need not repeat it.
+        dialect: The names of the headers.
+    """
     if response is None:
         return None
+    named = header_values(response.headers, dialect.request_id)
+    is_refusal = response.status == HTTPStatus.MISDIRECTED_REQUEST
+    is_refusal = is_refusal or states_not_run(response, dialect)
+    if is_refusal and request_id and not named:
+        # It may be an earlier refusal that a faulty target repeats.
+        detail = 'a refusal of the target does not name the call'
+        return Refusal.unknown(Reason.GARBLED, detail)
     misdirected = response.status == HTTPStatus.MISDIRECTED_REQUEST
     if misdirected and dialect.required_instance:
         detail = 'another target process now has this address'
@@ -387,14 +409,12 @@
     reason: str = '',
 ) -> None:
     """Logs an event of a call at the local target."""
-    name = egress.dialect.request_id
     now = egress.reactor.seconds()
-    request_ids = (text for key, text in job.call.headers if key == name)
     log_event(
         event,
         message,
         Severity.INFO,
-        request=next(request_ids, ''),
+        request=request_id_of(job, egress.dialect),
         route=job.call.route,
         instance=job.call.instance,
         at_target=len(egress.table.jobs),
--- a/egretlanding/httpclient.py
+++ b/egretlanding/httpclient.py
@@ -26,6 +26,9 @@
 MAX_BODY_BYTES = MAX_FRAME_BYTES // 2
 MAX_ANSWER_BYTES = MAX_FRAME_BYTES
 
+# Failed requests after which a connection is not used again.
+MAX_FAILED_REQUESTS = 256
+
 # Called with the complete response, or with None if the connection was lost
 # before that.
 OnResponse = Callable[[HttpResponse | None], None]
@@ -76,6 +79,9 @@
         complete_response: The response once it is complete.
         echo: Header name and value of the request in flight, if responses
             that have this header must repeat the value.
+        failed_echoes: Values of `echo` of requests that were answered with a
+            failure. A faulty target may repeat such an answer at any time, so
+            the same request must not be sent on this connection again.
         received_bytes: Bytes received since the request was sent.
         max_bytes: Bound on `received_bytes`, which rises once the head of the
             answer is complete.
@@ -94,6 +100,7 @@
         self.echo: tuple[str, str] | None = None
         self.idle_since: float = 0
         self.keep_alive_s: float = float('inf')
+        self.failed_echoes: set[str] = set()
         self.reset()
 
     def reset(self) -> None:
@@ -257,11 +264,12 @@
             keep_alive_values, self.keep_alive_s
         )
         self.usable = self.usable and self.parser.should_keep_alive()
-        self.complete_response = HttpResponse(
-            self.parser.get_status_code(),
-            headers,
-            bytes(self.body),
-        )
+        status = self.parser.get_status_code()
+        if self.echo and status >= HTTPStatus.MULTIPLE_CHOICES:
+            self.failed_echoes.add(self.echo[1])
+            has_room = len(self.failed_echoes) < MAX_FAILED_REQUESTS
+            self.usable = self.usable and has_room
+        self.complete_response = HttpResponse(status, headers, bytes(self.body))
 
     def finish(self, response: HttpResponse | None) -> None:
         """Reports the end of the request in flight, once."""
--- a/egretlanding/targetpool.py
+++ b/egretlanding/targetpool.py
@@ -137,12 +137,13 @@
         Returns:
             A handle that cancels the request.
         """
+        echo = (echoed, request.header(echoed)) if echoed else None
         outgoing = OutgoingRequest(
             encode_request(request, f'{self.address}:{self.port}', extra),
             request.method == 'HEAD',
-            (echoed, request.header(echoed)) if echoed else None,
+            echo,
         )
-        client = self.pop_idle()
+        client = self.pop_idle(echo[1] if echo else '')
         if client:
             return self.send(client, outgoing, on_outcome)
         return self.send_on_new_connection(outgoing, on_outcome)
@@ -164,19 +165,28 @@
         )
         return handle
 
-    def pop_idle(self) -> HttpClient | None:
-        """Returns a usable idle connection, and closes those idle too long."""
-        now = self.reactor.seconds()
-        while self.idle:
-            client = self.idle.popleft()
-            limit = min(
-                self.reuse_limit_s, client.keep_alive_s * KEEP_ALIVE_SHARE
-            )
-            if client.usable and now - client.idle_since < limit:
+    def pop_idle(self, request_id: str) -> HttpClient | None:
+        """Takes a usable idle connection, and closes those idle too long.
+
+        Args:
+            request_id: Id of the request that it is for. Connections on which
+                this request failed before are left out.
+        """
+        for client in tuple(self.idle):
+            if not self.is_fresh(client):
+                self.idle.remove(client)
+                client.close()
+            elif request_id not in client.failed_echoes:
+                self.idle.remove(client)
                 return client
-            client.close()
         return None
 
+    def is_fresh(self, client: HttpClient) -> bool:
+        """Returns whether an idle connection may still be used."""
+        limit = min(self.reuse_limit_s, client.keep_alive_s * KEEP_ALIVE_SHARE)
+        idle_s = self.reactor.seconds() - client.idle_since
+        return client.usable and idle_s < limit
+
     def connect(self) -> Deferred[HttpClient]:
         """Opens a connection."""
         self.open_count += 1
--- a/standins/platformfleet.py
+++ b/standins/platformfleet.py
@@ -123,20 +123,24 @@
     def do_GET(self) -> None:
         """Runs a request unless it is meant for another instance."""
         member = self.server.state
+        request_id = self.headers.get('Request-Id', '')
         self.rfile.read(int(self.headers.get('Content-Length') or 0))
         expected_instance = self.headers.get('Expect-Instance')
         if expected_instance and expected_instance != member.instance:
-            self.reply(421, b'', Instance=member.instance)
+            self.reply(
+                421, b'', Request_Id=request_id, Instance=member.instance
+            )
             return
         status, body = member.handle_request(self.path, dict(self.headers))
         time.sleep(member.delay_s)
         if status == 503:
-            self.reply(503, b'', Not_Run='1', **member.statements)
+            refused = {'Request_Id': request_id, 'Not_Run': '1'}
+            self.reply(503, b'', **refused, **member.statements)
             return
         self.reply(
             status,
             body,
-            Request_Id=self.headers.get('Request-Id', ''),
+            Request_Id=request_id,
             Server_Stamp='stamp',
             **member.statements,
         )
