Test that a head that breaks off is no answer

Reported by other operators: callers got a success with an empty or short body, framed as whole, when a target stopped in the head of its answer and closed. It doesn't happen here: any cut of a head, with a length, without one, and behind an interim answer, and a whole answer behind a broken head, end as truncated.

--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -270,3 +270,31 @@
     tracemalloc.stop()
     assert not reported
     assert taken < 2 * 400 * 2_000
+
+
+# Failure: a target broke off in the head of its answer, and callers got a
+# success with an empty or short body that was framed as whole.
+@pytest.mark.parametrize('framing', ['content-length: 4', 'x-b: 2', ''])
+@pytest.mark.parametrize('interim', [b'', b'HTTP/1.1 100 Continue\r\n\r\n'])
+def test_a_head_that_breaks_off_is_no_answer(
+    framing: str, interim: bytes
+) -> None:
+    lines = ('HTTP/1.1 200 OK', 'server-stamp: s', framing, 'x-a: 1')
+    head = '\r\n'.join((*filter(None, lines), '', '')).encode()
+    for size in range(head.index(b'\r\n\r\n') + 4):
+        client, reported = connect()
+        client.dataReceived(interim + head[:size])
+        client.transport.loseConnection()
+        assert reported == [None]
+
+
+# The same where the rest of the head seems to come with a repeated answer.
+def test_an_answer_behind_a_broken_head_does_not_complete_it() -> None:
+    begun = b'HTTP/1.1 200 OK\r\nserver-stamp: s\r\n'
+    old = b'%srequest-id: old\r\ncontent-length: 1\r\n\r\na' % begun
+    for size in (1, 9, 17, 25, len(begun)):
+        client, reported = connect()
+        client.send(b'', reported.append, echo=('request-id', 'mine'))
+        client.dataReceived(begun[:size] + old)
+        client.transport.loseConnection()
+        assert reported == [None]
