--- a/egretlanding/recordfeed.py
+++ b/egretlanding/recordfeed.py
@@ -175,6 +175,8 @@
                 self.relist = True
                 self.record_success()
                 log_event(Event.HISTORY_LOST, str(error), Severity.WARNING)
+                # The list may not help, and the loss then comes at once again.
+                await self.pause(BATCH_PAUSE_S * self.rng.uniform(0.5, 1))
             except PlatformError as error:
                 self.record_failure(error)
                 ceiling = MIN_BACKOFF_S * 2 ** min(self.failures, 4)
--- a/tests/test_recordfeed.py
+++ b/tests/test_recordfeed.py
@@ -95,3 +95,14 @@
     store.watches[-1].errback(PlatformError('unreachable', 'wait'))
     advance_clock(clock, 1.9)
     assert not feed.was_recently_unreachable(clock.seconds())
+
+
+# Failure: a daemon whose history was lost again after each list asked the store
+# without a pause.
+def test_a_history_that_stays_lost_is_asked_for_with_pauses() -> None:
+    _, store, clock = start_feed()
+    for _ in range(200):
+        if not store.watches[-1].called:
+            store.watches[-1].errback(HistoryLostError('gone', 'list'))
+        clock.advance(0.005)
+    assert 2 <= store.list_count <= 25
