Read a release that a restored store announces at a lower revision

A head whose revision is lower than the one asked for is read with its body now; the number decides whether it is later, as before. Before: test_a_release_of_a_restored_store_comes_into_force times out after 13 s with the earlier release in force on all three daemons.

--- a/egretlanding/storewatch.py
+++ b/egretlanding/storewatch.py
@@ -91,11 +91,7 @@
         requested_at = self.clock()
         self.replica.store_attempted(requested_at)
         try:
-            head_value = await self.read(
-                HEAD_KEY,
-                self.last_head_revision(),
-                self.head_wait_ms(),
-            )
+            head_value = await self.read_head()
             await self.apply_head(head_value)
         except PlatformError as error:
             self.note_unreachable(error)
@@ -104,7 +100,7 @@
             self.note_unusable(head_value, error)
             return
         self.note_reachable()
-        self.head_revision = max(self.head_revision, head_value.revision)
+        self.head_revision = head_value.revision
         self.note_confirmed(requested_at, head_value.revision)
 
     async def poll_hosts(self, read_body: bool) -> None:
@@ -153,9 +149,18 @@
             self.replica.hosts_confirmed(requested_at, hosts_value.revision)
         return bool(hosts_value.revision)
 
-    def last_head_revision(self) -> int:
-        """Returns the revision that a newer head must exceed."""
-        return max(self.head_revision, self.replica.releases.position.revision)
+    async def read_head(self) -> StoreValue:
+        """Reads the head, with its body if its revision has changed.
+
+        A store that was restored from an older copy gives out revisions again,
+        so a head may be later though its revision is lower.
+        """
+        in_force = self.replica.releases.position.revision
+        after = self.head_revision or in_force
+        value = await self.read(HEAD_KEY, after, self.head_wait_ms())
+        if value.body is None and 0 < value.revision < after:
+            value = await self.read(HEAD_KEY)
+        return value
 
     def head_wait_ms(self) -> int:
         """Returns how long the store may wait for a new head, ms."""
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -99,6 +99,12 @@
         """Copies the values for reads while the store is stale."""
         self.frozen = dict(self.current)
 
+    def restore(self) -> None:
+        """Loses the writes since the last freeze, with their revisions."""
+        self.current = dict(self.frozen)
+        stored = self.current.values()
+        self.revision = max((value.revision for value in stored), default=0)
+
     def count_read(self) -> bool:
         """Counts a read and returns whether the rate limit allows it."""
         second = int(time.monotonic())
@@ -195,6 +201,11 @@
         platform.freeze()
         return b'ok'
 
+    @app.route('/restore', methods=['POST'])
+    def restore(_request: Any) -> bytes:
+        platform.restore()
+        return b'ok'
+
     @app.route('/counters', methods=['GET'])
     def counters(_request: Any) -> bytes:
         return json.dumps(
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -10,7 +10,7 @@
 
 from egretlanding.release import shorten
 from standins.faults import DirectionFaults, LinkRule
-from standins.fleet import Fleet, wait_until
+from standins.fleet import Fleet, send_request, wait_until
 from standins.partitionedfleet import PartitionedFleet, link_name
 from tests.controlfleet import (
     CONVERGENCE_S,
@@ -55,6 +55,27 @@
     assert not observer.regressions()
 
 
+# Failure: a release published after the store was restored from an older copy
+# was not read, as its revision was lower than one seen before.
+def test_a_release_of_a_restored_store_comes_into_force() -> None:
+    with (
+        running_fleet(2, 1) as (fleet, first),
+        FleetObserver(fleet) as observer,
+    ):
+        freeze_store(fleet)
+        second = build_release(2, first.digest, timeout_ms=2)
+        fleet.publish(second)
+        wait_everywhere(fleet, second.digest)
+        third = build_release(3, second.digest, timeout_ms=3)
+        fleet.publish(third)
+        wait_everywhere(fleet, third.digest)
+        send_request(fleet.operator_port, 'POST', '/restore')
+        fourth = build_release(4, third.digest, timeout_ms=4)
+        fleet.publish(fourth)
+        wait_everywhere(fleet, fourth.digest)
+    assert not observer.regressions()
+
+
 def test_no_daemon_reverts_during_outage_or_with_stale_store() -> None:
     with (
         running_fleet(3, 2, targets=True) as (fleet, first),
