--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -32,6 +32,8 @@
 MAX_READS_PER_DAEMON_PER_S = 1
 READ_COUNT_S = 10
 SUSPENSION_S = 4
+# Time in which a host list reaches all daemons, seconds.
+HOSTS_SPREAD_S = 8
 
 
 def test_valid_releases_reach_all_daemons_and_faulty_ones_none() -> None:
@@ -76,6 +78,26 @@
     assert not observer.regressions()
 
 
+# Failure: a host list published after the store was restored from an older copy
+# was passed over, as its revision was lower than one seen before.
+def test_a_host_list_of_a_restored_store_is_used() -> None:
+    with running_fleet(2, 1) as (fleet, _):
+        freeze_store(fleet)
+        fleet.publish_hosts()
+        fleet.publish_hosts()
+        time.sleep(HOSTS_SPREAD_S)
+        send_request(fleet.operator_port, 'POST', '/restore')
+        revision = fleet.publish_hosts(without=['sous-0'])
+        wait_until(
+            lambda: (
+                {found['hosts_revision'] for found in statuses(fleet).values()}
+                == {revision}
+            ),
+            CONVERGENCE_S,
+            'host list everywhere',
+        )
+
+
 def test_no_daemon_reverts_during_outage_or_with_stale_store() -> None:
     with (
         running_fleet(3, 2, targets=True) as (fleet, first),
