--- a/tests/test_egress.py
+++ b/tests/test_egress.py
@@ -6,43 +6,18 @@
 import pytest
 from twisted.internet.task import Clock
 
-from egretlanding.admission import Admission
 from egretlanding.dialect import DEFAULT_DIALECT, Dialect
-from egretlanding.egress import ANSWER_TIMEOUT_S, Egress
+from egretlanding.egress import ANSWER_TIMEOUT_S
 from egretlanding.frames import CallReply, CallRequest
-from egretlanding.idempotency import KeyTable
 from egretlanding.keys import issue_key
-from egretlanding.objects import Service
 from egretlanding.platform.names import DIALECT
-from egretlanding.quarantine import Quarantine
-from egretlanding.targetcalls import TargetCalls
-from egretlanding.targethealth import ConnectHealth
-from tests.wires import WirePool
+from tests.wires import WirePool, connect_egress
 
 HEAD = b'HTTP/1.1 200 OK\r\nserver-stamp: s\r\n\r\n'
 WHOLE = b'HTTP/1.1 200 OK\r\nserver-stamp: s\r\ncontent-length: 1\r\n\r\n'
 DEADLINE_S = 1
 
 
-def connect(dialect: Dialect) -> tuple[Egress, WirePool, Clock]:
-    """Returns an egress, its connections to a target and their clock."""
-    clock = Clock()
-    pool = WirePool(clock, '127.0.0.1', 1, limit=4)
-    health = ConnectHealth(clock, pool)
-    health.start()
-    quarantine = Quarantine()
-    egress = Egress(
-        clock,
-        TargetCalls('h:1', pool, health, quarantine, dialect=dialect),
-        health,
-        Admission.from_service(Service(regions=())),
-        KeyTable.for_daemon('orders', 'h', 1),
-        quarantine,
-        dialect=dialect,
-    )
-    return egress, pool, clock
-
-
 def make_call(key: str = '') -> CallRequest:
     """Returns a call."""
     remaining_ms = DEADLINE_S * 1_000
@@ -69,7 +44,7 @@
 def test_an_answer_without_end_frees_its_slot(
     dialect: Dialect, keyed: bool
 ) -> None:
-    egress, pool, clock = connect(dialect)
+    egress, pool, clock = connect_egress(dialect)
     call = make_call(new_key() if keyed else '')
     ticket = egress.run(call, 0, lambda _reply: None)
     pool.clients[0].dataReceived(HEAD)
@@ -83,7 +58,7 @@
 
 # An answer that takes long is still kept for a resend of its call.
 def test_a_late_answer_to_an_abandoned_call_is_kept() -> None:
-    egress, pool, clock = connect(DIALECT)
+    egress, pool, clock = connect_egress(DIALECT)
     call = make_call(new_key())
     egress.cancel(egress.run(call, 0, lambda _reply: None))
     clock.pump([1] * 30)
--- a/tests/test_eras.py
+++ b/tests/test_eras.py
@@ -20,6 +20,7 @@
 from egretlanding.recordfeed import Changes, Page, RecordFeed
 from egretlanding.recordrelay import RecordRelay
 from egretlanding.records import Record, RecordTable
+from tests.wires import RecordingConnection
 
 KEYS = ('a', 'b', 'c')
 DAEMONS = 4
@@ -129,23 +130,6 @@
         self.receiver.relay.handle_frame(self.back, decoded)
 
 
-@attrs.define(eq=False)
-class Recorder:
-    """A connection that records the frames sent on it.
-
-    Attributes:
-        peer: The hello of the other daemon.
-        sent: The frames.
-    """
-
-    peer: Hello
-    sent: list[Any] = attrs.field(factory=list)
-
-    def send(self, frame: Any) -> None:
-        """Records a frame."""
-        self.sent.append(frame)
-
-
 @attrs.define(eq=False)
 class Daemon:
     """The feed and the relay of one daemon.
@@ -270,7 +254,7 @@
     daemon = Daemon.build(clock, store, 0)
     store.write('a')
     daemon.read_store()
-    connection: Any = Recorder(Hello('old', 1))
+    connection: Any = RecordingConnection(Hello('old', 1))
     encoded = msgspec.msgpack.encode(OldState(9, 0))
     frame = msgspec.msgpack.decode(encoded, type=RecordsState)
     daemon.relay.handle_state(connection, frame)
--- a/tests/test_recordrelay.py
+++ b/tests/test_recordrelay.py
@@ -26,23 +26,7 @@
     upstream_of,
 )
 from egretlanding.records import Record
-
-
-@attrs.define
-class FakeConnection:
-    """A connection that records the frames sent on it.
-
-    Attributes:
-        peer: The hello of the other daemon.
-        sent: The frames.
-    """
-
-    peer: Hello
-    sent: list[Any] = attrs.field(factory=list)
-
-    def send(self, frame: Any) -> None:
-        """Records a frame."""
-        self.sent.append(frame)
+from tests.wires import RecordingConnection
 
 
 @attrs.define
@@ -105,7 +89,7 @@
 
 def connect_from(host_id: str) -> Any:
     """Returns a connection to a daemon."""
-    return FakeConnection(Hello(host_id, 1))
+    return RecordingConnection(Hello(host_id, 1))
 
 
 def test_each_region_has_its_readers() -> None:
--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -2,41 +2,14 @@
 
 import random
 
-from twisted.internet.task import Clock
-
-from egretlanding.admission import Admission
 from egretlanding.egress import Egress
 from egretlanding.frames import CallReply, CallRequest, Ran
-from egretlanding.idempotency import KeyTable
-from egretlanding.objects import Service
 from egretlanding.platform.names import DIALECT
-from egretlanding.quarantine import Quarantine
-from egretlanding.targetcalls import TargetCalls
-from egretlanding.targethealth import ConnectHealth
-from tests.wires import WirePool
+from tests.wires import connect_egress
 
 DEADLINE_MS = 1_000
 
 
-def connect() -> tuple[Egress, WirePool]:
-    """Returns an egress and its connections to a target."""
-    clock = Clock()
-    pool = WirePool(clock, '127.0.0.1', 1, limit=4)
-    health = ConnectHealth(clock, pool)
-    health.start()
-    quarantine = Quarantine()
-    egress = Egress(
-        clock,
-        TargetCalls('h:1', pool, health, quarantine, dialect=DIALECT),
-        health,
-        Admission.from_service(Service(regions=())),
-        KeyTable.for_daemon('orders', 'h', 1),
-        quarantine,
-        dialect=DIALECT,
-    )
-    return egress, pool
-
-
 def run(egress: Egress, request_id: str) -> list[CallReply]:
     """Runs a call with an id; returns the list that its reply comes to."""
     replies: list[CallReply] = []
@@ -62,7 +35,7 @@
 
 
 def test_a_refusal_that_names_its_request_is_believed() -> None:
-    egress, pool = connect()
+    egress, pool, _ = connect_egress(DIALECT)
     replies = run(egress, 'one')
     pool.clients[0].dataReceived(refusal('one'))
     assert [reply.ran for reply in replies] == [Ran.NOT_RUN]
@@ -73,7 +46,7 @@
 def test_an_earlier_refusal_that_is_repeated_does_not_end_a_later_call() -> (
     None
 ):
-    egress, pool = connect()
+    egress, pool, _ = connect_egress(DIALECT)
     run(egress, 'one')
     pool.clients[0].dataReceived(refusal('one'))
     replies = run(egress, 'two')
@@ -86,7 +59,7 @@
 # Failure: the same where the call is sent again, so that both refusals would
 # name it.
 def test_a_call_is_not_sent_again_where_it_was_refused() -> None:
-    egress, pool = connect()
+    egress, pool, _ = connect_egress(DIALECT)
     run(egress, 'one')
     pool.clients[0].dataReceived(refusal('one'))
     for number in range(3):
@@ -103,14 +76,14 @@
 
 # Failure: the same with a refusal that doesn't name its request.
 def test_a_refusal_without_an_id_does_not_say_which_call_did_not_run() -> None:
-    egress, pool = connect()
+    egress, pool, _ = connect_egress(DIALECT)
     replies = run(egress, 'one')
     pool.clients[0].dataReceived(refusal())
     assert [reply.ran for reply in replies] == [Ran.UNKNOWN]
 
 
 def test_refused_ids_of_a_connection_are_bounded() -> None:
-    egress, pool = connect()
+    egress, pool, _ = connect_egress(DIALECT)
     rng = random.Random(1)
     for _ in range(1_000):
         request_id = f'{rng.getrandbits(64):x}'
--- a/tests/test_sidecar_processes.py
+++ b/tests/test_sidecar_processes.py
@@ -220,6 +220,14 @@
         return request_id, self.send(request_id)
 
 
+def give_many_slots(fleet: PlatformFleet) -> None:
+    """Lets each target run many requests at a time."""
+    for member in fleet.members:
+        record = member.store_record()
+        record['info']['slots'] = 16
+        fleet.store.write(f'servers/{member.instance}', record)
+
+
 def ids_of_runs(fleet: PlatformFleet) -> set[str]:
     """Returns the ids of the requests that targets received."""
     received = itertools.chain.from_iterable(
@@ -242,10 +250,7 @@
     assert process
     fleet.idle_timeout = '60s'
     fleet.configure(2, orders=ORDERS_ROUTE)
-    for member in fleet.members:
-        record = member.store_record()
-        record['info']['slots'] = 16
-        fleet.store.write(f'servers/{member.instance}', record)
+    give_many_slots(fleet)
     time.sleep(0.5)
     kept = [KeptConnection(fleet, number) for number in range(24)]
     for member in fleet.members:
@@ -291,10 +296,7 @@
     assert process
     fleet.idle_timeout = '60s'
     fleet.configure(2, orders={**ORDERS_ROUTE, 'route-kind': 'unsafe'})
-    for member in fleet.members:
-        record = member.store_record()
-        record['info']['slots'] = 16
-        fleet.store.write(f'servers/{member.instance}', record)
+    give_many_slots(fleet)
     time.sleep(0.5)
     kept = [KeptConnection(fleet, number) for number in range(12)]
     for member in fleet.members:
--- a/tests/wires.py
+++ b/tests/wires.py
@@ -1,14 +1,25 @@
-"""An in-memory transport for tests of protocols."""
+"""In-memory transports and connections for tests."""
 
 import itertools
 from collections.abc import Iterable
+from typing import Any
 
 import attrs
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.protocol import Protocol
+from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransportWithDisconnection
 
+from egretlanding.admission import Admission
+from egretlanding.dialect import Dialect
+from egretlanding.egress import Egress
+from egretlanding.frames import Hello
 from egretlanding.httpclient import HttpClient
+from egretlanding.idempotency import KeyTable
+from egretlanding.objects import Service
+from egretlanding.quarantine import Quarantine
+from egretlanding.targetcalls import TargetCalls
+from egretlanding.targethealth import ConnectHealth
 from egretlanding.targetpool import TargetPool
 
 
@@ -62,3 +73,39 @@
         attach(client)
         self.clients.append(client)
         return succeed(client)
+
+
+def connect_egress(dialect: Dialect) -> tuple[Egress, WirePool, Clock]:
+    """Returns an egress, its connections to a target and their clock."""
+    clock = Clock()
+    pool = WirePool(clock, '127.0.0.1', 1, limit=4)
+    health = ConnectHealth(clock, pool)
+    health.start()
+    quarantine = Quarantine()
+    egress = Egress(
+        clock,
+        TargetCalls('h:1', pool, health, quarantine, dialect=dialect),
+        health,
+        Admission.from_service(Service(regions=())),
+        KeyTable.for_daemon('orders', 'h', 1),
+        quarantine,
+        dialect=dialect,
+    )
+    return egress, pool, clock
+
+
+@attrs.define
+class RecordingConnection:
+    """A connection to another daemon that records the frames sent on it.
+
+    Attributes:
+        peer: The hello of the other daemon.
+        sent: The frames.
+    """
+
+    peer: Hello
+    sent: list[Any] = attrs.field(factory=list)
+
+    def send(self, frame: Any) -> None:
+        """Records a frame."""
+        self.sent.append(frame)
