Hold what a target states to the process that stated it

The daemon beside a target attached what it knew to every reply, whichever process the call was meant for. After a process that had said that it leaves was followed by another one at the same address, a refusal to a call for the new one said 'leaving', and the daemon that got it left out the new process until that daemon restarted, since a process that leaves never comes back. With a limit, the new process's first call waited at the pace of the old one, four seconds at worst. A daemon with an outdated list could make the daemon beside the target forget what others had told it of the process that runs now.

Cause: the statement was kept without the process that it is of, the class being a fact that outlives its subject. Now it is given out only for the process that stated it, names when that process started (a process may start again under its name), is dropped when the store lists another process, and is adopted only for the one that is listed.

In test_pacing, 'known' became 'known_of' with the process named, so that the checks ask more than before.

--- a/egretlanding/egress.py
+++ b/egretlanding/egress.py
@@ -137,12 +137,12 @@
             job.key = parse_key(call.key)
         except KeyFormatError as error:
             refusal = Refusal.not_run(Reason.KEY_MALFORMED, str(error))
-            on_reply(self.build_refusal_reply(refusal))
+            on_reply(self.build_refusal_reply(call, refusal))
             return
         digest = request_digest(call.method, call.path, call.body)
         match self.keys.decide(job.key, digest, self.moment()):
             case Refusal() as refusal:
-                on_reply(self.build_refusal_reply(refusal))
+                on_reply(self.build_refusal_reply(call, refusal))
             case Replay(answer):
                 on_reply(replayed_reply(answer))
             case Join():
@@ -239,7 +239,7 @@
                 headers,
                 response.body,
                 load=len(self.table.jobs),
-                stated=self.statements.known,
+                stated=self.statements.known_of(job.call.instance),
             ),
         )
 
@@ -251,14 +251,20 @@
         event = Event.RUN_LOST if may_have_run else Event.RUN_REFUSED
         log_job_event(self, event, refusal.detail, job, refusal.reason.value)
         self.table.remove(job)
-        job.reply(self.build_refusal_reply(refusal, arrived=job.running))
+        reply = self.build_refusal_reply(job.call, refusal, arrived=job.running)
+        job.reply(reply)
 
     def build_refusal_reply(
-        self, refusal: Refusal, *, arrived: bool = False
+        self, call: CallRequest, refusal: Refusal, *, arrived: bool = False
     ) -> CallReply:
-        """Returns the reply that carries a refusal."""
-        load, stated = len(self.table.jobs), self.statements.known
-        return refusal_reply(0, refusal, load, arrived=arrived, stated=stated)
+        """Returns the reply that carries the refusal of a call."""
+        return refusal_reply(
+            0,
+            refusal,
+            len(self.table.jobs),
+            arrived=arrived,
+            stated=self.statements.known_of(call.instance),
+        )
 
     def cancel(self, ticket: int) -> None:
         """Abandons a call.
@@ -341,6 +347,25 @@
         health.update(up=health.up, draining=True)
 
 
+def apply_listing(
+    egress: Egress, instance: str, born_ms: int, *, draining: bool
+) -> None:
+    """Applies what the store lists about the target.
+
+    Args:
+        egress: The calls of the target.
+        instance: The target's process.
+        born_ms: When it started, ms since the epoch.
+        draining: Whether it is listed as draining.
+    """
+    statements, health = egress.statements, egress.health
+    statements.record_start(instance, born_ms)
+    draining = draining or statements.says_leaving(instance)
+    health.update(up=health.up, draining=draining)
+    now = egress.reactor.seconds()
+    egress.admission.pace.change(statements.current.rate_per_s, now)
+
+
 def limit_answer(egress: Egress, job: Job) -> None:
     """Cuts the answer to an abandoned call if it begins but doesn't end.
 
--- a/egretlanding/evidence.py
+++ b/egretlanding/evidence.py
@@ -3,6 +3,7 @@
 import math
 
 import attrs
+import msgspec
 
 from egretlanding.frames import Statement
 from egretlanding.hosts import Host
@@ -169,7 +170,7 @@
     def record_statement(self, statement: Statement) -> None:
         """Records what the target states; one that leaves never stays."""
         leaving = statement.leaving or self.is_leaving
-        self.heard = Statement(statement.rate_per_s, leaving)
+        self.heard = msgspec.structs.replace(statement, leaving=leaving)
 
     def is_full(self, route: str, now: float) -> bool:
         """Returns whether the target is expected to refuse calls of a route."""
--- a/egretlanding/frames.py
+++ b/egretlanding/frames.py
@@ -50,10 +50,17 @@
         rate_per_s: Calls a second that it takes from all hosts together, None
             if it names no limit.
         leaving: Whether it is about to stop.
+        born_ms: When the process that stated it started, ms since the epoch,
+            zero if unknown.
     """
 
     rate_per_s: float | None = None
     leaving: bool = False
+    born_ms: int = 0
+
+    def may_be_of(self, born_ms: int) -> bool:
+        """Returns whether a process that started then may have stated it."""
+        return 0 in {born_ms, self.born_ms} or born_ms == self.born_ms
 
 
 NO_STATEMENT = Statement()
--- a/egretlanding/sidecar.py
+++ b/egretlanding/sidecar.py
@@ -15,6 +15,7 @@
 from egretlanding.check import find_faults
 from egretlanding.containment import contained, logs_failure
 from egretlanding.durations import milliseconds
+from egretlanding.egress import apply_listing
 from egretlanding.events import Event, Severity, log_event
 from egretlanding.exceptions import PlatformError, SettingsError
 from egretlanding.hosts import Host, HostList
@@ -344,10 +345,9 @@
         if entry is None:
             return
         egress = self.calls.egress
-        egress.statements.record_start(entry.instance, entry.born_ms)
-        says_leaving = egress.statements.says_leaving(entry.instance)
-        draining = entry.draining or says_leaving
-        egress.health.update(up=egress.health.up, draining=draining)
+        apply_listing(
+            egress, entry.instance, entry.born_ms, draining=entry.draining
+        )
         egress.admission.slots.limit.fix(entry.slots)
 
     def reload(self) -> None:
--- a/egretlanding/statements.py
+++ b/egretlanding/statements.py
@@ -4,6 +4,7 @@
 from http import HTTPStatus
 
 import attrs
+import msgspec
 
 from egretlanding.callheaders import has_target_seal
 from egretlanding.dialect import Dialect
@@ -74,11 +75,14 @@
     listed_instance: str = ''
     listed_born_ms: int = 0
 
-    @property
-    def known(self) -> Statement | None:
-        """The statement in force, None if nothing was heard yet."""
+    def known_of(self, instance: str) -> Statement | None:
+        """Returns what a process of the target stated, None if unknown."""
         is_unheard = not self.has_answered and self.current == NO_STATEMENT
-        return None if is_unheard else self.current
+        if is_unheard or instance != self.instance:
+            return None
+        is_listed = instance == self.listed_instance
+        born_ms = self.listed_born_ms if is_listed else 0
+        return msgspec.structs.replace(self.current, born_ms=born_ms)
 
     def says_leaving(self, instance: str) -> bool:
         """Returns whether a process of the target said that it will stop."""
@@ -110,20 +114,28 @@
     def adopt(self, instance: str, statement: Statement) -> None:
         """Applies what another daemon heard from the target's process.
 
-        It counts until the process has answered a call of this daemon. Of
-        several limits the lowest counts, since an answer soon raises it.
+        It counts until the process has answered a call of this daemon, and
+        only if the process is the one that the store lists. Of several limits
+        the lowest counts, since an answer soon raises it.
 
         Args:
             instance: The process that the other daemon means.
             statement: What that daemon last heard from it.
         """
-        if self.has_answered:
+        if self.has_answered or not self.may_be_listed(instance, statement):
             return
         self.meet(instance)
         rate_per_s = lower_limit(self.current.rate_per_s, statement.rate_per_s)
         leaving = statement.leaving or self.current.leaving
         self.change(Statement(rate_per_s, leaving), 'daemon')
 
+    def may_be_listed(self, instance: str, statement: Statement) -> bool:
+        """Returns whether the listed process may have stated something."""
+        if not self.listed_instance:
+            return True
+        is_listed = instance == self.listed_instance
+        return is_listed and statement.may_be_of(self.listed_born_ms)
+
     def meet(self, instance: str) -> None:
         """Drops what an earlier process of the target stated."""
         if instance != self.instance:
@@ -131,14 +143,16 @@
             self.instance = instance
 
     def record_start(self, instance: str, born_ms: int) -> None:
-        """Drops what a process stated that has started again under its name.
+        """Drops what the process stated that another one has replaced.
 
         Args:
-            instance: The target's process that the store lists.
+            instance: The target's process that the store lists; it may have
+                started again under its name.
             born_ms: When it started, ms since the epoch.
         """
-        is_same = instance == self.listed_instance == self.instance
-        if is_same and born_ms != self.listed_born_ms:
+        is_same = instance == self.listed_instance
+        is_same = is_same and born_ms == self.listed_born_ms
+        if not is_same and self.instance == self.listed_instance:
             self.forget()
         self.listed_instance = instance
         self.listed_born_ms = born_ms
--- a/egretlanding/targets.py
+++ b/egretlanding/targets.py
@@ -243,7 +243,9 @@
 ) -> None:
     """Records what a target's process states about itself."""
     target = targets.evidence.get(host.host_id)
-    if target is not None and target.host.instance == host.instance:
+    if target is None or target.host.instance != host.instance:
+        return
+    if statement.may_be_of(target.host.born_ms):
         target.record_statement(statement)
 
 
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -139,13 +139,13 @@
     None
 ):
     statements = TargetStatements()
-    assert statements.known is None
+    assert statements.known_of('i-1') is None
     statements.adopt('i-1', Statement(5))
     statements.adopt('i-1', Statement(8))
-    assert statements.known == Statement(5)
+    assert statements.known_of('i-1') == Statement(5)
     assert hear(statements, None, 3) is None
     statements.adopt('i-1', Statement(5))
-    assert statements.known == Statement(None)
+    assert statements.known_of('i-1') == Statement(None)
 
 
 def test_a_process_that_starts_again_under_its_name_states_nothing() -> None:
@@ -156,11 +156,11 @@
     statements.record_start('i-1', 100)
     assert statements.says_leaving('i-1')
     statements.record_start('i-1', 900)
-    assert statements.known is None
+    assert statements.known_of('i-1') is None
     statements.hear('i-1', Statement(5, leaving=True), 11, 12)
     statements.hear('i-2', Statement(), 13, 14)
     assert not statements.says_leaving('i-2')
-    assert statements.known == Statement()
+    assert statements.known_of('i-2') == Statement()
 
 
 @attrs.define
