Send all records to a daemon that does not name the era of its own

A daemon of the build before this one asks for what was written after its own revision. The restored store has given out that revision again, so what it wrote up to there was left out of the reply, and the old daemon confirmed the higher revision and never asked again.

Cause: the request was taken as one of the same era, though it names none. Now the reply has all records, from which an old daemon takes those whose revision is higher than that of its own record of the key, and drops those that are gone. It still passes over a key that was written last at a lower revision than before; only its upgrade mends that.

Before: test_a_daemon_that_does_not_know_of_eras_is_sent_all_records failed (whole=False, 1 failed, 5 passed); after: 6 passed, and test_recordrelay and test_restored_store pass.

--- a/egretlanding/recordrelay.py
+++ b/egretlanding/recordrelay.py
@@ -271,12 +271,13 @@
         """Packs the records that another daemon lacks.
 
         All records are sent if deletions after its revision may have been
-        dropped here, or if that daemon has no records or those of another era.
+        dropped here, or if that daemon has no records, those of another era or
+        those of an era that it does not name.
         """
         send_all = (
             not self.feed.table.has_deletions_since(frame.after)
             or not frame.after
-            or frame.era not in {None, state.era}
+            or frame.era != state.era
         )
         records = self.feed.table.since(0 if send_all else frame.after)
         if send_all:
--- a/tests/test_eras.py
+++ b/tests/test_eras.py
@@ -2,6 +2,7 @@
 
 import itertools
 import random
+import zlib
 from typing import Any
 
 import attrs
@@ -264,6 +265,30 @@
     assert daemon.feed.table.complete_revision == 1
 
 
+# Failure: a daemon of the build before this one was sent only what was written
+# after its own revision, which the store had given out before, so that it
+# missed what the restored store had written up to there.
+def test_a_daemon_that_does_not_know_of_eras_is_sent_all_records() -> None:
+    clock, store = Clock(), Store()
+    clock.advance(100)
+    for key in KEYS:
+        store.write(key)
+    old = RecordTable()
+    old.replace(store.history[-1].values(), store.revision)
+    store.restore(2)
+    daemon = Daemon.build(clock, store, 0)
+    daemon.read_store()
+    for key in ('d', 'a', 'c'):
+        store.write(key)
+    daemon.read_store()
+    reply = daemon.relay.reply_to(RecordsRequest(old.complete_revision))
+    assert reply.whole
+    unpacked = zlib.decompress(reply.packed)
+    records = msgspec.msgpack.decode(unpacked, type=list[Record])
+    old.replace(records, reply.revision)
+    assert contents(old.records) == store.existing()
+
+
 def test_a_daemon_that_does_not_know_of_eras_can_read_what_is_sent() -> None:
     record = Record('a', 1, b'x')
     old = msgspec.msgpack.decode(msgspec.msgpack.encode(record), type=OldRecord)
