Order the revisions of the product's own store by era

What callers saw: a host list that was published after the product's own store had been restored from an older copy was used by no daemon, so calls went on to hosts that were gone and not to new ones.

Cause: host lists, and releases of one number, are ordered by the store's revision alone, and nothing told a value after the return from an old one that a daemon passes on. Now the store names its era beside each revision. The client of the store makes it the upper part of the revision (40 bits are left for the store's own), so that messages, files and comparisons stay as they are, daemons of earlier builds among them, and reads name the era of the revision that they go on from. A store that names none is handled as before.

Weighed: an era of its own in each message and each comparison, as the records have it; it would touch the exchange, deltas and reports for the same order.

The test of the host list now waits for the revision in the era that the list was written in, which is more than it asked before.

--- a/egretlanding/storeclient.py
+++ b/egretlanding/storeclient.py
@@ -15,7 +15,16 @@
 CONNECT_TIMEOUT_S = 2
 READ_TIMEOUT_S = 3
 REVISION_HEADER = 'x-revision'
-MAX_REVISION = 9_000_000_000_000_000_000
+# How often the store was restored from an older copy; absent if it doesn't
+# count that.
+ERA_HEADER = 'x-era'
+# Revisions are 63-bit integers in the messages between daemons: the lower bits
+# hold the store's revision, the others its era.
+REVISION_BITS = 40
+ERA_BITS = 23
+REVISIONS_PER_ERA = 2**REVISION_BITS
+MAX_ERA = 2**ERA_BITS - 1
+MAX_REVISION = 2 ** (ERA_BITS + REVISION_BITS) - 1
 MS_PER_S = 1_000
 
 READ_FAILURES = (
@@ -35,7 +44,9 @@
 
     Attributes:
         revision: The store's revision at which the key was last written,
-            zero if it was never written.
+            zero if it was never written. A store that was restored from an
+            older copy gives out revisions again, so the era of the store is
+            added, times `REVISIONS_PER_ERA`.
         body: The value, or None if it isn't newer than the requested revision.
     """
 
@@ -128,7 +139,9 @@
             PlatformError: The store gave no usable answer.
         """
         self.reads += 1
-        url = f'{self.base_url}/v1/keys/{key}?after={after}&wait_ms={wait_ms}'
+        era, revision = divmod(after, REVISIONS_PER_ERA)
+        query = f'after={revision}&era={era}&wait_ms={wait_ms}'
+        url = f'{self.base_url}/v1/keys/{key}?{query}'
         try:
             return await self._get(url, READ_TIMEOUT_S + wait_ms / MS_PER_S)
         except READ_FAILURES as error:
@@ -166,12 +179,17 @@
 
 
 def _revision_of(response: Any) -> int:
-    text = response.headers.getRawHeaders(REVISION_HEADER, ['0'])[0]
-    revision = int(text)
-    # Revisions are 64-bit integers in the messages between daemons.
-    if not 0 <= revision <= MAX_REVISION:
-        raise ValueError(f'{REVISION_HEADER} {revision} is out of range')
-    return revision
+    era = _number_in(response, ERA_HEADER, MAX_ERA)
+    revision = _number_in(response, REVISION_HEADER, REVISIONS_PER_ERA - 1)
+    return era * REVISIONS_PER_ERA + revision
+
+
+def _number_in(response: Any, header: str, highest: int) -> int:
+    text = response.headers.getRawHeaders(header, ['0'])[0]
+    number = int(text)
+    if not 0 <= number <= highest:
+        raise ValueError(f'{header} {number} is out of range')
+    return number
 
 
 def _read_error(key: str, error: Exception) -> PlatformError:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -4,6 +4,7 @@
 faults through the operator port.
 """
 
+import itertools
 import json
 import time
 from typing import Any
@@ -48,6 +49,8 @@
 
 
 Waiters = set[Deferred[None]]
+# An era and a revision of that era.
+Position = tuple[int, int]
 
 
 @attrs.define
@@ -59,6 +62,7 @@
         frozen: The values that reads return while the store is stale.
         faults: The faults that are switched on.
         revision: The last assigned revision.
+        era: How often it was restored from an older copy.
         reads: Reads since the start; a waiting watch counts as one.
         refused: Reads refused because of the rate limit.
         rate_second: The second of the monotonic clock that is being counted.
@@ -70,6 +74,7 @@
     frozen: dict[str, StoredValue] = attrs.field(factory=dict)
     faults: StoreFaults = attrs.field(factory=StoreFaults)
     revision: int = 0
+    era: int = 0
     reads: int = 0
     refused: int = 0
     rate_second: int = 0
@@ -104,6 +109,13 @@
         self.current = dict(self.frozen)
         stored = self.current.values()
         self.revision = max((value.revision for value in stored), default=0)
+        self.era += 1
+        for waiter in tuple(itertools.chain(*self.waiters.values())):
+            waiter.callback(None)
+
+    def is_newer(self, stored: StoredValue | None, position: Position) -> bool:
+        """Returns whether a value is newer than a position."""
+        return stored is not None and (self.era, stored.revision) > position
 
     def count_read(self) -> bool:
         """Counts a read and returns whether the rate limit allows it."""
@@ -139,38 +151,41 @@
             platform.refused += 1
             request.setResponseCode(429)
             return b'too many reads'
-        after = int(request.args.get(b'after', [b'0'])[0])
-        wait_ms = int(request.args.get(b'wait_ms', [b'0'])[0])
+        era, after, wait_ms = (
+            int(request.args.get(name, [b'0'])[0])
+            for name in (b'era', b'after', b'wait_ms')
+        )
         stored = platform.visible_value(key)
-        if wait_ms and (stored is None or stored.revision <= after):
+        if wait_ms and not platform.is_newer(stored, (era, after)):
             await platform.wait(reactor, key, wait_ms)
             stored = platform.visible_value(key)
         if platform.faults.outage:
             request.setResponseCode(http.SERVICE_UNAVAILABLE)
             return b'outage'
-        return read_reply(request, platform.faults, stored, after)
+        return read_reply(request, platform, stored, (era, after))
 
     return app
 
 
 def read_reply(
     request: Any,
-    faults: StoreFaults,
+    platform: Platform,
     stored: StoredValue | None,
-    after: int,
+    position: Position,
 ) -> bytes:
     """Sets the answer's status and returns its body, with faults applied."""
     if stored is None:
         request.setResponseCode(http.NOT_FOUND)
         return b''
+    request.setHeader(b'x-era', str(platform.era).encode())
     request.setHeader(b'x-revision', str(stored.revision).encode())
-    if stored.revision <= after:
+    if not platform.is_newer(stored, position):
         request.setResponseCode(http.NOT_MODIFIED)
         return b''
     body = stored.body
-    if faults.truncate:
+    if platform.faults.truncate:
         body = body[: len(body) // 2]
-    if faults.corrupt:
+    if platform.faults.corrupt:
         body = bytes(octet ^ 0x55 for octet in body)
     return body
 
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -9,6 +9,7 @@
 import pytest
 
 from egretlanding.release import shorten
+from egretlanding.storeclient import REVISIONS_PER_ERA
 from standins.faults import DirectionFaults, LinkRule
 from standins.fleet import Fleet, send_request, wait_until
 from standins.partitionedfleet import PartitionedFleet, link_name
@@ -88,10 +89,11 @@
         time.sleep(HOSTS_SPREAD_S)
         send_request(fleet.operator_port, 'POST', '/restore')
         revision = fleet.publish_hosts(without=['sous-0'])
+        in_era = REVISIONS_PER_ERA + revision
         wait_until(
             lambda: (
                 {found['hosts_revision'] for found in statuses(fleet).values()}
-                == {revision}
+                == {in_era}
             ),
             CONVERGENCE_S,
             'host list everywhere',
--- a/tests/test_storeclient.py
+++ b/tests/test_storeclient.py
@@ -1,8 +1,11 @@
 """Tests of reading the store: each unusable answer is a PlatformError."""
 
 from typing import Any
+from urllib.parse import parse_qs
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 from twisted.internet.defer import Deferred, ensureDeferred, succeed
 from twisted.internet.task import Clock
 from twisted.python.failure import Failure
@@ -20,9 +23,11 @@
     code = 200
     length = 1
 
-    def __init__(self, revision: str, body: bytes | None) -> None:
-        """Stores the revision header and the body."""
-        self.headers = Headers({'x-revision': [revision]})
+    def __init__(
+        self, revision: str, body: bytes | None, era: str = '0'
+    ) -> None:
+        """Stores the headers and the body."""
+        self.headers = Headers({'x-revision': [revision], 'x-era': [era]})
         self.body = body
 
     def deliverBody(self, protocol: Any) -> None:
@@ -38,9 +43,11 @@
     def __init__(self, response: Response | None) -> None:
         """Stores the response."""
         self.response = response
+        self.url = ''
 
-    def request(self, *_request: Any) -> Deferred[Any]:
+    def request(self, _method: bytes, url: bytes, *_rest: Any) -> Deferred[Any]:
         """Returns the response, or a deferred that never fires."""
+        self.url = url.decode()
         return succeed(self.response) if self.response else Deferred()
 
 
@@ -72,6 +79,42 @@
     assert isinstance(error, PlatformError), repr(error)
 
 
+# Failure: what a store wrote after it was restored from an older copy counted
+# as earlier than what it had lost, since its revisions began anew.
+@given(
+    st.tuples(st.integers(0, 9), st.integers(1, 99)),
+    st.tuples(st.integers(0, 9), st.integers(1, 99)),
+)
+def test_values_are_ordered_by_era_before_revision(
+    first: tuple[int, int], second: tuple[int, int]
+) -> None:
+    values: list[Any] = []
+    for era, revision in (first, second):
+        response = Response(str(revision), b'x', str(era))
+        read(response).addCallback(values.append)
+    revisions = [value.revision for value in values]
+    assert (revisions[0] < revisions[1]) == (first < second)
+    for (era, revision), value in zip((first, second), values, strict=True):
+        asked = parse_qs(url_of_read(after=value.revision))
+        assert (asked['era'], asked['after']) == ([str(era)], [str(revision)])
+
+
+def url_of_read(after: int) -> str:
+    """Returns the query with which a client asks for a later value."""
+    agent = Agent(None)
+    client = StoreClient(Clock(), 'http://store', agent)
+    reading = ensureDeferred(client.read('release/head', after))
+    reading.addErrback(lambda _failure: None)
+    reading.cancel()
+    return agent.url.partition('?')[2]
+
+
+@pytest.mark.parametrize('era', ['', 'one', '-1', str(2**23)])
+def test_a_malformed_era_is_a_platform_error(era: str) -> None:
+    error = failure_of(read(Response('7', b'x', era)))
+    assert isinstance(error, PlatformError), repr(error)
+
+
 @pytest.mark.parametrize('response', [None, Response('7', None)])
 def test_a_read_timeout_is_a_platform_error(response: Response | None) -> None:
     error = failure_of(read(response))
