--- a/egretlanding/callheaders.py
+++ b/egretlanding/callheaders.py
@@ -154,28 +154,6 @@
     return HttpResponse(status, headers, text.encode())
 
 
-def states_not_run(
-    response: HttpResponse,
-    dialect: Dialect = DEFAULT_DIALECT,
-) -> bool:
-    """Returns whether a target states that it did not run the call."""
-    return any(name == dialect.not_run for name, _ in response.headers)
-
-
-def has_target_seal(response: HttpResponse, dialect: Dialect) -> bool:
-    """Returns whether a response has the header that marks a target's answer.
-
-    Only successes must have it, and only if the dialect names one. A response
-    with a content encoding never counts as the target's.
-    """
-    names = {name for name, _ in response.headers}
-    if 'content-encoding' in names:
-        # Callers don't ask for an encoding, so the target can't have made it.
-        return False
-    is_success = HTTPStatus.OK <= response.status < HTTPStatus.MULTIPLE_CHOICES
-    return not is_success or not dialect.seal or dialect.seal in names
-
-
 def without_daemon_headers(headers: Headers) -> Headers:
     """Returns a target's headers without those that only daemons may set."""
     return [pair for pair in headers if pair[0] not in DAEMON_ANSWER_HEADERS]
--- a/egretlanding/egress.py
+++ b/egretlanding/egress.py
@@ -2,7 +2,6 @@
 
 import itertools
 import time
-from http import HTTPStatus
 from typing import Any
 
 import attrs
@@ -11,8 +10,6 @@
 from egretlanding.callfailures import replies_to_failed_job
 from egretlanding.callheaders import (
     REPLAYED_HEADER,
-    has_target_seal,
-    states_not_run,
     without_daemon_headers,
 )
 from egretlanding.dialect import DEFAULT_DIALECT, Dialect
@@ -42,6 +39,7 @@
 from egretlanding.ownership import ClockReading
 from egretlanding.quarantine import Quarantine, request_signature
 from egretlanding.statements import TargetStatements, statement_in
+from egretlanding.targetanswers import refusal_in_response
 from egretlanding.targetcalls import TargetCalls, failed_attempt
 from egretlanding.targethealth import TargetHealth
 from egretlanding.targetpool import TargetOutcome
@@ -394,38 +392,6 @@
     return next(iter(header_values(job.call.headers, dialect.request_id)), '')
 
 
-def refusal_in_response(
-    response: HttpResponse | None,
-    request_id: str,
-    dialect: Dialect,
-) -> Refusal | None:
-    """Returns the refusal that a response stands for, None for an answer.
-
-    Args:
-        response: The response, if there was one.
-        request_id: Id of the request; empty if responses need not repeat it.
-        dialect: The names of the headers.
-    """
-    if response is None:
-        return None
-    named = header_values(response.headers, dialect.request_id)
-    is_refusal = response.status == HTTPStatus.MISDIRECTED_REQUEST
-    is_refusal = is_refusal or states_not_run(response, dialect)
-    if is_refusal and request_id and not named:
-        # It may be an earlier refusal that a faulty target repeats.
-        detail = 'a refusal of the target does not name the call'
-        return Refusal.unknown(Reason.GARBLED, detail)
-    misdirected = response.status == HTTPStatus.MISDIRECTED_REQUEST
-    if misdirected and dialect.required_instance:
-        detail = 'another target process now has this address'
-        return Refusal.not_run(Reason.OTHER_INSTANCE, detail)
-    if states_not_run(response, dialect):
-        return Refusal.not_run(Reason.SHED, 'the target refused the call')
-    if not has_target_seal(response, dialect):
-        return Refusal.unknown(Reason.GARBLED, "the target's answer is corrupt")
-    return None
-
-
 def log_job_event(
     egress: Egress,
     event: Event,
--- a/egretlanding/sidecar.py
+++ b/egretlanding/sidecar.py
@@ -267,23 +267,9 @@
         Raises:
             PlatformError: The entry can't be decoded.
         """
-        now = self.reactor.seconds()
         instance = self.adapter.decoder.target_of_entry(record)
         if record.deleted:
-            store_was_unreachable = self.feed.was_recently_unreachable(now)
-            self.roster.remove(
-                instance,
-                now,
-                self.feed.table.era,
-                store_was_unreachable=store_was_unreachable,
-            )
-            log_event(
-                Event.TARGET_GONE,
-                'the entry of a target was deleted',
-                instance=instance,
-                revision=record.revision,
-                store_was_away=store_was_unreachable,
-            )
+            remove_target(self, instance, record.revision)
             return
         try:
             entry = self.adapter.decoder.decode_entry(record)
@@ -291,7 +277,7 @@
             # An entry that can't be decoded names no usable target.
             self.roster.remove(
                 instance,
-                now,
+                self.reactor.seconds(),
                 self.feed.table.era,
                 store_was_unreachable=False,
             )
@@ -405,6 +391,25 @@
         )
 
 
+def remove_target(sidecar: Sidecar, instance: str, revision: int) -> None:
+    """Updates the roster when the entry of a target was deleted."""
+    now = sidecar.reactor.seconds()
+    store_was_unreachable = sidecar.feed.was_recently_unreachable(now)
+    sidecar.roster.remove(
+        instance,
+        now,
+        sidecar.feed.table.era,
+        store_was_unreachable=store_was_unreachable,
+    )
+    log_event(
+        Event.TARGET_GONE,
+        'the entry of a target was deleted',
+        instance=instance,
+        revision=revision,
+        store_was_away=store_was_unreachable,
+    )
+
+
 def new_retry_budget(config: SidecarConfig, now: float) -> WindowBudget:
     """Returns the retry budget of one service.
 
--- a/egretlanding/statements.py
+++ b/egretlanding/statements.py
@@ -1,17 +1,16 @@
 """What a target states about itself beside its answers."""
 
 import math
-from http import HTTPStatus
 
 import attrs
 import msgspec
 
-from egretlanding.callheaders import has_target_seal
 from egretlanding.dialect import Dialect
 from egretlanding.events import Event, Severity, log_event
 from egretlanding.frames import NO_STATEMENT, Statement
 from egretlanding.httpheaders import header_values
 from egretlanding.httpmessages import HttpResponse
+from egretlanding.targetanswers import has_target_seal, is_misdirected
 
 
 def statement_in(response: HttpResponse, dialect: Dialect) -> Statement | None:
@@ -21,8 +20,7 @@
         The statement, or None if the response may come from another process
         or is corrupt, so that it says nothing about the target.
     """
-    misdirected = response.status == HTTPStatus.MISDIRECTED_REQUEST
-    if misdirected or not has_target_seal(response, dialect):
+    if is_misdirected(response) or not has_target_seal(response, dialect):
         return None
     leaving = bool(header_values(response.headers, dialect.leaving))
     limits = header_values(response.headers, dialect.rate_limit)
