Soak daemons with targets that name limits and that say they leave

New faults target-limit and target-leaving, and promises limit and leaving, for requests of daemons that had passed on such an answer and were not disturbed since. Targets count their entries.

--- a/soak/cmdline.py
+++ b/soak/cmdline.py
@@ -11,12 +11,19 @@
 import attrs
 import defopt
 
+from soak import statements, targetfaults
 from soak.callers import Caller, KeptCaller
-from soak.faults import fault_context, pick_fault
-from soak.promises import RECOVERY_LIMIT_S, Breach, find_breaches
+from soak.faults import fault_context, pick_fault, subject_of
+from soak.promises import (
+    RECOVERY_LIMIT_S,
+    Breach,
+    find_breaches,
+)
 from soak.records import SoakAction, clock
 from soak.testbed import SoakMember, Testbed
 
+# Importing these modules registers their promises and faults.
+REGISTERING_MODULES = (statements, targetfaults)
 # Number of threads that inject faults. Faults of different threads overlap.
 SERIES_COUNT = 3
 CALLERS_PER_DAEMON = 2
@@ -78,9 +85,7 @@
     if not member.fault_lock.acquire(blocking=False):
         return
     try:
-        subject = (
-            member.instance if name == 'leave' else member.advertised_address
-        )
+        subject = subject_of(name, member)
         began = clock()
         with fault_context(name, testbed, member):
             time.sleep(seconds)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,7 +7,6 @@
 import signal
 from collections.abc import Callable, Iterator
 from contextlib import AbstractContextManager, ExitStack, contextmanager
-from http import HTTPStatus
 
 from soak.testbed import STORE_LINK, SoakMember, Testbed
 from standins.faults import DirectionFaults, LinkRule
@@ -17,6 +16,8 @@
 FAULTS: dict[str, Fault] = {}
 # How often a fault is chosen, relative to others, if not once.
 FAULT_WEIGHTS = {'term': 3, 'term-several': 2}
+# Faults whose subject is the process of a target instead of a host.
+TARGET_FAULTS = ('leave', 'target-limit', 'target-leaving')
 DELAY_MS = 150.0
 BLACKHOLED = DirectionFaults(blackhole=True)
 
@@ -44,6 +45,13 @@
     return contextmanager(FAULTS[name])(testbed, member)
 
 
+def subject_of(name: str, member: SoakMember) -> str:
+    """Returns the subject of a fault for the history."""
+    if name in TARGET_FAULTS:
+        return member.instance
+    return member.advertised_address
+
+
 def pick_fault(rng: random.Random) -> str:
     """Returns the name of a random fault."""
     names = sorted(FAULTS)
@@ -156,63 +164,6 @@
     yield from link_rule(testbed, f'peers-{member.advertised_address}', rule)
 
 
-@fault('target-cut')
-def cut_target(testbed: Testbed, member: SoakMember) -> Iterator[None]:
-    """Resets the connections of a daemon to its target."""
-    yield from link_rule(
-        testbed, f'target-{member.advertised_address}', LinkRule(cut=True)
-    )
-
-
-@fault('target-one-way')
-def blackhole_target_answers(
-    testbed: Testbed, member: SoakMember
-) -> Iterator[None]:
-    """Holds back the answers of a target."""
-    yield from link_rule(
-        testbed,
-        f'target-{member.advertised_address}',
-        LinkRule(to_client=BLACKHOLED),
-    )
-
-
-@fault('target-shed')
-def reject_requests(_testbed: Testbed, member: SoakMember) -> Iterator[None]:
-    """Makes a target reject requests without running them."""
-    member.status = HTTPStatus.SERVICE_UNAVAILABLE
-    yield
-    member.status = HTTPStatus.OK
-
-
-@fault('target-slow')
-def slow_target(_testbed: Testbed, member: SoakMember) -> Iterator[None]:
-    """Makes a target answer requests slowly."""
-    member.delay_s = 0.3
-    yield
-    member.delay_s = 0
-
-
-@fault('target-kill')
-def replace_target(testbed: Testbed, member: SoakMember) -> Iterator[None]:
-    """Replaces a target's process without draining it first."""
-    old_key = f'servers/{member.instance}'
-    member.replace_target()
-    testbed.fleet.store.write(
-        f'servers/{member.instance}', member.store_record()
-    )
-    testbed.fleet.store.write(old_key, None)
-    yield
-
-
-@fault('leave')
-def drain_target(testbed: Testbed, member: SoakMember) -> Iterator[None]:
-    """Marks a target as draining, and later as ready."""
-    key = f'servers/{member.instance}'
-    testbed.fleet.store.write(key, member.store_record('draining'))
-    yield
-    testbed.fleet.store.write(key, member.store_record())
-
-
 @fault('store-cut')
 def cut_store(testbed: Testbed, _member: SoakMember) -> Iterator[None]:
     """Resets the connections of all daemons to the store."""
--- a/soak/records.py
+++ b/soak/records.py
@@ -61,8 +61,9 @@
     Attributes:
         kind: The name of the fault; `overdue` for a graceful stop that ended
             by a kill at the end of the grace time.
-        subject: The host id of a daemon; for `leave`, the instance name of a
-            target; for `publish`, the path segment of the new route.
+        subject: The host id of a daemon; for `leave`, `target-limit` and
+            `target-leaving`, the instance name of a target; for `publish`,
+            the path segment of the new route.
         started_at: When it began, seconds.
         undone_at: When it was undone, seconds.
     """
@@ -99,6 +100,10 @@
             else:
                 self.actions.append(event)
 
+    def actions_of(self, kind: str) -> list[SoakAction]:
+        """Returns the actions of one kind."""
+        return [action for action in self.actions if action.kind == kind]
+
     def has_actions(
         self,
         began: float,
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -86,6 +86,8 @@
         history: Where runs are recorded.
         instance_number: Increases with each replacement of the target.
         fault_lock: Held while a fault is injected at this host.
+        state: The state of the target in the store.
+        sequence: Number of the last entry that the target wrote.
         born_ms: When the last replacement of the target started, ms since the
             epoch; zero before the first.
     """
@@ -94,6 +96,8 @@
     instance_number: int = 1
     fault_lock: Any = attrs.field(factory=threading.Lock)
     born_ms: int = 0
+    state: str = 'ready'
+    sequence: int = 0
 
     @property
     def instance(self) -> str:
@@ -112,10 +116,12 @@
                 time.sleep(SLOW_WORK_S)
         return status, f'{request_id} {instance}'.encode()
 
-    def store_record(self, state: str = 'ready') -> dict:
-        """Returns the record of the target in the store."""
-        fields = super().store_record(state)
+    def next_entry(self) -> dict:
+        """Returns the next entry that the target writes to the store."""
+        self.sequence += 1
+        fields = self.store_record(self.state)
         fields['info']['slots'] = SLOT_COUNT
+        fields['status']['sequence'] = self.sequence
         return {**fields, 'born': self.born_ms}
 
     def replace_target(self) -> None:
@@ -123,6 +129,8 @@
         self.target.shutdown()
         self.target.server_close()
         self.instance_number += 1
+        self.state = 'ready'
+        self.statements = {}
         self.born_ms = int(time.time() * MS_PER_S)
         self.target = serve(
             (self.address, self.ports['target']), TargetHandler, self
@@ -180,9 +188,7 @@
         )
         testbed.open_links()
         for member in members:
-            testbed.fleet.store.write(
-                f'servers/{member.instance}', member.store_record()
-            )
+            testbed.write_entry(member)
         testbed.publish()
         for member in members:
             testbed.start_daemon(member)
@@ -210,25 +216,18 @@
         store_port = self.proxy.ports[STORE_LINK]
         member.start(store_port, self.fleet.seeds(), self.fleet.folder)
 
+    def write_entry(self, member: Member) -> None:
+        """Writes the entry of a target to the store."""
+        assert isinstance(member, SoakMember)
+        self.fleet.store.write(
+            f'servers/{member.instance}', member.next_entry()
+        )
+
     def publish(self) -> None:
         """Publishes a configuration with a new route."""
         with self.version_lock:
             self.version += 1
-            oldest = max(1, self.version - KEPT_VERSION_COUNT)
-            version_routes = {
-                f'v{number}': route(f'/v{number}/', idempotent=True)
-                for number in range(oldest, self.version + 1)
-            }
-            permanent_routes = {
-                'read': route('/read/', idempotent=True),
-                'write': route('/write/', idempotent=False),
-                **slow_routes(),
-            }
-            self.fleet.configure(
-                self.version,
-                **permanent_routes,
-                **version_routes,
-            )
+            self.write_configuration()
             now = clock()
             self.history.record(
                 SoakAction('publish', f'v{self.version}', now, now)
@@ -241,6 +240,20 @@
                 f'/v{self.version}/a': True,
             }
 
+    def write_configuration(self) -> None:
+        """Writes the current version to the store."""
+        oldest = max(1, self.version - KEPT_VERSION_COUNT)
+        version_routes = {
+            f'v{number}': route(f'/v{number}/', idempotent=True)
+            for number in range(oldest, self.version + 1)
+        }
+        permanent_routes = {
+            'read': route('/read/', idempotent=True),
+            'write': route('/write/', idempotent=False),
+            **slow_routes(),
+        }
+        self.fleet.configure(self.version, **permanent_routes, **version_routes)
+
     def current_paths(self) -> dict[str, bool]:
         """Returns the paths of requests, and whether each is idempotent."""
         return self.paths
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,10 +1,18 @@
 """Tests of the checks of a soak, and a short soak without broken promises."""
 
+import itertools
+
 import pytest
 
 from soak.cmdline import run
 from soak.promises import find_breaches
 from soak.records import CallerRequest, History, SoakAction, TargetRun
+from soak.statements import (
+    LIMIT_EXCESS,
+    LIMIT_PER_S,
+    LIMIT_RATIO,
+    LIMIT_WINDOW_S,
+)
 
 # Seeds that once failed; docs/SOAK.md lists the causes.
 REGRESSION_SEEDS = (102,)
@@ -35,6 +43,26 @@
     return TargetRun(request_id, instance, '/write/a', began)
 
 
+def requests_run(per_window):
+    """Returns requests to host `a` for 10 s, each with its run at once.
+
+    Args:
+        per_window: How many run in a window of the limit.
+    """
+    times = [
+        100.1 + number * LIMIT_WINDOW_S / per_window
+        for number in range(int(10 * per_window / LIMIT_WINDOW_S))
+    ]
+    pairs = [
+        (
+            caller_request(f'r{number}', sent=sent),
+            target_run(f'r{number}', sent),
+        )
+        for number, sent in enumerate(times)
+    ]
+    return list(itertools.chain.from_iterable(pairs))
+
+
 def broken_promises(*records):
     history = History()
     for event in records:
@@ -129,6 +157,20 @@
                 unanswered(sent=100.0, ended=104.0),
             ],
         ),
+        (
+            'limit',
+            [
+                SoakAction('target-limit', 'i-1', 100.0, 112.0),
+                *requests_run(24),
+            ],
+        ),
+        (
+            'leaving',
+            [
+                SoakAction('target-leaving', 'i-1', 100.0, 112.0),
+                *requests_run(12),
+            ],
+        ),
         (
             'recovery',
             [
@@ -158,6 +200,24 @@
     )
 
 
+@pytest.mark.parametrize('kind', ['target-limit', 'target-leaving'])
+def test_a_restarted_daemon_need_not_know_what_a_target_states(kind):
+    assert not broken_promises(
+        SoakAction(kind, 'i-1', 100.0, 112.0),
+        SoakAction('kill', 'a', 100.5, 100.9),
+        *requests_run(24),
+    )
+
+
+def test_a_target_may_get_what_its_limit_allows():
+    allowed = int(LIMIT_RATIO * LIMIT_WINDOW_S * LIMIT_PER_S) + LIMIT_EXCESS
+    assert not broken_promises(
+        SoakAction('target-limit', 'i-1', 100.0, 112.0),
+        # A window begins and ends with a run.
+        *requests_run(allowed - 1),
+    )
+
+
 def test_requests_may_cross_the_closing_of_their_connection():
     stop = SoakAction('term', 'a', 100.0, 104.0)
     assert not broken_promises(stop, unanswered(sent=103.1, ended=103.2))
