Soak daemons with a store that comes back from an older copy

New fault store-restored: the last four writes are lost and their revisions given out again, and the operator and the targets write again what was lost. New promise caught-up: no route is missing at any daemon after the recovery.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -19,6 +19,7 @@
 # Faults whose subject is the process of a target instead of a host.
 TARGET_FAULTS = ('leave', 'target-limit', 'target-leaving')
 DELAY_MS = 150.0
+LOST_WRITES = 4
 BLACKHOLED = DirectionFaults(blackhole=True)
 
 
@@ -185,6 +186,13 @@
     yield from link_rule(testbed, STORE_LINK, LinkRule(to_client=slow))
 
 
+@fault('store-restored')
+def restore_store(testbed: Testbed, _member: SoakMember) -> Iterator[None]:
+    """Returns the store from a copy that lacks the last writes."""
+    testbed.restore_store(LOST_WRITES)
+    yield
+
+
 @fault('publish')
 def publish(testbed: Testbed, _member: SoakMember) -> Iterator[None]:
     """Publishes a configuration with a new route."""
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -1,5 +1,6 @@
 """The promises that a soak checks against the history of a run."""
 
+import math
 from collections import Counter
 from collections.abc import Callable, Iterator
 
@@ -22,7 +23,7 @@
 # closing unread, seconds.
 CROSSING_S = 0.5
 # Faults of the store, which can delay updates.
-STORE_FAULTS = ('store-cut', 'store-silent', 'store-slow')
+STORE_FAULTS = ('store-cut', 'store-silent', 'store-slow', 'store-restored')
 # Faults of daemons and of the connections between them.
 DAEMON_FAULTS = ('kill', 'pause', 'cut', 'silence', 'one-way', 'delay')
 
@@ -197,6 +198,21 @@
     )
 
 
+@promise('caught-up')
+def check_caught_up(history: History) -> Iterator[str]:
+    """Every daemon has all published routes after the recovery limit."""
+    faults_ended = max(
+        (action.undone_at for action in history.actions), default=math.inf
+    )
+    return (
+        f'{request.host} answered 404 to {request.path}, '
+        f'{round(request.sent - faults_ended, 1)} s after the last fault'
+        for request in history.requests
+        if request.status == NOT_FOUND
+        and request.sent > faults_ended + RECOVERY_LIMIT_S
+    )
+
+
 @promise('graceful-stop')
 def check_graceful_stop(history: History) -> Iterator[str]:
     """A graceful stop or reload drops no request that a target has run."""
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -45,6 +45,7 @@
 # Number of earlier versions whose routes are still published.
 KEPT_VERSION_COUNT = 3
 MS_PER_S = 1_000
+CONFIG_KEY = 'op/config'
 
 
 def route(
@@ -223,6 +224,37 @@
             f'servers/{member.instance}', member.next_entry()
         )
 
+    def restore_store(self, lost_writes: int) -> None:
+        """Returns the store from an older copy.
+
+        The operator and the targets that run write again what was lost, and
+        the entries of targets that are gone are removed again.
+
+        Args:
+            lost_writes: Number of the last writes that the copy lacks.
+        """
+        store = self.fleet.store
+        # Every copy has the first configuration and entries.
+        first_writes = len(self.fleet.members) + 1
+        with self.version_lock:
+            revision = max(first_writes, len(store.events) - lost_writes)
+            lost = {event['key'] for event in store.events[revision:]}
+            store.restore(revision)
+            if CONFIG_KEY in lost:
+                self.write_configuration()
+        self.restore_entries(lost - {CONFIG_KEY})
+
+    def restore_entries(self, lost: set[str]) -> None:
+        """Writes the entries of some keys again, or removes them again."""
+        current = {
+            f'servers/{member.instance}': member
+            for member in self.fleet.members
+        }
+        for key in sorted(lost & current.keys()):
+            self.write_entry(current[key])
+        for key in sorted(lost - current.keys()):
+            self.fleet.store.write(key, None)
+
     def publish(self) -> None:
         """Publishes a configuration with a new route."""
         with self.version_lock:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -171,6 +171,13 @@
                 *requests_run(12),
             ],
         ),
+        (
+            'caught-up',
+            [
+                SoakAction('store-restored', 'a', 80.0, 82.0),
+                caller_request(status=404, sent=98.0, path='/v3/a'),
+            ],
+        ),
         (
             'recovery',
             [
