--- a/standins/platformfleet.py
+++ b/standins/platformfleet.py
@@ -24,6 +24,10 @@
 
 ROOT = Path(__file__).parent.parent
 START_TIMEOUT_S = 30
+# Longest time that the end of a server takes, seconds.
+SHUTDOWN_POLL_S = 0.1
+# Bytes that a link of limited bandwidth carries at a time.
+SLICE_BYTES = 4_096
 ORDERS_ROUTE = {
     'host': 'one.example',
     'prefix': '/a/',
@@ -52,7 +56,18 @@
             self.send_header(name.replace('_', '-'), text)
         self.send_header('Content-Length', str(len(body)))
         self.end_headers()
-        self.wfile.write(body)
+        self.write_body(body)
+
+    def write_body(self, body: bytes) -> None:
+        """Writes the body of an answer as fast as the bandwidth allows."""
+        bandwidth = self.server.bandwidth
+        if bandwidth is None:
+            self.wfile.write(body)
+            return
+        for start in range(0, len(body), SLICE_BYTES):
+            part = body[start : start + SLICE_BYTES]
+            bandwidth.carry(len(part))
+            self.wfile.write(part)
 
 
 class StatefulServer(ThreadingHTTPServer):
@@ -60,10 +75,12 @@
 
     Attributes:
         state: The object whose data the handlers read and change.
+        bandwidth: The bandwidth for bodies of answers, None if unlimited.
     """
 
     daemon_threads = True
     state: Any = None
+    bandwidth: 'Bandwidth | None' = None
 
     def handle_error(self, request: Any, client_address: Any) -> None:
         """Ignores clients that disconnected before their response."""
@@ -85,7 +102,9 @@
     """
     server = StatefulServer(address, handler)
     server.state = state
-    threading.Thread(target=server.serve_forever, daemon=True).start()
+    threading.Thread(
+        target=server.serve_forever, args=(SHUTDOWN_POLL_S,), daemon=True
+    ).start()
     return server
 
 
@@ -108,10 +127,13 @@
         query = {
             name: texts[0] for name, texts in parse_qs(parts.query).items()
         }
+        prefix = query.get('prefix', '')
         if parts.path == '/-/kv-range':
-            content = store.items()
+            content = store.items(prefix)
         else:
-            content = store.watch(int(query['after']), int(query['wait-ms']))
+            content = store.watch(
+                int(query['after']), int(query['wait-ms']), prefix
+            )
         status = 410 if content is None else 200
         encoded = json.dumps(content).encode()
         self.reply(status, encoded, Store_Era=str(store.era))
@@ -148,6 +170,29 @@
     do_POST = do_GET
 
 
+@attrs.define(eq=False)
+class Bandwidth:
+    """The bandwidth of a link, shared by all connections that use it.
+
+    Attributes:
+        bytes_per_s: Bytes that the link carries in a second.
+        free_at: When the link has carried all bytes so far, monotonic seconds.
+        lock: Guards `free_at`.
+    """
+
+    bytes_per_s: float
+    free_at: float = 0
+    lock: threading.Lock = attrs.field(factory=threading.Lock)
+
+    def carry(self, size: int) -> None:
+        """Blocks for as long as the link needs for some bytes."""
+        with self.lock:
+            began_at = max(self.free_at, time.monotonic())
+            self.free_at = began_at + size / self.bytes_per_s
+            arrives_at = self.free_at
+        time.sleep(max(0, arrives_at - time.monotonic()))
+
+
 @attrs.define(eq=False)
 class Store:
     """The platform's store, whose revision is the number of writes.
@@ -159,6 +204,7 @@
         events_added: Condition that is notified after each write.
         server: The server that answers reads and watches.
         unavailable_server: A server that refuses every request with status 503.
+        links: Further servers that answer with limited bandwidth.
     """
 
     events: list[dict] = attrs.field(factory=list)
@@ -167,6 +213,7 @@
     events_added: threading.Condition = attrs.field(factory=threading.Condition)
     server: StatefulServer = attrs.field(init=False)
     unavailable_server: StatefulServer = attrs.field(init=False)
+    links: list[StatefulServer] = attrs.field(factory=list)
 
     def __attrs_post_init__(self) -> None:
         self.server = serve(('127.0.0.1', 0), StoreHandler, self)
@@ -175,11 +222,18 @@
         )
 
     def close(self) -> None:
-        """Stops both servers."""
-        for server in (self.server, self.unavailable_server):
+        """Stops all servers."""
+        for server in (self.server, self.unavailable_server, *self.links):
             server.shutdown()
             server.server_close()
 
+    def open_link(self, bytes_per_s: float) -> int:
+        """Opens a port whose answers share a limited bandwidth; returns it."""
+        link = serve(('127.0.0.1', 0), StoreHandler, self)
+        link.bandwidth = Bandwidth(bytes_per_s)
+        self.links.append(link)
+        return link.server_port
+
     def write(self, key: str, content: object) -> None:
         """Writes the content of a key as JSON; None deletes the key."""
         with self.events_added:
@@ -199,10 +253,24 @@
             self.era += 1
             self.events_added.notify_all()
 
-    def items(self) -> dict:
-        """Returns the newest write of each key that is not deleted."""
+    def events_since(self, revision: int, prefix: str) -> list[dict]:
+        """Returns the writes after a revision to keys with a prefix."""
+        return [
+            event
+            for event in self.events[revision:]
+            if event['key'].startswith(prefix)
+        ]
+
+    def items(self, prefix: str = '') -> dict:
+        """Returns the newest write of each key that is not deleted.
+
+        Args:
+            prefix: What the keys begin with.
+        """
         with self.events_added:
-            newest = {event['key']: event for event in self.events}
+            newest = {
+                event['key']: event for event in self.events_since(0, prefix)
+            }
             items = [e for e in newest.values() if not e.get('tombstone')]
             return {
                 'items': items,
@@ -210,22 +278,31 @@
                 'current-rev': len(self.events),
             }
 
-    def watch(self, after: int, wait_ms: int) -> dict | None:
+    def watch(self, after: int, wait_ms: int, prefix: str = '') -> dict | None:
         """Returns the writes after a revision; waits if there are none.
 
+        Args:
+            after: The revision.
+            wait_ms: Longest wait, ms.
+            prefix: What the keys begin with.
+
         Returns:
             The writes, or None if the store doesn't have that revision.
         """
         with self.events_added:
             era = self.era
             self.events_added.wait_for(
-                lambda: len(self.events) != after or self.era != era,
+                lambda: (
+                    after > len(self.events)
+                    or bool(self.events_since(after, prefix))
+                    or self.era != era
+                ),
                 wait_ms / 1_000,
             )
             if after > len(self.events):
                 return None
             return {
-                'events': self.events[after:],
+                'events': self.events_since(after, prefix),
                 'current-rev': len(self.events),
             }
 
@@ -388,12 +465,15 @@
         members: The hosts.
         folder: Folder for settings files and logs.
         idle_timeout: Longest time between two requests of a connection.
+        link_bytes_per_s: Bytes of the store's answers that each daemon can
+            receive in a second, None if unlimited.
     """
 
     store: Store
     members: list[Member]
     folder: Path
     idle_timeout: str = '2s'
+    link_bytes_per_s: float | None = None
 
     def configure(self, version: int, **routes: dict) -> None:
         """Publishes a configuration.
@@ -427,9 +507,18 @@
             for member in self.members[:2]
         ]
 
+    def start_process(self, member: Member) -> None:
+        """Starts a daemon, with a link to the store of its own if limited."""
+        port = (
+            self.store.server.server_port
+            if self.link_bytes_per_s is None
+            else self.store.open_link(self.link_bytes_per_s)
+        )
+        member.start(port, self.seeds(), self.folder)
+
     def start(self, member: Member) -> None:
         """Starts a daemon and waits until it is ready."""
-        member.start(self.store.server.server_port, self.seeds(), self.folder)
+        self.start_process(member)
         wait_until(member.is_ready, START_TIMEOUT_S)
 
 
@@ -453,13 +542,17 @@
 
 @contextlib.contextmanager
 def platform_fleet(
-    folder: Path, services: list[str]
+    folder: Path,
+    services: list[str],
+    link_bytes_per_s: float | None = None,
 ) -> Iterator[PlatformFleet]:
     """Runs a store and one host for each service, and stops them at the end.
 
     Args:
         folder: Folder for settings files and logs.
         services: The service of each host.
+        link_bytes_per_s: Bytes of the store's answers that each daemon can
+            receive in a second, None if unlimited.
     """
     names = ('callers', 'peers', 'readiness', 'metrics', 'target')
     ports = free_ports(names)
@@ -467,13 +560,15 @@
         Member(f'127.0.0.{number}', service, ports)
         for number, service in enumerate(services, 11)
     ]
-    fleet = PlatformFleet(Store(), members, folder)
+    fleet = PlatformFleet(
+        Store(), members, folder, link_bytes_per_s=link_bytes_per_s
+    )
     for member in members:
         fleet.store.write(f'servers/{member.instance}', member.store_record())
     fleet.configure(1, orders=ORDERS_ROUTE)
     try:
         for member in members:
-            member.start(fleet.store.server.server_port, fleet.seeds(), folder)
+            fleet.start_process(member)
         for member in members:
             wait_until(member.is_ready, START_TIMEOUT_S)
         yield fleet
