--- a/standins/platformfleet.py
+++ b/standins/platformfleet.py
@@ -134,6 +134,9 @@
             content = store.watch(
                 int(query['after']), int(query['wait-ms']), prefix
             )
+        if store.refuses:
+            self.reply(503, b'{}')
+            return
         status = 410 if content is None else 200
         encoded = json.dumps(content).encode()
         self.reply(status, encoded, Store_Era=str(store.era))
@@ -201,6 +204,7 @@
         events: All writes, oldest first.
         era: How often it was restored from an older copy, from 1.
         reads: Number of list and watch requests.
+        refuses: Whether it answers all requests with status 503.
         events_added: Condition that is notified after each write.
         server: The server that answers reads and watches.
         unavailable_server: A server that refuses every request with status 503.
@@ -210,6 +214,7 @@
     events: list[dict] = attrs.field(factory=list)
     era: int = 1
     reads: int = 0
+    refuses: bool = False
     events_added: threading.Condition = attrs.field(factory=threading.Condition)
     server: StatefulServer = attrs.field(init=False)
     unavailable_server: StatefulServer = attrs.field(init=False)
