Read configurations and entries apart, each read bounded

Cause: one watch covered configurations (286 kB each as the store sends them) and entries. Its answer holds every version since the last one, so it grew with the delay of its reader, and it was given up at a fixed time, whatever had arrived. A reader with a narrow link never caught up, and entries waited behind.

Now each topic is listed and watched by itself; a reader of the configuration that may be late lists it, which is the newest version alone; a transfer ends after silence or at a bound, not while it goes on. A position tells changes of its own topic from those of others, so that they cause no requests.

--- a/egretlanding/frames.py
+++ b/egretlanding/frames.py
@@ -201,6 +201,9 @@
         era: How often the store had been restored from an older copy, None
             from a daemon of an earlier version, which doesn't know. Positions
             are ordered by era and then by revision.
+        topic: What the records are about, empty from an earlier version.
+        newest: Revision of the last change of the topic, None if unknown. A
+            receiver that holds all changes up to it lacks nothing.
     """
 
     revision: int
@@ -208,6 +211,8 @@
     asks: bool = False
     distance_ms: int = 0
     era: int | None = None
+    topic: str = ''
+    newest: int | None = None
 
 
 class RecordsRequest(Frame, frozen=True, tag='records-wanted'):
@@ -216,10 +221,12 @@
     Attributes:
         after: The sender holds all changes up to this revision.
         era: The era of that revision, None from an earlier version.
+        topic: What the records are about, empty from an earlier version.
     """
 
     after: int
     era: int | None = None
+    topic: str = ''
 
 
 class RecordsUpdate(Frame, frozen=True, tag='records'):
@@ -233,6 +240,7 @@
         packed: The records as msgpack, compressed with zlib.
         whole: Whether these are all existing records instead of changes.
         era: The era of the store, None from an earlier version.
+        topic: What the records are about, empty from an earlier version.
     """
 
     revision: int
@@ -240,6 +248,7 @@
     packed: bytes
     whole: bool = False
     era: int | None = None
+    topic: str = ''
 
 
 class Ping(Frame, frozen=True, tag='ping'):
--- a/egretlanding/platform/store.py
+++ b/egretlanding/platform/store.py
@@ -12,18 +12,23 @@
 from egretlanding.httpheaders import header_values
 from egretlanding.httpmessages import HttpRequest, HttpResponse
 from egretlanding.platform.names import (
+    CONFIG_KEY,
+    ENTRY_PREFIX,
     ERA_HEADER,
     ITEM_LIST_PATH,
     WATCH_PATH,
 )
 from egretlanding.recordfeed import Changes, Page
-from egretlanding.records import Record
+from egretlanding.records import Record, Topic
 from egretlanding.targetpool import TargetOutcome, TargetPool
+from egretlanding.transfer import TransferTimer
 
-# Timeout of a request for a page, seconds.
+# Longest time until a page begins to arrive, seconds.
 REPLY_TIMEOUT_S = 1.5
-# Time that a watch may take beyond its wait, seconds.
+# Longest time until the answer to a watch begins, beyond its wait, seconds.
 WATCH_MARGIN_S = 0.6
+# What the keys of a topic's records begin with.
+PREFIXES = {Topic.CONFIGURATION: CONFIG_KEY, Topic.ENTRIES: ENTRY_PREFIX}
 MS_PER_S = 1_000
 MAX_CONNECTIONS = 4
 CONNECT_TIMEOUT_S = 1
@@ -78,9 +83,11 @@
 
     Attributes:
         pool: Connections to the store.
+        prefix: What the keys of the records to read begin with.
     """
 
     pool: TargetPool
+    prefix: str = ''
 
     @classmethod
     def from_address(
@@ -99,6 +106,10 @@
         )
         return cls(pool)
 
+    def for_topic(self, topic: Topic) -> 'PlatformStore':
+        """Returns a client for the records of one topic."""
+        return attrs.evolve(self, prefix=PREFIXES[topic])
+
     @property
     def distance_s(self) -> float:
         """Shortest time in which a connection was opened, seconds."""
@@ -106,8 +117,10 @@
 
     async def read_page(self, after: str) -> Page:
         """Reads the records whose keys follow a key."""
-        query = {'prefix': '', **({'after': after} if after else {})}
-        response = await self.get(ITEM_LIST_PATH, query, REPLY_TIMEOUT_S)
+        query = {'prefix': self.prefix, **({'after': after} if after else {})}
+        response, transfer_s = await self.get(
+            ITEM_LIST_PATH, query, REPLY_TIMEOUT_S
+        )
         body = decode(response, ItemList)
         records = tuple(map(to_record, body.items))
         return Page(
@@ -115,31 +128,44 @@
             body.current_rev,
             not body.truncated,
             era_of(response),
+            transfer_s,
         )
 
     async def watch(self, after: int, wait_s: float) -> Changes:
         """Waits for records that are written after a revision."""
         query = {
-            'prefix': '',
+            'prefix': self.prefix,
             'after': str(after),
             'wait-ms': str(int(wait_s * MS_PER_S)),
         }
-        response = await self.get(WATCH_PATH, query, wait_s + WATCH_MARGIN_S)
+        response, transfer_s = await self.get(
+            WATCH_PATH, query, wait_s + WATCH_MARGIN_S
+        )
         body = decode(response, EventList)
         return Changes(
             tuple(map(to_record, body.events)),
             body.current_rev,
             era_of(response),
+            transfer_s,
         )
 
     async def get(
         self,
         path: str,
         query: dict[str, str],
-        timeout_s: float,
-    ) -> HttpResponse:
+        first_byte_s: float,
+    ) -> tuple[HttpResponse, float]:
         """Sends a GET request to the store.
 
+        Args:
+            path: The path.
+            query: The query.
+            first_byte_s: Longest time until the answer begins, seconds.
+
+        Returns:
+            The answer, and the time that it took to arrive once it had begun,
+            seconds.
+
         Raises:
             PlatformError: There was no answer in time, or a status other than
                 200.
@@ -148,10 +174,11 @@
         outcome_ready: Deferred[TargetOutcome] = Deferred()
         request = HttpRequest('GET', f'{path}?{urlencode(query)}', [], b'')
         cancellation = self.pool.run(request, [], outcome_ready.callback)
-        timer = self.pool.reactor.callLater(timeout_s, cancellation.cancel)
+        timer = TransferTimer.of_request(
+            self.pool.reactor, cancellation, first_byte_s
+        )
         outcome = await outcome_ready
-        if timer.active():
-            timer.cancel()
+        timer.stop()
         if outcome.response is None:
             raise PlatformError(
                 f'the store did not answer {path}', RETRY_REMEDY
@@ -166,7 +193,7 @@
             raise PlatformError(
                 f'the store answered {status} to {path}', RETRY_REMEDY
             )
-        return outcome.response
+        return outcome.response, timer.transfer_s()
 
 
 def to_record(item: Item) -> Record:
--- a/egretlanding/recordfeed.py
+++ b/egretlanding/recordfeed.py
@@ -10,10 +10,15 @@
 
 from egretlanding.events import Event, Severity, log_event
 from egretlanding.exceptions import HistoryLostError, PlatformError
-from egretlanding.records import Record, RecordTable
+from egretlanding.records import Record, RecordTable, Topic
 
-# Age of the records after which any daemon reads the store itself.
+# Age of the records after which a daemon reads the store itself, unless its
+# rank tells it to leave that to others for longer.
 STALE_S = 1.25
+# An answer that arrived over a longer time than this may be outdated, seconds.
+SLOW_TRANSFER_S = 0.1
+# Least advance of the confirmation that others are told at once, seconds.
+CONFIRM_STEP_S = 0.1
 # Longest wait of a watch. A waiting watch confirms nothing, since the store may
 # have become unreachable meanwhile.
 MAX_WATCH_S = 0.6
@@ -26,6 +31,7 @@
 MAX_BACKOFF_S = 1.0
 # Longest time between checks of whether this daemon should read the store.
 IDLE_POLL_S = 0.25
+MS_PER_S = 1_000
 # Time after a failed request in which the store counts as recently unreachable:
 # the longest pause between requests and some time for the next answer.
 OUTAGE_MEMORY_S = 1.8
@@ -41,12 +47,14 @@
         is_last: Whether no more pages follow.
         era: How often the store was restored from an older copy; its revisions
             begin anew below those that it had given out.
+        transfer_s: Time from the first byte of the answer to its last, seconds.
     """
 
     records: tuple[Record, ...]
     revision: int
     is_last: bool
     era: int = 0
+    transfer_s: float = 0
 
 
 @attrs.frozen
@@ -57,19 +65,24 @@
         records: The records.
         revision: The records include all changes up to this revision.
         era: How often the store was restored from an older copy.
+        transfer_s: Time from the first byte of the answer to its last, seconds.
     """
 
     records: tuple[Record, ...]
     revision: int
     era: int = 0
+    transfer_s: float = 0
 
 
 class RecordStore(Protocol):
-    """A store whose records can be listed and watched.
+    """A store whose records of one topic can be listed and watched.
 
     Each method raises PlatformError if the store gave no usable answer.
     """
 
+    def for_topic(self, topic: Topic) -> 'RecordStore':
+        """Returns the same store for the records of another topic."""
+
     @property
     def distance_s(self) -> float:
         """Shortest time in which a connection was opened, seconds."""
@@ -96,9 +109,19 @@
         reactor: The reactor that gives the time.
         store: The store.
         rng: Source of jitter.
+        topic: What the records are about.
         on_change: Callbacks for changed records, called in order.
         table: The records.
+        lists_when_late: Whether to list the records instead of watching from
+            an earlier revision once this daemon may be behind. A topic of one
+            large record needs it: a watch returns each of its versions, so
+            that the answer would grow with the delay.
         is_reader: Whether this daemon reads the store on behalf of others.
+        stale_after_s: Age of the records after which this daemon reads the
+            store itself, seconds.
+        appointed_until: Until when this daemon reads the store because a
+            reader with a narrower link asked for it, seconds.
+        on_confirm: Callbacks for a confirmation that advanced.
         confirmed_at: When the table last matched the store, seconds.
         failed_at: When a request to the store last failed, seconds.
         restored_at: When the store was last found to have been restored from
@@ -106,8 +129,10 @@
         failures: Requests that failed since the last successful one.
         reachable: Whether the last request to the store succeeded.
         relist: Whether the next read must list all records.
-        nearer_until: Until when to rely on a reader of another region that
-            is nearer to the store, seconds.
+        may_be_late: Whether changes may have followed those that were read
+            last.
+        better_until: Until when to rely on a reader that is nearer to the store
+            or has a wider link, seconds.
         answered: Number of requests that the store answered.
         failed: Number of requests without a usable answer.
     """
@@ -115,16 +140,22 @@
     reactor: Any
     store: RecordStore
     rng: random.Random
+    topic: str = ''
     on_change: list[OnChange] = attrs.field(factory=list)
     table: RecordTable = attrs.field(factory=RecordTable)
+    lists_when_late: bool = False
     is_reader: bool = True
+    stale_after_s: float = STALE_S
+    appointed_until: float = float('-inf')
+    on_confirm: list[Callable[[], None]] = attrs.field(factory=list)
     confirmed_at: float = float('-inf')
     failed_at: float = float('-inf')
     restored_at: float = float('-inf')
     failures: int = 0
     reachable: bool = True
     relist: bool = True
-    nearer_until: float = float('-inf')
+    may_be_late: bool = False
+    better_until: float = float('-inf')
     answered: int = 0
     failed: int = 0
 
@@ -139,15 +170,16 @@
 
     def should_read_store(self, now: float) -> bool:
         """Returns whether this daemon should read the store itself."""
-        return self.reads_for_region(now) or self.age(now) > STALE_S
+        return self.reads_for_others(now) or self.age(now) > self.stale_after_s
 
-    def reads_for_region(self, now: float) -> bool:
-        """Returns whether this daemon reads the store for its region.
+    def reads_for_others(self, now: float) -> bool:
+        """Returns whether this daemon reads the store on behalf of others.
 
-        A reader does not while a reader of another region is nearer to the
-        store, because that one sends the changes in a tenth of the bytes.
+        A reader does not while it relies on a better one, because that one
+        sends the changes in a fraction of the bytes.
         """
-        return self.is_reader and now > self.nearer_until
+        is_reader = self.is_reader and now > self.better_until
+        return is_reader or now < self.appointed_until
 
     def start(self) -> None:
         """Starts the task that reads the store."""
@@ -192,11 +224,13 @@
         if self.relist or not self.table.complete_revision:
             await self.read_list()
             return
+        is_stale = self.age(self.reactor.seconds()) >= STALE_S
+        if self.lists_when_late and (self.may_be_late or is_stale):
+            await self.read_list()
+            return
         # If the records are stale, the watch returns at once: while it waits,
         # nothing would confirm them.
-        wait_s = (
-            MAX_WATCH_S if self.age(self.reactor.seconds()) < STALE_S else 0
-        )
+        wait_s = 0 if is_stale else MAX_WATCH_S
         era = self.table.era
         changes = await self.store.watch(
             self.table.complete_revision,
@@ -212,7 +246,8 @@
         self.table.confirm(changes.revision)
         self.confirm(0)
         self.notify(changed)
-        if changed:
+        self.may_be_late = may_have_followers(changed, changes.transfer_s)
+        if changed and not self.may_be_late:
             await self.pause(BATCH_PAUSE_S)
 
     async def read_list(self) -> None:
@@ -220,9 +255,11 @@
         first_page = await self.store.read_page('')
         page = first_page
         all_records = list(page.records)
+        transfer_s = page.transfer_s
         while not page.is_last and page.records:
             page = await self.store.read_page(page.records[-1].key)
             all_records.extend(page.records)
+            transfer_s += page.transfer_s
         if page.era != first_page.era or page.era < self.table.era:
             raise PlatformError(
                 f'the list of era {first_page.era} is not of one copy of the '
@@ -240,10 +277,13 @@
             held=held,
             listed=len(all_records),
             changed=len(changed),
+            topic=self.topic,
+            transfer_ms=int(transfer_s * MS_PER_S),
         )
         self.relist = False
         self.confirm(0)
         self.notify(changed)
+        self.may_be_late = may_have_followers(changed, transfer_s)
 
     def replace(
         self, records: Iterable[Record], revision: int, era: int
@@ -270,7 +310,11 @@
             age_s: Time since then, seconds.
         """
         now = self.reactor.seconds()
-        self.confirmed_at = max(self.confirmed_at, now - age_s)
+        before = self.confirmed_at
+        self.confirmed_at = max(before, now - age_s)
+        if self.confirmed_at >= before + CONFIRM_STEP_S:
+            for callback in self.on_confirm:
+                callback()
 
     def notify(self, changed: list[Record]) -> None:
         """Calls the callbacks if records changed."""
@@ -311,9 +355,15 @@
         """Counts a failed request; logs the first one of an outage."""
         self.failed += 1
         self.failures += 1
+        self.may_be_late = True
         self.failed_at = self.reactor.seconds()
         if self.reachable:
-            log_event(Event.STORE_UNREACHABLE, str(error), Severity.WARNING)
+            log_event(
+                Event.STORE_UNREACHABLE,
+                str(error),
+                Severity.WARNING,
+                topic=self.topic,
+            )
         self.reachable = False
 
     def record_success(self) -> None:
@@ -327,3 +377,13 @@
             )
         self.reachable = True
         self.failures = 0
+
+
+def may_have_followers(changed: list[Record], transfer_s: float) -> bool:
+    """Returns whether other changes may have followed those just read.
+
+    Args:
+        changed: The records that changed.
+        transfer_s: Time that the answer took to arrive, seconds.
+    """
+    return bool(changed) and transfer_s > SLOW_TRANSFER_S
--- a/egretlanding/recordrelay.py
+++ b/egretlanding/recordrelay.py
@@ -62,7 +62,8 @@
         has_downstream: Whether other daemons fetch records from this one.
         behind_since: When this daemon first learned that it lacks records,
             seconds; infinite while it lacks none.
-        reply_cache: Replies for the current position, by the request.
+        reply_cache: Replies for one position, by the request.
+        cached_position: That position: the era, and the last change in it.
         announced_at: When a reader last announced changes, or the time for
             which an announcement is scheduled, seconds.
         requested_at: When records were last requested, seconds; minus infinity
@@ -80,6 +81,7 @@
     has_downstream: bool = False
     behind_since: float = float('inf')
     reply_cache: dict[RecordsRequest, RecordsUpdate] = attrs.field(factory=dict)
+    cached_position: tuple[int | None, int | None] = (None, None)
     announced_at: float = float('-inf')
     requested_at: float = float('-inf')
 
@@ -90,12 +92,15 @@
             asks: Whether the receiver is to send its own state back.
         """
         age_s = min(self.feed.age(self.reactor.seconds()), MAX_REPORTED_S)
+        table = self.feed.table
         return RecordsState(
-            self.feed.table.complete_revision,
+            table.complete_revision,
             int(age_s * MS_PER_S),
             asks,
             self.distance_ms(),
-            self.feed.table.era,
+            table.era,
+            self.feed.topic,
+            table.content_revision,
         )
 
     def distance_ms(self) -> int:
@@ -190,16 +195,16 @@
         if frame.asks:
             connection.send(self.state_frame())
         self.yield_to_nearer_reader(connection, frame)
+        table = self.feed.table
         if self.is_later(frame):
             if self.may_request_from(connection):
                 self.request_records(connection)
-        elif (frame.era, frame.revision) == (
-            self.feed.table.era,
-            self.feed.table.complete_revision,
-        ):
+        elif frame.era == table.era:
+            # The store has counted changes of other topics since then.
+            table.confirm(frame.revision)
             self.feed.confirm(frame.age_ms / MS_PER_S)
 
-    def is_later(self, frame: RecordsState | RecordsUpdate) -> bool:
+    def is_later(self, frame: RecordsState) -> bool:
         """Returns whether another daemon holds changes that this one lacks.
 
         A daemon of an earlier version doesn't name the era. It may hold
@@ -207,7 +212,8 @@
         """
         if frame.era is None:
             return False
-        return self.feed.table.is_before(frame.era, frame.revision)
+        newest = frame.revision if frame.newest is None else frame.newest
+        return self.feed.table.is_before(frame.era, newest)
 
     def may_request_from(self, connection: PeerConnection) -> bool:
         """Returns whether to request records from a daemon that has later ones.
@@ -241,7 +247,7 @@
         local_distance_ms = self.distance_ms()
         if frame.distance_ms + MIN_DISTANCE_GAIN_MS < local_distance_ms:
             now = self.reactor.seconds()
-            self.feed.nearer_until = now + NEARER_READER_TTL_S
+            self.feed.better_until = now + NEARER_READER_TTL_S
 
     def request_records(self, connection: PeerConnection) -> None:
         """Requests later records, unless a recent request is outstanding."""
@@ -249,21 +255,26 @@
         if now - self.requested_at > REQUEST_TIMEOUT_S:
             self.requested_at = now
             table = self.feed.table
-            connection.send(RecordsRequest(table.complete_revision, table.era))
+            connection.send(
+                RecordsRequest(
+                    table.content_revision, table.era, self.feed.topic
+                )
+            )
 
     def reply_to(self, frame: RecordsRequest) -> RecordsUpdate:
         """Returns the records that another daemon lacks, cached if possible."""
         state = self.state_frame()
+        position = (state.era, state.newest)
+        if position != self.cached_position:
+            self.reply_cache.clear()
+            self.cached_position = position
         reply = self.reply_cache.get(frame)
-        if reply is None or not is_at(reply, state):
+        if reply is None:
             reply = self.pack_records(frame, state)
-            self.reply_cache = {
-                request: cached
-                for request, cached in self.reply_cache.items()
-                if is_at(cached, state)
-            }
             self.reply_cache[frame] = reply
-        return msgspec.structs.replace(reply, age_ms=state.age_ms)
+        return msgspec.structs.replace(
+            reply, revision=state.revision, age_ms=state.age_ms
+        )
 
     def pack_records(
         self, frame: RecordsRequest, state: RecordsState
@@ -284,13 +295,20 @@
             records = [record for record in records if not record.deleted]
         packed = zlib.compress(msgspec.msgpack.encode(records))
         return RecordsUpdate(
-            state.revision, state.age_ms, packed, send_all, state.era
+            state.revision,
+            state.age_ms,
+            packed,
+            send_all,
+            state.era,
+            self.feed.topic,
         )
 
     def handle_records(self, frame: RecordsUpdate) -> None:
         """Applies the records that another daemon sent."""
         self.requested_at = float('-inf')
-        if not self.is_later(frame):
+        if frame.era is None or not self.feed.table.is_before(
+            frame.era, frame.revision
+        ):
             return
         try:
             unpacked = inflate(frame.packed, MAX_UNPACKED_BYTES)
@@ -314,11 +332,6 @@
         )
 
 
-def is_at(reply: RecordsUpdate, state: RecordsState) -> bool:
-    """Returns whether a reply brings another daemon to a state."""
-    return (reply.era, reply.revision) == (state.era, state.revision)
-
-
 def rank_of(host_id: str, order: tuple[Host, ...]) -> int:
     """Returns the index of a host, or the list's length if it isn't listed."""
     ranks = (rank for rank, host in enumerate(order) if host.host_id == host_id)
--- a/egretlanding/records.py
+++ b/egretlanding/records.py
@@ -1,5 +1,6 @@
 """A daemon's table of the records of a store that it can only read."""
 
+import enum
 from collections.abc import Iterable
 
 import attrs
@@ -8,6 +9,17 @@
 MAX_DELETED = 4_096
 
 
+class Topic(enum.StrEnum):
+    """What records are about; each topic is read and distributed by itself.
+
+    The entries of targets are small, so that they must never wait behind the
+    configuration, which is large.
+    """
+
+    CONFIGURATION = 'configuration'
+    ENTRIES = 'entries'
+
+
 class Record(msgspec.Struct, frozen=True, array_like=True):
     """The last known write to one key of the store.
 
@@ -37,6 +49,7 @@
             restored store gives out revisions again, so revisions of
             different eras can't be compared.
         complete_revision: All changes up to this revision have been applied.
+        newest_revision: The greatest revision of a record in the table.
         deletions_dropped_to: Deletions up to this revision may be missing,
             because only a bounded number is kept.
     """
@@ -44,8 +57,18 @@
     records: dict[str, Record] = attrs.field(factory=dict)
     era: int = 0
     complete_revision: int = 0
+    newest_revision: int = 0
     deletions_dropped_to: int = 0
 
+    @property
+    def content_revision(self) -> int:
+        """The revision of the last change that the table is complete for.
+
+        A table that is complete up to here lacks nothing that this one holds,
+        however many changes of other topics the store has counted since.
+        """
+        return min(self.newest_revision, self.complete_revision)
+
     def is_before(self, era: int, revision: int) -> bool:
         """Returns whether the table lacks changes up to a position."""
         return (self.era, self.complete_revision) < (era, revision)
@@ -78,6 +101,8 @@
             if previous is None or previous.revision < record.revision:
                 self.records[record.key] = record
                 applied.append(record)
+        newest = max((one.revision for one in applied), default=0)
+        self.newest_revision = max(self.newest_revision, newest)
         self._drop_old_deletions()
         return applied
 
@@ -112,6 +137,7 @@
         ]
         for deletion in missing:
             self.records[deletion.key] = deletion
+            self.newest_revision = max(self.newest_revision, since)
         changed = [*missing, *self.apply(listed.values())]
         self.confirm(since)
         return changed
@@ -127,6 +153,7 @@
         self.records = listed
         self.era = era
         self.complete_revision = since
+        self.newest_revision = since
         self.deletions_dropped_to = since
         missing = [
             Record(key, since, deleted=True)
--- a/egretlanding/sidecar.py
+++ b/egretlanding/sidecar.py
@@ -1,6 +1,5 @@
 """Composes a daemon that gets its configuration from a store of records."""
 
-import random
 import sys
 import time
 from functools import partial
@@ -28,10 +27,9 @@
     build_machine,
 )
 from egretlanding.linelog import LineLog
+from egretlanding.news import News
 from egretlanding.platformadapter import PlatformAdapter
 from egretlanding.publication import Publication
-from egretlanding.recordfeed import RecordFeed
-from egretlanding.recordrelay import RecordRelay
 from egretlanding.records import Record
 from egretlanding.retries import RetryBudget, WindowBudget
 from egretlanding.roster import Roster
@@ -65,8 +63,7 @@
         adapter: The platform's store, formats and header names.
         calls: The call path.
         roster: The targets that are assumed to run.
-        feed: Keeps the records of the store current.
-        relay: Distributes the records between daemons.
+        news: Keeps the records of the store current.
         lifecycle_state: Holds the current phase and the machine's callbacks.
         lifecycle: The state machine of the process, from start to stop.
         view: The configuration in force, None until there is one.
@@ -83,8 +80,7 @@
     adapter: PlatformAdapter
     calls: CallService
     roster: Roster
-    feed: RecordFeed = attrs.field(init=False)
-    relay: RecordRelay = attrs.field(init=False)
+    news: News = attrs.field(init=False)
     lifecycle_state: LifecycleState = attrs.field(init=False)
     lifecycle: Lifecycle = attrs.field(init=False)
     view: View | None = None
@@ -126,21 +122,15 @@
             time.time,
             config.host_id,
         )
-        sidecar.feed = RecordFeed(
-            reactor,
-            adapter.store,
-            random.Random(config.address),
-        )
-        sidecar.relay = RecordRelay(
+        sidecar.news = News.from_store(
             reactor,
             config.host_id,
             calls.links,
+            adapter.store,
             tuple(map(seed_host, config.seeds)),
-            sidecar.feed,
         )
-        # Changes are announced before this daemon spends time on applying them.
-        sidecar.feed.on_change = [sidecar.relay.announce, sidecar.apply_records]
-        calls.links.context.on_records = sidecar.relay.handle_frame
+        sidecar.news.on_change(sidecar.apply_records)
+        calls.links.context.on_records = sidecar.news.handle_frame
         sidecar.lifecycle_state = LifecycleState(
             sidecar.begin_drain, reactor.stop
         )
@@ -163,14 +153,7 @@
             'settings': attrs.asdict(self.config),
             'phase': self.lifecycle_state.phase.value,
             'release': self.release_number,
-            'records': {
-                'era': self.feed.table.era,
-                'revision': self.feed.table.complete_revision,
-                'count': len(self.feed.table.records),
-                'age_s': self.feed.age(self.reactor.seconds()),
-                'is_reader': self.feed.is_reader,
-                'store_reachable': self.feed.reachable,
-            },
+            'records': self.news.dump(self.reactor.seconds()),
             'targets': [
                 attrs.asdict(target) for target in self.roster.targets.values()
             ],
@@ -186,7 +169,7 @@
             interface=self.config.address,
         )
         self.lifecycle.opened()
-        self.feed.start()
+        self.news.start()
         self.ticker = LoopingCall(logs_failure(self.tick))
         self.ticker.clock = self.reactor
         self.ticker.start(TICK_S, now=False)
@@ -204,7 +187,7 @@
     def tick(self) -> None:
         """Runs the periodic tasks, every TICK_S seconds."""
         self.log.summarize()
-        self.relay.tick()
+        self.news.tick()
         expired = self.roster.expire(self.reactor.seconds())
         for instance in expired:
             log_event(
@@ -231,7 +214,7 @@
             return
         candidate = attrs.evolve(
             self.adapter.decoder.decode_publication(record),
-            era=self.feed.table.era,
+            era=self.news.configuration.table.era,
         )
         if self.publication and not candidate.follows(self.publication):
             log_event(
@@ -278,20 +261,20 @@
             self.roster.remove(
                 instance,
                 self.reactor.seconds(),
-                self.feed.table.era,
+                self.news.entries.table.era,
                 store_was_unreachable=False,
             )
             raise
-        if self.roster.is_outdated(entry, self.feed.table.era):
+        if self.roster.is_outdated(entry, self.news.entries.table.era):
             log_event(
                 Event.ENTRY_OUTDATED,
                 'the restored store lists an entry that was replaced before',
                 instance=instance,
                 sequence=entry.sequence,
-                era=self.feed.table.era,
+                era=self.news.entries.table.era,
             )
             return
-        self.roster.update(entry, record.revision, self.feed.table.era)
+        self.roster.update(entry, record.revision, self.news.entries.table.era)
         log_event(
             Event.TARGET_LISTED,
             'the entry of a target was written',
@@ -306,13 +289,13 @@
         """Routes calls by the current configuration and roster."""
         if self.lifecycle_state.phase in {Phase.DRAINING, Phase.STOPPED}:
             return
-        if self.view is None or not self.feed.table.complete_revision:
+        if self.view is None or not self.news.entries.table.complete_revision:
             return
         if self.applied_roster_revision != self.roster.revision:
             self.applied_roster_revision = self.roster.revision
             hosts = self.roster.host_list()
             self.view = self.view.with_hosts(hosts)
-            self.relay.update_hosts(hosts.hosts.values(), self.config.region)
+            self.news.update_hosts(hosts.hosts.values(), self.config.region)
             self.calls.apply(self.view)
             self.calls.service_states.update_daemon_count(
                 max(len(hosts.hosts), MIN_DAEMON_COUNT)
@@ -322,7 +305,7 @@
         self.lifecycle.synced()
         if self.is_ready and not was_ready:
             # Other daemons learn without delay that this one takes calls.
-            self.relay.tick()
+            self.news.tick()
 
     def sync_local_target(self) -> None:
         """Applies the store's entry of the target beside this daemon."""
@@ -343,7 +326,7 @@
         except SettingsError as error:
             log_event(Event.SETTINGS_REFUSED, str(error), Severity.ERROR)
             return
-        self.relay.seeds = tuple(map(seed_host, config.seeds))
+        self.news.update_seeds(tuple(map(seed_host, config.seeds)))
         changed = sorted(
             field.name
             for field in attrs.fields(SidecarConfig)
@@ -394,11 +377,11 @@
 def remove_target(sidecar: Sidecar, instance: str, revision: int) -> None:
     """Updates the roster when the entry of a target was deleted."""
     now = sidecar.reactor.seconds()
-    store_was_unreachable = sidecar.feed.was_recently_unreachable(now)
+    store_was_unreachable = sidecar.news.entries.was_recently_unreachable(now)
     sidecar.roster.remove(
         instance,
         now,
-        sidecar.feed.table.era,
+        sidecar.news.entries.table.era,
         store_was_unreachable=store_was_unreachable,
     )
     log_event(
--- a/egretlanding/sidecarmetrics.py
+++ b/egretlanding/sidecarmetrics.py
@@ -30,7 +30,7 @@
 def counter_metrics(sidecar: Sidecar) -> tuple[Metric, ...]:
     """Returns the counters, whose values only grow."""
     ingress, egress = sidecar.calls.ingress, sidecar.calls.egress
-    feed, log = sidecar.feed, sidecar.log
+    feeds, log = sidecar.news.feeds, sidecar.log
     http = sidecar.calls.http
     counters: tuple[tuple[str, str, Observe], ...] = (
         (
@@ -70,8 +70,12 @@
             'store_calls',
             'calls to the store, a waiting watch counted as one',
             lambda: [
-                Sample(feed.answered, {'outcome': 'answered'}),
-                Sample(feed.failed, {'outcome': 'failed'}),
+                Sample(count, {'topic': feed.topic, 'outcome': outcome})
+                for feed in feeds
+                for outcome, count in (
+                    ('answered', feed.answered),
+                    ('failed', feed.failed),
+                )
             ],
         ),
         (
@@ -101,7 +105,7 @@
 
 def gauge_metrics(sidecar: Sidecar) -> tuple[Metric, ...]:
     """Returns the gauges, whose values rise and fall."""
-    calls, feed = sidecar.calls, sidecar.feed
+    calls, feeds = sidecar.calls, sidecar.news.feeds
     now = sidecar.reactor.seconds
     gauges: tuple[tuple[str, str, str, Observe], ...] = (
         (
@@ -114,19 +118,27 @@
             'records_revision',
             '1',
             "the store's revision up to which all records are held",
-            lambda: [Sample(feed.table.complete_revision)],
+            lambda: [
+                Sample(feed.table.complete_revision, {'topic': feed.topic})
+                for feed in feeds
+            ],
         ),
         (
             'records_era',
             '1',
             'how often the store had been restored from an older copy',
-            lambda: [Sample(feed.table.era)],
+            lambda: [
+                Sample(feed.table.era, {'topic': feed.topic}) for feed in feeds
+            ],
         ),
         (
             'records_age',
             's',
             'time since the records were what the store holds',
-            lambda: [Sample(round(feed.age(now()), 3))],
+            lambda: [
+                Sample(round(feed.age(now()), 3), {'topic': feed.topic})
+                for feed in feeds
+            ],
         ),
         (
             'targets',
--- a/egretlanding/targetpool.py
+++ b/egretlanding/targetpool.py
@@ -85,7 +85,12 @@
     @property
     def is_answering(self) -> bool:
         """Whether the answer has begun but not ended."""
-        return self.client is not None and self.client.received_bytes > 0
+        return self.received_bytes > 0
+
+    @property
+    def received_bytes(self) -> int:
+        """Number of bytes of the answer that have arrived so far."""
+        return self.client.received_bytes if self.client else 0
 
 
 @attrs.define(eq=False)
--- a/lab/applycost.py
+++ b/lab/applycost.py
@@ -19,6 +19,7 @@
 from egretlanding.platform.records import RecordDecoder
 from egretlanding.platform.store import PlatformStore
 from egretlanding.platformadapter import PlatformAdapter
+from egretlanding.recordfeed import RecordFeed
 from egretlanding.records import Record
 from egretlanding.sidecar import Sidecar
 from egretlanding.sidecarconfig import SidecarConfig
@@ -112,10 +113,10 @@
     ).encode()
 
 
-def measure_apply_ms(daemon: Sidecar, record: Record) -> float:
+def measure_apply_ms(feed: RecordFeed, record: Record) -> float:
     """Returns the processor time that a daemon needs for a record, ms."""
     started_at = time.process_time()
-    daemon.feed.apply_records([record], record.revision, 0, whole=False)
+    feed.apply_records([record], record.revision, 0, whole=False)
     return (time.process_time() - started_at) * MS_PER_S
 
 
@@ -131,17 +132,19 @@
         )
         for number in range(hosts)
     ]
-    daemon.feed.apply_records(entries_at_start, hosts, 0, whole=True)
+    daemon.news.entries.apply_records(entries_at_start, hosts, 0, whole=True)
     configuration_ms, entry_ms = [], []
     for version in range(1, REPEATS + 1):
         content = encode_configuration(version, routes)
         record = Record('op/config', next(revisions), content)
-        configuration_ms.append(measure_apply_ms(daemon, record))
+        configuration_ms.append(
+            measure_apply_ms(daemon.news.configuration, record)
+        )
         for number in range(SERVICES):
             daemon.calls.service_states.service(f's{number}', 0)
         state = 'draining' if version % 2 else 'ready'
         record = Record('servers/i-1', next(revisions), encode_entry(1, state))
-        entry_ms.append(measure_apply_ms(daemon, record))
+        entry_ms.append(measure_apply_ms(daemon.news.entries, record))
     return statistics.median(configuration_ms), statistics.median(entry_ms)
 
 
--- a/tests/test_call_path.py
+++ b/tests/test_call_path.py
@@ -262,7 +262,7 @@
         reactor = MemoryReactorClock()
         requests = Requests()
         decoder = RecordDecoder(CONFIG.region_of, 20, 3_000, 3)
-        store: Any = SimpleNamespace()
+        store: Any = SimpleNamespace(for_topic=lambda _topic: None)
         adapter = PlatformAdapter(DIALECT, store, decoder, READINESS_PATH)
         sidecar = Sidecar.from_config(reactor, '', CONFIG, adapter)
         calls: Any = sidecar.calls
@@ -272,7 +272,7 @@
         calls.egress.target.health = health
         calls.egress.target.pool = pool
         calls.ingress.links = StandInLinks(rng, requests)
-        sidecar.feed.table.complete_revision = 1
+        sidecar.news.entries.table.complete_revision = 1
         return cls(rng, reactor, requests, sidecar)
 
     @classmethod
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -13,7 +13,7 @@
 from egretlanding.httpmessages import HttpResponse
 from egretlanding.outcomes import Progress
 from egretlanding.platform.store import REPLY_TIMEOUT_S, PlatformStore
-from egretlanding.records import Record
+from egretlanding.records import Record, Topic
 from egretlanding.targetpool import RequestHandle, TargetOutcome
 
 
@@ -49,9 +49,11 @@
 
     Attributes:
         close: The callback.
+        received_bytes: Bytes of the answer that have arrived.
     """
 
     close: Any
+    received_bytes: int = 0
 
 
 def make_response(status: int, body: object = None) -> HttpResponse:
@@ -132,3 +134,16 @@
     assert not outcomes
     pool.reactor.advance(0.2)
     assert outcomes[0].check(PlatformError)
+
+
+@pytest.mark.parametrize(
+    ('topic', 'prefix'),
+    [(Topic.CONFIGURATION, 'op%2Fconfig'), (Topic.ENTRIES, 'servers%2F')],
+)
+def test_each_topic_is_read_by_itself(topic: Topic, prefix: str) -> None:
+    pool = FakePool()
+    any_pool: Any = pool
+    store = PlatformStore(any_pool).for_topic(topic)
+    ensureDeferred(store.watch(5, 1))
+    ensureDeferred(store.read_page(''))
+    assert all(f'prefix={prefix}' in path for path in pool.paths)
--- a/tests/test_recordfeed.py
+++ b/tests/test_recordfeed.py
@@ -40,13 +40,17 @@
         return await waiting
 
 
-def start_feed() -> tuple[RecordFeed, FakeStore, Any]:
+def start_feed(
+    *, lists_when_late: bool = False
+) -> tuple[RecordFeed, FakeStore, Any]:
     """Returns a started feed whose first watch is waiting."""
     clock: Any = Clock()
     clock.advance(100)
     store = FakeStore()
     any_store: Any = store
-    feed = RecordFeed(clock, any_store, random.Random(1))
+    feed = RecordFeed(
+        clock, any_store, random.Random(1), lists_when_late=lists_when_late
+    )
     feed.start()
     clock.advance(STEP_S)
     return feed, store, clock
@@ -106,3 +110,49 @@
             store.watches[-1].errback(HistoryLostError('gone', 'list'))
         clock.advance(0.005)
     assert 2 <= store.list_count <= 25
+
+
+def changes_at(revision: int, transfer_s: float = 0) -> Changes:
+    """Returns an answer with one new version of the record."""
+    return Changes(
+        (Record('a', revision, b'x'),), revision, transfer_s=transfer_s
+    )
+
+
+# Failure: CONFIG and DRAIN on the grown sites. A watch returns each version
+# since the last one, so that a reader that was late read ever more, and ended
+# later with each try.
+def test_a_reader_that_is_late_reads_the_newest_version_only() -> None:
+    _, store, clock = start_feed(lists_when_late=True)
+    store.watches[-1].callback(changes_at(2, transfer_s=0.65))
+    clock.advance(STEP_S)
+    assert store.list_count == 2
+    assert len(store.watches) == 2
+
+
+# Failure: the same; a read that failed began again from its old revision.
+def test_after_a_failure_the_newest_version_is_read() -> None:
+    _, store, clock = start_feed(lists_when_late=True)
+    store.watches[-1].errback(PlatformError('silent', 'wait'))
+    advance_clock(clock, 0.5)
+    assert store.list_count == 2
+    assert len(store.watches) == 2
+
+
+def test_a_reader_that_is_in_time_watches() -> None:
+    _, store, clock = start_feed(lists_when_late=True)
+    for revision in range(2, 6):
+        store.watches[-1].callback(changes_at(revision))
+        advance_clock(clock, 0.3)
+    assert store.list_count == 1
+
+
+# Failure: a reader with a narrow link would list a large record for ever,
+# although nothing changed.
+def test_a_slow_list_without_a_change_is_not_repeated() -> None:
+    feed, store, clock = start_feed(lists_when_late=True)
+    feed.may_be_late = True
+    store.watches[-1].callback(Changes((), 1, transfer_s=0.5))
+    advance_clock(clock, 1)
+    assert store.list_count == 1
+    assert len(store.watches) == 2
--- a/tests/test_recordrelay.py
+++ b/tests/test_recordrelay.py
@@ -159,6 +159,17 @@
     assert behind.feed.table.complete_revision == 2
 
 
+def test_changes_of_other_topics_bring_no_request() -> None:
+    relay, clock = build_relay('10.0.0.1', 'north')
+    relay.feed.table.apply([Record('a', 2, b'x')])
+    relay.feed.table.confirm(5)
+    connection = connect_from('10.0.0.2')
+    relay.handle_state(connection, RecordsState(9, 100, era=0, newest=2))
+    assert not connection.sent
+    assert relay.feed.table.complete_revision == 9
+    assert relay.feed.age(clock.seconds()) < STALE_S
+
+
 def test_records_that_cannot_be_decoded_are_ignored() -> None:
     relay, _ = build_relay('10.0.0.1', 'north')
     uncompressed = msgspec.msgpack.encode([Record('a', 1, b'x')])
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -84,3 +84,18 @@
     assert len(table.records) <= MAX_DELETED
     assert not table.has_deletions_since(1)
     assert table.has_deletions_since(2 * MAX_DELETED)
+
+
+def test_changes_of_other_topics_do_not_count_as_changes() -> None:
+    table = RecordTable()
+    table.apply([Record('a', 3, b'x')])
+    table.confirm(9)
+    assert (table.content_revision, table.complete_revision) == (3, 9)
+
+
+def test_a_record_that_was_read_early_is_not_yet_complete() -> None:
+    table = RecordTable()
+    table.replace([Record('a', 3, b'x'), Record('b', 7, b'y')], 5)
+    assert table.content_revision == 5
+    table.confirm(7)
+    assert table.content_revision == 7
