Tell those that asked, and let stand-ins read the store by turns

Cause: after 1.25 s without a confirmation every daemon read the store itself, the same bytes 91 times over the links that the readers needed. A request for records that was not answered in 0.5 s went to another daemon as well.

Now a daemon asks its upstream, and is told of changes and confirmations for a while after each question, so that ages don't add up along the tree. A late one asks readers and four stand-ins; these read the store first, larger groups later. A reply that arrives is not requested elsewhere.

--- a/egretlanding/news.py
+++ b/egretlanding/news.py
@@ -94,6 +94,7 @@
         Changes are announced before this daemon spends time on applying them.
         """
         for news in self.topics.values():
+            news.feed.on_confirm = [news.relay.announce]
             news.feed.on_change = [news.relay.announce, apply]
 
     def start(self) -> None:
--- a/egretlanding/recordrelay.py
+++ b/egretlanding/recordrelay.py
@@ -1,10 +1,10 @@
 """Distributes the store's records from daemon to daemon.
 
 A few daemons of each region, the readers, watch the store. The others get the
-records from them along a tree.
+records from them along a tree. Each daemon asks the one upstream of it, which
+then tells it of changes and confirmations for a while without being asked.
 """
 
-import zlib
 from collections.abc import Iterable
 from typing import Any
 
@@ -17,31 +17,33 @@
 from egretlanding.hosts import Host
 from egretlanding.peerlinks import Lane, PeerLinks
 from egretlanding.peers import PeerConnection, RecordsFrame
-from egretlanding.recordfeed import RecordFeed
+from egretlanding.recordfeed import STALE_S, RecordFeed
+from egretlanding.recordreplies import RecordReplies, unpack
 from egretlanding.records import Record
-from egretlanding.release import inflate
-from egretlanding.rendezvous import rank_candidates
+from egretlanding.recordtree import RecordTree, first_ranked
 
 MS_PER_S = 1_000
-# Daemons of a region that watch the store on behalf of the others.
-READERS_PER_REGION = 2
-# Most daemons that fetch records from one daemon.
-MAX_DOWNSTREAM = 4
 # Time that a daemon waits for later records from its upstream before it
 # requests them from any other daemon that has them, seconds.
 UPSTREAM_WAIT_S = 0.4
-# Most bytes that the records of one frame may decompress to.
-MAX_UNPACKED_BYTES = 4_000_000
 # Time after which an unanswered request is sent again, to any daemon.
 REQUEST_TIMEOUT_S = 0.5
+# Longest time for the reply to a request while bytes arrive from its daemon.
+MAX_REPLY_S = 1.0
 # Largest age or distance reported to others, seconds; both may be infinite.
 MAX_REPORTED_S = 1_000
 # Least difference in connection time by which a reader is nearer, ms.
 MIN_DISTANCE_GAIN_MS = 5
 # Time after its last report that a nearer reader is relied on, seconds.
 NEARER_READER_TTL_S = 1.5
-# Shortest time between announcements of a reader, which batches changes.
-ANNOUNCE_INTERVAL_S = 0.35
+# Shortest time between two announcements, which batches changes.
+ANNOUNCE_INTERVAL_S = 0.05
+# Time after a question for which the daemon that asked is told of changes.
+LISTENING_S = 1.5
+# Time between two questions to the upstream, seconds.
+ASK_INTERVAL_S = 0.5
+# Age of the records after which readers and standbys are asked too, seconds.
+LATE_S = 0.8
 
 
 @attrs.define(eq=False)
@@ -54,20 +56,25 @@
         links: Connections to other daemons.
         seeds: Daemons to exchange states with while this one has no records.
         feed: Holds the records.
+        tree: The place of this daemon in the tree of its region.
         readers: The other readers of this daemon's region, and one of each
             other region if this daemon is a reader.
         far_reader_ids: Host ids of the readers of other regions.
-        upstream: The daemon from which this one fetches records, None for a
-            reader.
-        has_downstream: Whether other daemons fetch records from this one.
+        listeners: Until when to tell changes on connections whose daemons
+            asked, seconds.
         behind_since: When this daemon first learned that it lacks records,
             seconds; infinite while it lacks none.
-        reply_cache: Replies for one position, by the request.
-        cached_position: That position: the era, and the last change in it.
-        announced_at: When a reader last announced changes, or the time for
-            which an announcement is scheduled, seconds.
+        replies: Packs the records that other daemons lack.
+        announced: What was announced last: the position, and when it was
+            confirmed.
+        announced_at: When that was, or the time for which an announcement is
+            scheduled, seconds.
+        asked_at: When the upstream was last asked, seconds.
         requested_at: When records were last requested, seconds; minus infinity
             once a reply arrived.
+        requested_from: The connection on which they were requested.
+        bytes_at_request: Bytes that had arrived on it when that was last
+            checked.
     """
 
     reactor: Any
@@ -75,21 +82,25 @@
     links: PeerLinks
     seeds: tuple[Host, ...]
     feed: RecordFeed
+    tree: RecordTree = attrs.field(factory=RecordTree)
     readers: tuple[Host, ...] = ()
     far_reader_ids: frozenset[str] = frozenset()
-    upstream: Host | None = None
-    has_downstream: bool = False
+    listeners: dict[PeerConnection, float] = attrs.field(factory=dict)
     behind_since: float = float('inf')
-    reply_cache: dict[RecordsRequest, RecordsUpdate] = attrs.field(factory=dict)
-    cached_position: tuple[int | None, int | None] = (None, None)
+    replies: RecordReplies = attrs.field(factory=RecordReplies)
+    announced: tuple[int, int, float] | None = None
     announced_at: float = float('-inf')
+    asked_at: float = float('-inf')
     requested_at: float = float('-inf')
+    requested_from: PeerConnection | None = None
+    bytes_at_request: int = 0
 
     def state_frame(self, *, asks: bool = False) -> RecordsState:
         """Returns the frame that reports the state of this daemon's records.
 
         Args:
-            asks: Whether the receiver is to send its own state back.
+            asks: Whether the receiver is to send its own state back, and to
+                tell of changes for some time.
         """
         age_s = min(self.feed.age(self.reactor.seconds()), MAX_REPORTED_S)
         table = self.feed.table
@@ -97,16 +108,12 @@
             table.complete_revision,
             int(age_s * MS_PER_S),
             asks,
-            self.distance_ms(),
+            distance_ms(self.feed),
             table.era,
             self.feed.topic,
             table.content_revision,
         )
 
-    def distance_ms(self) -> int:
-        """Returns the time that a connection to the store takes, ms."""
-        return int(min(self.feed.store.distance_s, MAX_REPORTED_S) * MS_PER_S)
-
     def update_hosts(self, hosts: Iterable[Host], region: str) -> None:
         """Determines the readers and this daemon's upstream.
 
@@ -116,65 +123,80 @@
         """
         all_hosts = tuple(hosts)
         regions = {host.region for host in all_hosts} - {region}
-        order = first_ranked(region, all_hosts, len(all_hosts))
-        region_readers = order[:READERS_PER_REGION]
-        self.upstream = upstream_of(self.host_id, order)
-        self.feed.is_reader = self.upstream is None
-        first_downstream_rank = (
-            rank_of(self.host_id, order) * MAX_DOWNSTREAM + READERS_PER_REGION
-        )
-        self.has_downstream = first_downstream_rank < len(order)
+        self.tree = RecordTree.of_host(self.host_id, region, all_hosts)
+        self.feed.is_reader = self.tree.upstream is None
+        self.feed.stale_after_s = STALE_S + self.tree.fallback_delay_s
         far_readers = [
             first_ranked(other, all_hosts, 1)[0]
             for other in sorted(regions)
             if self.feed.is_reader
         ]
         self.far_reader_ids = frozenset(host.host_id for host in far_readers)
-        self.readers = tuple(
-            host
-            for host in (*region_readers, *far_readers)
-            if host.host_id != self.host_id
-        )
+        self.readers = self.others(*self.tree.readers, *far_readers)
+
+    def others(self, *hosts: Host) -> tuple[Host, ...]:
+        """Returns the hosts other than this daemon's own."""
+        return tuple(host for host in hosts if host.host_id != self.host_id)
 
-    def announce(self, _changed: list[Record]) -> None:
-        """Announces later records to connected daemons.
+    def announce(self, _changed: Iterable[Record] = ()) -> None:
+        """Tells listening daemons of changes and confirmations.
 
-        Readers batch changes that follow shortly on one another. Other daemons
-        announce each change at once, unless no daemon fetches records from
-        them.
+        Those that follow shortly on one another are told together.
         """
-        if self.upstream:
-            if self.has_downstream:
-                self.broadcast()
-            return
         now = self.reactor.seconds()
         due = self.announced_at + ANNOUNCE_INTERVAL_S
         if now >= due:
             self.announced_at = now
-            self.links.context.broadcast(self.state_frame())
+            self.broadcast()
         elif now >= self.announced_at:
             self.announced_at = due
             self.reactor.callLater(due - now, self.broadcast)
 
     def broadcast(self) -> None:
-        """Reports the state of the records to all connected daemons."""
-        self.links.context.broadcast(self.state_frame())
+        """Reports the state of the records to the daemons that asked."""
+        table = self.feed.table
+        state = (table.era, table.content_revision, self.feed.confirmed_at)
+        if state == self.announced:
+            return
+        self.announced = state
+        now = self.reactor.seconds()
+        self.listeners = {
+            connection: until
+            for connection, until in self.listeners.items()
+            if until > now and connection.is_open()
+        }
+        frame = self.state_frame()
+        for connection in self.listeners:
+            connection.send(frame)
 
     def tick(self) -> None:
-        """Exchanges states with the readers; called periodically.
+        """Asks other daemons for their states; called periodically.
 
-        A daemon without records uses the seeds instead. The connection to the
-        upstream is kept open.
+        A daemon without records asks the seeds. Readers ask one another, the
+        others ask their upstream, and also the readers and their standbys once
+        their records are late.
         """
         now = self.reactor.seconds()
-        has_none = not self.feed.table.complete_revision
-        for host in self.seeds if has_none else self.readers:
-            lane = self.links.connect(host, Lane.SHORT)
-            lane.last_used = now
-            if lane.connection:
-                lane.connection.send(self.state_frame(asks=True))
-        if self.upstream:
-            self.links.connect(self.upstream, Lane.SHORT).last_used = now
+        if self.tree.upstream and now >= self.asked_at + ASK_INTERVAL_S:
+            self.asked_at = now
+            self.ask(self.tree.upstream)
+        for host in self.hosts_to_ask(now):
+            self.ask(host)
+
+    def hosts_to_ask(self, now: float) -> tuple[Host, ...]:
+        """Returns whom to ask besides the upstream."""
+        if not self.feed.table.complete_revision:
+            return self.seeds
+        if self.feed.age(now) > LATE_S:
+            return (*self.readers, *self.others(*self.tree.standbys))
+        return self.readers if self.feed.is_reader else ()
+
+    def ask(self, host: Host) -> None:
+        """Asks a daemon for its state, or opens a connection to it."""
+        lane = self.links.connect(host, Lane.SHORT)
+        lane.last_used = self.reactor.seconds()
+        if lane.connection:
+            lane.connection.send(self.state_frame(asks=True))
 
     def handle_frame(
         self, connection: PeerConnection, frame: RecordsFrame
@@ -184,7 +206,8 @@
             case RecordsState():
                 self.handle_state(connection, frame)
             case RecordsRequest():
-                connection.send(self.reply_to(frame))
+                table, state = self.feed.table, self.state_frame()
+                connection.send(self.replies.reply_to(frame, table, state))
             case RecordsUpdate():
                 self.handle_records(frame)
 
@@ -193,6 +216,8 @@
     ) -> None:
         """Compares states, and requests records that only the other has."""
         if frame.asks:
+            now = self.reactor.seconds()
+            self.listeners[connection] = now + LISTENING_S
             connection.send(self.state_frame())
         self.yield_to_nearer_reader(connection, frame)
         table = self.feed.table
@@ -224,10 +249,11 @@
         """
         peer = connection.peer.host_id if connection.peer else ''
         has_none = not self.feed.table.complete_revision
-        if has_none or not self.upstream or peer == self.upstream.host_id:
+        upstream = self.tree.upstream
+        if has_none or not upstream or peer == upstream.host_id:
             return True
         readers = {host.host_id for host in self.readers}
-        if self.upstream.host_id in readers and peer in readers:
+        if upstream.host_id in readers and peer in readers:
             return True
         now = float(self.reactor.seconds())
         self.behind_since = min(self.behind_since, now)
@@ -244,64 +270,36 @@
             or connection.peer.host_id not in self.far_reader_ids
         ):
             return
-        local_distance_ms = self.distance_ms()
+        local_distance_ms = distance_ms(self.feed)
         if frame.distance_ms + MIN_DISTANCE_GAIN_MS < local_distance_ms:
             now = self.reactor.seconds()
             self.feed.better_until = now + NEARER_READER_TTL_S
 
     def request_records(self, connection: PeerConnection) -> None:
         """Requests later records, unless a recent request is outstanding."""
-        now = self.reactor.seconds()
-        if now - self.requested_at > REQUEST_TIMEOUT_S:
-            self.requested_at = now
-            table = self.feed.table
-            connection.send(
-                RecordsRequest(
-                    table.content_revision, table.era, self.feed.topic
-                )
-            )
-
-    def reply_to(self, frame: RecordsRequest) -> RecordsUpdate:
-        """Returns the records that another daemon lacks, cached if possible."""
-        state = self.state_frame()
-        position = (state.era, state.newest)
-        if position != self.cached_position:
-            self.reply_cache.clear()
-            self.cached_position = position
-        reply = self.reply_cache.get(frame)
-        if reply is None:
-            reply = self.pack_records(frame, state)
-            self.reply_cache[frame] = reply
-        return msgspec.structs.replace(
-            reply, revision=state.revision, age_ms=state.age_ms
+        if self.is_waiting():
+            return
+        self.requested_at = self.reactor.seconds()
+        self.requested_from = connection
+        self.bytes_at_request = connection.bytes_received
+        table = self.feed.table
+        connection.send(
+            RecordsRequest(table.content_revision, table.era, self.feed.topic)
         )
 
-    def pack_records(
-        self, frame: RecordsRequest, state: RecordsState
-    ) -> RecordsUpdate:
-        """Packs the records that another daemon lacks.
+    def is_waiting(self) -> bool:
+        """Returns whether a reply to the last request may still come.
 
-        All records are sent if deletions after its revision may have been
-        dropped here, or if that daemon has no records, those of another era or
-        those of an era that it does not name.
+        A reply that is arriving must not be requested again elsewhere, since
+        it would only arrive later.
         """
-        send_all = (
-            not self.feed.table.has_deletions_since(frame.after)
-            or not frame.after
-            or frame.era != state.era
-        )
-        records = self.feed.table.since(0 if send_all else frame.after)
-        if send_all:
-            records = [record for record in records if not record.deleted]
-        packed = zlib.compress(msgspec.msgpack.encode(records))
-        return RecordsUpdate(
-            state.revision,
-            state.age_ms,
-            packed,
-            send_all,
-            state.era,
-            self.feed.topic,
-        )
+        waited_s = self.reactor.seconds() - self.requested_at
+        if waited_s <= REQUEST_TIMEOUT_S:
+            return True
+        connection = self.requested_from
+        if connection is None or waited_s > MAX_REPLY_S:
+            return False
+        return connection.bytes_received > self.bytes_at_request
 
     def handle_records(self, frame: RecordsUpdate) -> None:
         """Applies the records that another daemon sent."""
@@ -311,8 +309,7 @@
         ):
             return
         try:
-            unpacked = inflate(frame.packed, MAX_UNPACKED_BYTES)
-            records = msgspec.msgpack.decode(unpacked, type=list[Record])
+            records = unpack(frame)
         except (ReleaseError, msgspec.MsgspecError) as error:
             log_event(
                 Event.RECORDS_REFUSED,
@@ -332,45 +329,6 @@
         )
 
 
-def rank_of(host_id: str, order: tuple[Host, ...]) -> int:
-    """Returns the index of a host, or the list's length if it isn't listed."""
-    ranks = (rank for rank, host in enumerate(order) if host.host_id == host_id)
-    return next(ranks, len(order))
-
-
-def upstream_of(host_id: str, order: tuple[Host, ...]) -> Host | None:
-    """Returns the daemon from which a daemon fetches records.
-
-    The readers are the roots of trees in which each daemon has at most
-    MAX_DOWNSTREAM children.
-
-    Args:
-        host_id: The host of the daemon that fetches.
-        order: The hosts of its region, the readers first.
-
-    Returns:
-        The host of the upstream daemon, or None for a reader.
-    """
-    rank = rank_of(host_id, order)
-    if not order or rank < READERS_PER_REGION:
-        return None
-    return order[
-        min(rank - READERS_PER_REGION, len(order) - 1) // MAX_DOWNSTREAM
-    ]
-
-
-def first_ranked(
-    region: str,
-    hosts: Iterable[Host],
-    count: int,
-) -> tuple[Host, ...]:
-    """Returns the hosts of a region by rank; the first ones are its readers.
-
-    Args:
-        region: The region.
-        hosts: The hosts of all regions.
-        count: The most hosts to return.
-    """
-    by_address = {host.address: host for host in hosts if host.region == region}
-    order = rank_candidates(region, by_address)[:count]
-    return tuple(by_address[address] for address in order)
+def distance_ms(feed: RecordFeed) -> int:
+    """Returns the time that a connection to the store takes, ms."""
+    return int(min(feed.store.distance_s, MAX_REPORTED_S) * MS_PER_S)
