--- a/tests/test_call_path.py
+++ b/tests/test_call_path.py
@@ -20,9 +20,9 @@
 from egretlanding.httpmessages import HttpResponse
 from egretlanding.httpserver import HttpServer
 from egretlanding.outcomes import Progress, Reason, Refusal
+from egretlanding.pacedwork import DELAY_S
 from egretlanding.peerlinks import Lane, PendingCall
 from egretlanding.peers import PeerConnection
-from egretlanding.pacedwork import DELAY_S
 from egretlanding.platform.names import DIALECT, READINESS_PATH
 from egretlanding.platform.records import RecordDecoder
 from egretlanding.platformadapter import PlatformAdapter
