Let the daemon with the widest link read for the others

Cause: readers were chosen by a hash of their address.

Daemons report the widest link below them along the tree; a reader asks the widest one to read the configuration in its place, and reads again once that one is not heard of. The width comes from the settings (link_mbps).

--- a/egretlanding/frames.py
+++ b/egretlanding/frames.py
@@ -204,6 +204,12 @@
         topic: What the records are about, empty from an earlier version.
         newest: Revision of the last change of the topic, None if unknown. A
             receiver that holds all changes up to it lacks nothing.
+        widest_kbps: Width of the widest link of the sender's host and of those
+            that report to it, kbit/s; 0 if unknown.
+        widest_host: The host that has that link.
+        appoints: Whether the receiver is to read the store for a while,
+            because its link is wider than the sender's.
+        reads: Whether the sender reads the store on behalf of others.
     """
 
     revision: int
@@ -213,6 +219,10 @@
     era: int | None = None
     topic: str = ''
     newest: int | None = None
+    widest_kbps: int = 0
+    widest_host: str = ''
+    appoints: bool = False
+    reads: bool = False
 
 
 class RecordsRequest(Frame, frozen=True, tag='records-wanted'):
--- a/egretlanding/news.py
+++ b/egretlanding/news.py
@@ -8,12 +8,17 @@
 
 from egretlanding.events import Event, Severity, log_event
 from egretlanding.hosts import Host
+from egretlanding.linkwidths import LinkWidth, LinkWidths
 from egretlanding.peerlinks import PeerLinks
 from egretlanding.peers import PeerConnection, RecordsFrame
 from egretlanding.recordfeed import OnChange, RecordFeed, RecordStore
 from egretlanding.recordrelay import RecordRelay
 from egretlanding.records import Topic
 
+# Time after the start for which a large topic is expected from other daemons
+# before it is read from the store, seconds.
+FIRST_WAIT_S = 1.0
+
 
 @attrs.frozen
 class TopicNews:
@@ -49,6 +54,7 @@
         links: PeerLinks,
         store: RecordStore,
         seed_hosts: tuple[Host, ...],
+        link_kbps: int = 0,
     ) -> 'News':
         """Builds the news of a store without opening a connection.
 
@@ -58,17 +64,23 @@
             links: Connections to other daemons.
             store: The store.
             seed_hosts: Daemons to ask while this one has no records.
+            link_kbps: Width of the host's link, kbit/s; 0 if unknown.
         """
+        waits_until = reactor.seconds() + FIRST_WAIT_S
 
         def build(topic: Topic) -> TopicNews:
+            is_large = topic is Topic.CONFIGURATION
             feed = RecordFeed(
                 reactor,
                 store.for_topic(topic),
                 random.Random(f'{host_id} {topic}'),
                 topic,
-                lists_when_late=topic is Topic.CONFIGURATION,
+                lists_when_late=is_large,
+                is_reader=not is_large,
+                waits_until=waits_until if is_large else reactor.seconds(),
             )
             relay = RecordRelay(reactor, host_id, links, seed_hosts, feed)
+            relay.better.widths = LinkWidths(LinkWidth(link_kbps, host_id))
             return TopicNews(feed, relay)
 
         return cls({topic: build(topic) for topic in Topic})
--- a/egretlanding/recordfeed.py
+++ b/egretlanding/recordfeed.py
@@ -119,6 +119,8 @@
         is_reader: Whether this daemon reads the store on behalf of others.
         stale_after_s: Age of the records after which this daemon reads the
             store itself, seconds.
+        waits_until: Time before which only readers read the store, so that
+            others can get the records from them at first, seconds.
         appointed_until: Until when this daemon reads the store because a
             reader with a narrower link asked for it, seconds.
         on_confirm: Callbacks for a confirmation that advanced.
@@ -146,6 +148,7 @@
     lists_when_late: bool = False
     is_reader: bool = True
     stale_after_s: float = STALE_S
+    waits_until: float = float('-inf')
     appointed_until: float = float('-inf')
     on_confirm: list[Callable[[], None]] = attrs.field(factory=list)
     confirmed_at: float = float('-inf')
@@ -170,7 +173,9 @@
 
     def should_read_store(self, now: float) -> bool:
         """Returns whether this daemon should read the store itself."""
-        return self.reads_for_others(now) or self.age(now) > self.stale_after_s
+        if self.reads_for_others(now):
+            return True
+        return now > self.waits_until and self.age(now) > self.stale_after_s
 
     def reads_for_others(self, now: float) -> bool:
         """Returns whether this daemon reads the store on behalf of others.
--- a/egretlanding/recordrelay.py
+++ b/egretlanding/recordrelay.py
@@ -11,6 +11,7 @@
 import attrs
 import msgspec
 
+from egretlanding.betterreaders import BetterReaders
 from egretlanding.events import Event, Severity, log_event
 from egretlanding.exceptions import ReleaseError
 from egretlanding.frames import RecordsRequest, RecordsState, RecordsUpdate
@@ -30,12 +31,8 @@
 REQUEST_TIMEOUT_S = 0.5
 # Longest time for the reply to a request while bytes arrive from its daemon.
 MAX_REPLY_S = 1.0
-# Largest age or distance reported to others, seconds; both may be infinite.
+# Largest age reported to others, seconds; it may be infinite.
 MAX_REPORTED_S = 1_000
-# Least difference in connection time by which a reader is nearer, ms.
-MIN_DISTANCE_GAIN_MS = 5
-# Time after its last report that a nearer reader is relied on, seconds.
-NEARER_READER_TTL_S = 1.5
 # Shortest time between two announcements, which batches changes.
 ANNOUNCE_INTERVAL_S = 0.05
 # Time after a question for which the daemon that asked is told of changes.
@@ -59,11 +56,11 @@
         tree: The place of this daemon in the tree of its region.
         readers: The other readers of this daemon's region, and one of each
             other region if this daemon is a reader.
-        far_reader_ids: Host ids of the readers of other regions.
         listeners: Until when to tell changes on connections whose daemons
             asked, seconds.
         behind_since: When this daemon first learned that it lacks records,
             seconds; infinite while it lacks none.
+        better: Decides which other daemon reads the store instead.
         replies: Packs the records that other daemons lack.
         announced: What was announced last: the position, and when it was
             confirmed.
@@ -84,9 +81,9 @@
     feed: RecordFeed
     tree: RecordTree = attrs.field(factory=RecordTree)
     readers: tuple[Host, ...] = ()
-    far_reader_ids: frozenset[str] = frozenset()
     listeners: dict[PeerConnection, float] = attrs.field(factory=dict)
     behind_since: float = float('inf')
+    better: BetterReaders = attrs.field(init=False)
     replies: RecordReplies = attrs.field(factory=RecordReplies)
     announced: tuple[int, int, float] | None = None
     announced_at: float = float('-inf')
@@ -95,23 +92,34 @@
     requested_from: PeerConnection | None = None
     bytes_at_request: int = 0
 
-    def state_frame(self, *, asks: bool = False) -> RecordsState:
+    def __attrs_post_init__(self) -> None:
+        self.better = BetterReaders(self.feed)
+
+    def state_frame(
+        self, *, asks: bool = False, appoints: bool = False
+    ) -> RecordsState:
         """Returns the frame that reports the state of this daemon's records.
 
         Args:
             asks: Whether the receiver is to send its own state back, and to
                 tell of changes for some time.
+            appoints: Whether the receiver is to read the store.
         """
-        age_s = min(self.feed.age(self.reactor.seconds()), MAX_REPORTED_S)
+        now = self.reactor.seconds()
         table = self.feed.table
+        widest = self.better.widths.widest(now)
         return RecordsState(
             table.complete_revision,
-            int(age_s * MS_PER_S),
+            int(min(self.feed.age(now), MAX_REPORTED_S) * MS_PER_S),
             asks,
-            distance_ms(self.feed),
+            self.better.distance_ms(),
             table.era,
             self.feed.topic,
             table.content_revision,
+            widest.kbps,
+            widest.host_id,
+            appoints,
+            self.feed.reads_for_others(now),
         )
 
     def update_hosts(self, hosts: Iterable[Host], region: str) -> None:
@@ -131,7 +139,9 @@
             for other in sorted(regions)
             if self.feed.is_reader
         ]
-        self.far_reader_ids = frozenset(host.host_id for host in far_readers)
+        self.better.far_reader_ids = frozenset(
+            host.host_id for host in far_readers
+        )
         self.readers = self.others(*self.tree.readers, *far_readers)
 
     def others(self, *hosts: Host) -> tuple[Host, ...]:
@@ -182,6 +192,10 @@
         if self.tree.upstream and now >= self.asked_at + ASK_INTERVAL_S:
             self.asked_at = now
             self.ask(self.tree.upstream)
+        self.better.update_appointee(now)
+        for host in self.tree.order:
+            if host.host_id == self.better.appointee:
+                self.ask(host, appoints=True)
         for host in self.hosts_to_ask(now):
             self.ask(host)
 
@@ -193,12 +207,13 @@
             return (*self.readers, *self.others(*self.tree.standbys))
         return self.readers if self.feed.is_reader else ()
 
-    def ask(self, host: Host) -> None:
+    def ask(self, host: Host, *, appoints: bool = False) -> None:
         """Asks a daemon for its state, or opens a connection to it."""
         lane = self.links.connect(host, Lane.SHORT)
         lane.last_used = self.reactor.seconds()
         if lane.connection:
-            lane.connection.send(self.state_frame(asks=True))
+            frame = self.state_frame(asks=True, appoints=appoints)
+            lane.connection.send(frame)
 
     def handle_frame(
         self, connection: PeerConnection, frame: RecordsFrame
@@ -217,11 +232,13 @@
         self, connection: PeerConnection, frame: RecordsState
     ) -> None:
         """Compares states, and requests records that only the other has."""
+        now = self.reactor.seconds()
+        peer = connection.peer.host_id if connection.peer else ''
         if frame.asks:
-            now = self.reactor.seconds()
             self.listeners[connection] = now + LISTENING_S
+            self.better.record_question(peer, frame, self.tree, now)
             connection.send(self.state_frame())
-        self.yield_to_nearer_reader(connection, frame)
+        self.better.record_state(peer, frame, now)
         table = self.feed.table
         if self.is_later(frame):
             if self.may_request_from(connection):
@@ -261,22 +278,6 @@
         self.behind_since = min(self.behind_since, now)
         return now - self.behind_since >= UPSTREAM_WAIT_S
 
-    def yield_to_nearer_reader(
-        self,
-        connection: PeerConnection,
-        frame: RecordsState,
-    ) -> None:
-        """Stops reading the store while a far reader is nearer to it."""
-        if (
-            connection.peer is None
-            or connection.peer.host_id not in self.far_reader_ids
-        ):
-            return
-        local_distance_ms = distance_ms(self.feed)
-        if frame.distance_ms + MIN_DISTANCE_GAIN_MS < local_distance_ms:
-            now = self.reactor.seconds()
-            self.feed.better_until = now + NEARER_READER_TTL_S
-
     def request_records(self, connection: PeerConnection) -> None:
         """Requests later records, unless a recent request is outstanding."""
         if self.is_waiting():
@@ -334,8 +335,3 @@
             whole=frame.whole,
             era=frame.era or 0,
         )
-
-
-def distance_ms(feed: RecordFeed) -> int:
-    """Returns the time that a connection to the store takes, ms."""
-    return int(min(feed.store.distance_s, MAX_REPORTED_S) * MS_PER_S)
--- a/egretlanding/recordtree.py
+++ b/egretlanding/recordtree.py
@@ -60,6 +60,10 @@
         place = min(self.rank - READERS_PER_REGION, len(self.order) - 1)
         return self.order[place // MAX_DOWNSTREAM]
 
+    def is_below(self, host_id: str) -> bool:
+        """Returns whether a host of the region comes later in the order."""
+        return self.rank < rank_of(host_id, self.order) < len(self.order)
+
     @property
     def fallback_delay_s(self) -> float:
         """Time for which this daemon leaves stale records to others, seconds.
--- a/egretlanding/sidecar.py
+++ b/egretlanding/sidecar.py
@@ -72,6 +72,8 @@
         publication: The configuration in force as it was published.
         applied_roster_revision: Revision of the roster that calls are routed
             by, -1 if the roster must be applied again.
+        hosts: The hosts of the roster by which daemons are ranked; its
+            revision is -1 before the first.
         ticker: Runs the periodic tasks.
         log: Writes events to standard output.
     """
@@ -89,6 +91,7 @@
     view: View | None = None
     publication: Publication | None = None
     applied_roster_revision: int = -1
+    hosts: HostList = attrs.field(factory=lambda: HostList(-1))
     ticker: Any = None
     log: LineLog = attrs.field(init=False)
 
@@ -131,6 +134,7 @@
             calls.links,
             adapter.store,
             tuple(map(seed_host, config.seeds)),
+            config.link_kbps,
         )
         sidecar.news.on_change(sidecar.apply_records)
         sidecar.application = PacedWork(reactor, 'application of a record')
@@ -296,16 +300,21 @@
         """Routes calls by the current configuration and roster."""
         if self.lifecycle_state.phase in {Phase.DRAINING, Phase.STOPPED}:
             return
-        if self.view is None or not self.news.entries.table.complete_revision:
+        if not self.news.entries.table.complete_revision:
+            return
+        if self.hosts.revision != self.roster.revision:
+            self.hosts = self.roster.host_list()
+            self.news.update_hosts(
+                self.hosts.hosts.values(), self.config.region
+            )
+        if self.view is None:
             return
         if self.applied_roster_revision != self.roster.revision:
             self.applied_roster_revision = self.roster.revision
-            hosts = self.roster.host_list()
-            self.view = self.view.with_hosts(hosts)
-            self.news.update_hosts(hosts.hosts.values(), self.config.region)
+            self.view = self.view.with_hosts(self.hosts)
             self.calls.apply(self.view)
             self.calls.service_states.update_daemon_count(
-                max(len(hosts.hosts), MIN_DAEMON_COUNT)
+                max(len(self.hosts.hosts), MIN_DAEMON_COUNT)
             )
             self.sync_local_target()
         was_ready = self.is_ready
--- a/egretlanding/sidecarconfig.py
+++ b/egretlanding/sidecarconfig.py
@@ -17,6 +17,7 @@
 
 PERCENT = 100
 MS_PER_S = 1_000
+KBIT_PER_MBIT = 1_000
 # Share of the allowed retries that daemons use. The rest is kept for the calls
 # that a target makes while it runs a retried call: they count as retries too.
 USED_RETRY_SHARE = 0.6
@@ -24,6 +25,8 @@
 DOMAIN_REGION_FORM = 'failure-domain=region'
 RATIO_PATTERN = r'[01](\.\d{1,6})?'
 RATIO_FORM = 'a share from 0 to 1, such as 0.2'
+WIDTH_PATTERN = r'\d{1,7}(\.\d{1,3})?'
+WIDTH_FORM = 'a number such as 1000 or 3.5'
 DURATION_PATTERN = r'\d{1,9}(\.\d{1,3})?(ms|s)'
 DURATION_FORM = 'a time such as 1500ms or 2.5s'
 
@@ -64,6 +67,7 @@
             "report" asks the target, "connect" opens a connection after a
             call was lost.
         grace: Time that the daemon has to stop before it is killed.
+        link_mbps: Width of the host's link in Mbit/s, 0 if unknown.
     """
 
     host_id: str = pattern_field(HOST_ID_PATTERN, HOST_ID_FORM)
@@ -93,6 +97,7 @@
     balancing: str = choice_field(('near', 'p2c', 'random'), default='near')
     target_check: str = choice_field(('report', 'connect'), default='connect')
     grace: str = pattern_field(DURATION_PATTERN, DURATION_FORM, default='6s')
+    link_mbps: str = pattern_field(WIDTH_PATTERN, WIDTH_FORM, default='0')
 
     @property
     def call_port(self) -> int:
@@ -125,6 +130,11 @@
         """Time that the daemon has to stop, seconds."""
         return milliseconds(self.grace) / MS_PER_S
 
+    @property
+    def link_kbps(self) -> int:
+        """Width of the host's link, kbit/s; 0 if unknown."""
+        return int(float(self.link_mbps) * KBIT_PER_MBIT)
+
     @property
     def retry_percent(self) -> int:
         """Retries that the daemon may make per hundred calls."""
