Count the way of an answer in the age of records

Callers saw 404 from hosts that took old records for current (DENIED), and hosts did not turn to the store although their news was late (CONFIG).

Cause: the age in a frame counted from its arrival, and an answer of the store counted as given when it arrived.

A question carries the asker's clock, and what answers it echoes it with the time that it was held; the asker adds the whole time since. A frame that nobody asked for confirms nothing. A watch with changes is as old as its request, one without as old as the end of its wait, a list as old as its request.

--- a/egretlanding/frames.py
+++ b/egretlanding/frames.py
@@ -210,6 +210,10 @@
         appoints: Whether the receiver is to read the store for a while,
             because its link is wider than the sender's.
         reads: Whether the sender reads the store on behalf of others.
+        stamp: The sender's clock, ms, if it asks; only it reads its clock.
+        echo: Stamp of the receiver's last question, 0 if there was none.
+        held_ms: Time since that question arrived, ms. With `echo` it tells the
+            receiver how old the frame can be at most.
     """
 
     revision: int
@@ -223,6 +227,9 @@
     widest_host: str = ''
     appoints: bool = False
     reads: bool = False
+    stamp: int = 0
+    echo: int = 0
+    held_ms: int = 0
 
 
 class RecordsRequest(Frame, frozen=True, tag='records-wanted'):
@@ -234,12 +241,14 @@
         topic: What the records are about, empty from an earlier version.
         base: Revision of a record that the sender holds, to which the reply
             may be a difference; 0 for none.
+        stamp: The sender's clock, ms.
     """
 
     after: int
     era: int | None = None
     topic: str = ''
     base: int = 0
+    stamp: int = 0
 
 
 class RecordsUpdate(Frame, frozen=True, tag='records'):
@@ -257,6 +266,7 @@
         topic: What the records are about, empty from an earlier version.
         base: Revision of the receiver's record that `packed` is a difference
             to, 0 if it is none.
+        echo: Stamp of the request.
     """
 
     revision: int
@@ -266,6 +276,7 @@
     era: int | None = None
     topic: str = ''
     base: int = 0
+    echo: int = 0
 
 
 class Ping(Frame, frozen=True, tag='ping'):
--- a/egretlanding/recordfeed.py
+++ b/egretlanding/recordfeed.py
@@ -236,11 +236,10 @@
         # If the records are stale, the watch returns at once: while it waits,
         # nothing would confirm them.
         wait_s = 0 if is_stale else MAX_WATCH_S
+        wait_s *= self.rng.uniform(MIN_WATCH_FRACTION, 1)
         era = self.table.era
-        changes = await self.store.watch(
-            self.table.complete_revision,
-            wait_s * self.rng.uniform(MIN_WATCH_FRACTION, 1),
-        )
+        asked_at = self.reactor.seconds()
+        changes = await self.store.watch(self.table.complete_revision, wait_s)
         self.record_success()
         if changes.era != era or self.table.era != era:
             # The store was restored, or another daemon told so meanwhile.
@@ -249,7 +248,9 @@
             return
         changed = self.table.apply(changes.records)
         self.table.confirm(changes.revision)
-        self.confirm(0)
+        # An answer without changes was given when the wait was over.
+        stated_at = asked_at if changes.records else asked_at + wait_s
+        self.confirm(max(0, self.reactor.seconds() - stated_at))
         self.notify(changed)
         self.may_be_late = may_have_followers(changed, changes.transfer_s)
         if changed and not self.may_be_late:
@@ -257,6 +258,7 @@
 
     async def read_list(self) -> None:
         """Reads the list of all records."""
+        asked_at = self.reactor.seconds()
         first_page = await self.store.read_page('')
         page = first_page
         all_records = list(page.records)
@@ -286,7 +288,7 @@
             transfer_ms=int(transfer_s * MS_PER_S),
         )
         self.relist = False
-        self.confirm(0)
+        self.confirm(self.reactor.seconds() - asked_at)
         self.notify(changed)
         self.may_be_late = may_have_followers(changed, transfer_s)
 
--- a/egretlanding/recordrelay.py
+++ b/egretlanding/recordrelay.py
@@ -43,6 +43,25 @@
 LATE_S = 0.8
 
 
+@attrs.frozen
+class Question:
+    """The last question of another daemon.
+
+    Attributes:
+        stamp: The clock of that daemon when it asked, ms.
+        arrived_at: When the question arrived, seconds.
+    """
+
+    stamp: int
+    arrived_at: float
+
+    def answered_by(self, frame: RecordsState, now: float) -> RecordsState:
+        """Returns a frame with the time that has passed since the question."""
+        return msgspec.structs.replace(
+            frame, echo=self.stamp, held_ms=in_ms(now - self.arrived_at)
+        )
+
+
 @attrs.define(eq=False)
 class RecordRelay:
     """Announces records to other daemons and requests later ones from them.
@@ -56,8 +75,8 @@
         tree: The place of this daemon in the tree of its region.
         readers: The other readers of this daemon's region, and one of each
             other region if this daemon is a reader.
-        listeners: Until when to tell changes on connections whose daemons
-            asked, seconds.
+        listeners: The connections on which to tell changes, with the last
+            question of each.
         behind_since: When this daemon first learned that it lacks records,
             seconds; infinite while it lacks none.
         better: Decides which other daemon reads the store instead.
@@ -81,7 +100,7 @@
     feed: RecordFeed
     tree: RecordTree = attrs.field(factory=RecordTree)
     readers: tuple[Host, ...] = ()
-    listeners: dict[PeerConnection, float] = attrs.field(factory=dict)
+    listeners: dict[PeerConnection, Question] = attrs.field(factory=dict)
     behind_since: float = float('inf')
     better: BetterReaders = attrs.field(init=False)
     replies: RecordReplies = attrs.field(factory=RecordReplies)
@@ -120,6 +139,7 @@
             widest.host_id,
             appoints,
             self.feed.reads_for_others(now),
+            in_ms(now) if asks else 0,
         )
 
     def update_hosts(self, hosts: Iterable[Host], region: str) -> None:
@@ -173,13 +193,13 @@
         self.announced = state
         now = self.reactor.seconds()
         self.listeners = {
-            connection: until
-            for connection, until in self.listeners.items()
-            if until > now and connection.is_open()
+            connection: question
+            for connection, question in self.listeners.items()
+            if now - question.arrived_at < LISTENING_S and connection.is_open()
         }
         frame = self.state_frame()
-        for connection in self.listeners:
-            connection.send(frame)
+        for connection, question in self.listeners.items():
+            connection.send(question.answered_by(frame, now))
 
     def tick(self) -> None:
         """Asks other daemons for their states; called periodically.
@@ -235,9 +255,10 @@
         now = self.reactor.seconds()
         peer = connection.peer.host_id if connection.peer else ''
         if frame.asks:
-            self.listeners[connection] = now + LISTENING_S
+            question = Question(frame.stamp, now)
+            self.listeners[connection] = question
             self.better.record_question(peer, frame, self.tree, now)
-            connection.send(self.state_frame())
+            connection.send(question.answered_by(self.state_frame(), now))
         self.better.record_state(peer, frame, now)
         table = self.feed.table
         if self.is_later(frame):
@@ -246,7 +267,9 @@
         elif frame.era == table.era:
             # The store has counted changes of other topics since then.
             table.confirm(frame.revision)
-            self.feed.confirm(frame.age_ms / MS_PER_S)
+            if frame.echo:
+                held_s = frame.held_ms / MS_PER_S
+                self.feed.confirm(oldest_s(frame, now) - held_s)
 
     def is_later(self, frame: RecordsState) -> bool:
         """Returns whether another daemon holds changes that this one lacks.
@@ -292,6 +315,7 @@
                 table.era,
                 self.feed.topic,
                 base_of(table),
+                in_ms(self.requested_at),
             )
         )
 
@@ -327,11 +351,27 @@
             )
             return
         self.behind_since = float('inf')
-        age_s = frame.age_ms / MS_PER_S
         self.feed.apply_records(
             records,
             frame.revision,
-            age_s,
+            oldest_s(frame, self.reactor.seconds()),
             whole=frame.whole,
             era=frame.era or 0,
         )
+
+
+def in_ms(seconds: float) -> int:
+    """Returns a time in whole milliseconds."""
+    return int(seconds * MS_PER_S)
+
+
+def oldest_s(frame: RecordsState | RecordsUpdate, now: float) -> float:
+    """Returns the greatest age that the records of a frame can have, seconds.
+
+    The whole time since this daemon's question is added, because it isn't known
+    how much of it the frame spent on its way. For a frame that nobody asked for
+    the age has no bound.
+    """
+    if not frame.echo:
+        return MAX_REPORTED_S
+    return now + (frame.age_ms - frame.echo) / MS_PER_S
--- a/egretlanding/recordreplies.py
+++ b/egretlanding/recordreplies.py
@@ -57,13 +57,17 @@
         if position != self.position:
             self.cache.clear()
             self.position = position
-        reply = self.cache.get(frame)
+        wanted = msgspec.structs.replace(frame, stamp=0)
+        reply = self.cache.get(wanted)
         if reply is None:
             base = self.bases.get(frame.base, b'')
             reply = pack_reply(frame, table, state, base)
-            self.cache[frame] = reply
+            self.cache[wanted] = reply
         return msgspec.structs.replace(
-            reply, revision=state.revision, age_ms=state.age_ms
+            reply,
+            revision=state.revision,
+            age_ms=state.age_ms,
+            echo=frame.stamp,
         )
 
 
