--- a/egretlanding/records.py
+++ b/egretlanding/records.py
@@ -51,7 +51,8 @@
         complete_revision: All changes up to this revision have been applied.
         newest_revision: The greatest revision of a record in the table.
         deletions_dropped_to: Deletions up to this revision may be missing,
-            because only a bounded number is kept.
+            because only a bounded number is kept, or because the records were
+            listed, which shows no deletions.
     """
 
     records: dict[str, Record] = attrs.field(factory=dict)
@@ -130,6 +131,10 @@
             return []
         if era > self.era:
             return self._begin_era(listed, since, era)
+        if since > self.complete_revision:
+            # Records that came and went since then were never held here, but
+            # another daemon may hold them.
+            self.deletions_dropped_to = since
         missing = [
             Record(key, since, deleted=True)
             for key, held in self.records.items()
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -99,3 +99,25 @@
     assert table.content_revision == 5
     table.confirm(7)
     assert table.content_revision == 7
+
+
+# Failure: DRAIN on the grown sites. A daemon that had listed the records sent
+# the later changes without the deletions before them, so that a daemon that was
+# behind kept a target that had left.
+def test_a_list_does_not_hide_deletions_from_others() -> None:
+    lister = RecordTable()
+    lister.replace([Record('a', 1, b'x')], 5)
+    assert not lister.has_deletions_since(3)
+    assert lister.has_deletions_since(5)
+    lister.apply([Record('b', 6, b'y')])
+    lister.confirm(6)
+    assert lister.has_deletions_since(5)
+
+
+def test_a_list_of_what_is_held_hides_nothing() -> None:
+    table = RecordTable()
+    table.replace([Record('a', 1, b'x')], 5)
+    table.apply([Record('a', 7, deleted=True)])
+    table.confirm(7)
+    table.replace([], 7)
+    assert table.has_deletions_since(5)
