Log which configuration a denial rests on, and its age

Callers got 404 for routes that existed, and the line on it named neither the domain nor the configuration nor its age.

The line on a request without a route now has domain, release and release_age_s. The ingress takes the age from a callable, which is always zero for a daemon that has its configuration by releases; the daemon of the platform gives the age of its records.

--- a/egretlanding/ingress.py
+++ b/egretlanding/ingress.py
@@ -50,9 +50,15 @@
 
 # Bounds the memory that is used to remember routes with large answers.
 MAX_BULK_ROUTES = 1_024
+AGE_DECIMALS = 3
 OnReply = Callable[[CallReply], None]
 
 
+def always_confirmed() -> float:
+    """Returns the age of a configuration that never counts as outdated."""
+    return 0
+
+
 @attrs.define(eq=False)
 class Ingress:
     """Sends each call of a caller to the daemon beside a target.
@@ -86,6 +92,8 @@
         retry_pauses: Computes when refused callers should retry.
         stops_at: Time at which the daemon ends all calls since it stops,
             monotonic seconds.
+        release_age_s: Returns the time since the configuration was last known
+            to be the newest, seconds.
     """
 
     reactor: Any
@@ -109,6 +117,7 @@
     caller_latency_ms: int = 0
     retry_pauses: RetryAfterEstimator = attrs.field(factory=RetryAfterEstimator)
     stops_at: float = math.inf
+    release_age_s: Callable[[], float] = always_confirmed
 
     def next_attempt_number(self) -> int:
         """Returns an unused attempt number."""
@@ -137,8 +146,7 @@
             domain_of(request),
         )
         if match is None:
-            detail = f'no Route matches {request.method} on this path'
-            self.refuse(exchange, Refusal.not_run(Reason.NO_ROUTE, detail))
+            self.refuse_unmatched(exchange, view)
             return
         try:
             meta = CallMeta.from_request(request, self.dialect)
@@ -275,8 +283,28 @@
         if size > BULK_BYTES and len(self.bulk_routes) < MAX_BULK_ROUTES:
             self.bulk_routes.add(route)
 
-    def refuse(self, exchange: HttpExchange, refusal: Refusal) -> None:
-        """Refuses a call before any attempt is made."""
+    def refuse_unmatched(self, exchange: HttpExchange, view: View) -> None:
+        """Refuses a call that matches no route of the configuration."""
+        request = exchange.request
+        detail = f'no Route matches {request.method} on this path'
+        self.refuse(
+            exchange,
+            Refusal.not_run(Reason.NO_ROUTE, detail),
+            domain=domain_of(request),
+            release=view.release.number,
+            release_age_s=round(self.release_age_s(), AGE_DECIMALS),
+        )
+
+    def refuse(
+        self, exchange: HttpExchange, refusal: Refusal, **details: Any
+    ) -> None:
+        """Refuses a call before any attempt is made.
+
+        Args:
+            exchange: The request.
+            refusal: Why it is refused.
+            details: Further fields of the log's line.
+        """
         if exchange.request.header(KEY_HEADER):
             refusal = refusal.for_keyed_call()
         reply = refusal_reply(0, refusal)
@@ -286,6 +314,7 @@
             request=exchange.request.header(self.dialect.request_id),
             path=exchange.request.path,
             reason=refusal.reason.value,
+            **details,
         )
         self.count(reply)
         exchange.respond(response_of(reply, self.dialect))
--- a/egretlanding/sidecar.py
+++ b/egretlanding/sidecar.py
@@ -1,5 +1,6 @@
 """Composes a daemon that gets its configuration from a store of records."""
 
+import math
 import sys
 import time
 from functools import partial
@@ -142,6 +143,7 @@
         sidecar.news.on_change(sidecar.apply_records)
         sidecar.application = PacedWork(reactor, 'application of a record')
         calls.links.context.on_records = sidecar.news.handle_frame
+        calls.ingress.release_age_s = partial(release_age_s, sidecar)
         sidecar.lifecycle_state = LifecycleState(
             sidecar.begin_drain, reactor.stop
         )
@@ -439,6 +441,16 @@
     )
 
 
+def release_age_s(sidecar: Sidecar) -> float:
+    """Returns the time since the configuration was known to be the newest.
+
+    It is infinite while a later one is held that is not in force yet, seconds.
+    """
+    if sidecar.application.pending:
+        return math.inf
+    return sidecar.news.configuration.age(sidecar.reactor.seconds())
+
+
 def retire_local_target(sidecar: Sidecar) -> None:
     """Gives the target no new calls once its entry is gone.
 
