Refuse, and don't deny, a route that nothing has confirmed to be missing

"Not found" is a statement about the newest configuration, but the ingress made it of whatever configuration it held.

If no confirmation is younger than 1.5 s, half of the time within which a configuration must be in force, the ingress now answers 503 with Retry-After: the request has not run, and the caller comes back, by then perhaps to a daemon that knows. A confirmed configuration denies routes as before, and so does a daemon without such an age. The checks of the soak that look for lacking routes count the new refusal like a 404, so that they see as much as before.

--- a/egretlanding/ingress.py
+++ b/egretlanding/ingress.py
@@ -50,6 +50,11 @@
 
 # Bounds the memory that is used to remember routes with large answers.
 MAX_BULK_ROUTES = 1_024
+# Age of a configuration beyond which it can't show that a route is missing,
+# seconds: half of the time within which a later one must be in force.
+MAX_CONFIRMED_AGE_S = 1.5
+# Stands for the route of all calls that match none, when pauses are computed.
+UNMATCHED = ''
 AGE_DECIMALS = 3
 OnReply = Callable[[CallReply], None]
 
@@ -145,14 +150,18 @@
             request.path,
             domain_of(request),
         )
-        if match is None:
-            self.refuse_unmatched(exchange, view)
+        age_s = self.release_age_s()
+        if match is None and age_s <= MAX_CONFIRMED_AGE_S:
+            self.refuse_unmatched(exchange, view, age_s)
             return
         try:
             meta = CallMeta.from_request(request, self.dialect)
         except CallHeaderError as error:
             self.refuse(exchange, malformed_refusal(error))
             return
+        if match is None:
+            self.refuse_unmatched(exchange, view, age_s, meta)
+            return
         branches = view.routes.branches.get(match.route_name)
         if branches:
             match = choose_branch(
@@ -194,7 +203,7 @@
             ),
             key=meta.key if owner else '',
             owner=owner,
-            retry_after_s=self.choose_retry_after(match, meta),
+            retry_after_s=self.choose_retry_after(match.route_name, meta),
         )
         self.active_calls.add(call)
         call.start()
@@ -213,13 +222,13 @@
         now = float(self.reactor.seconds())
         return now + allowed_ms / MS_PER_S - self.read_delay_s()
 
-    def choose_retry_after(self, match: Match, meta: CallMeta) -> float:
+    def choose_retry_after(self, route: str, meta: CallMeta) -> float:
         """Returns how long a refused caller should pause, seconds."""
         if meta.timeout_ms is None:
             return FIRST_PAUSE_S
         allowed_s = meta.timeout_ms / MS_PER_S
-        self.retry_pauses.observe(match.route_name, allowed_s)
-        return self.retry_pauses.pause_s(match.route_name, allowed_s)
+        self.retry_pauses.observe(route, allowed_s)
+        return self.retry_pauses.pause_s(route, allowed_s)
 
     def find_owner(
         self,
@@ -283,26 +292,55 @@
         if size > BULK_BYTES and len(self.bulk_routes) < MAX_BULK_ROUTES:
             self.bulk_routes.add(route)
 
-    def refuse_unmatched(self, exchange: HttpExchange, view: View) -> None:
-        """Refuses a call that matches no route of the configuration."""
+    def refuse_unmatched(
+        self,
+        exchange: HttpExchange,
+        view: View,
+        age_s: float,
+        retry_meta: CallMeta | None = None,
+    ) -> None:
+        """Refuses a call that matches no route of the configuration.
+
+        Args:
+            exchange: The request.
+            view: The configuration in force.
+            age_s: Time since it was last known to be the newest, seconds.
+            retry_meta: What the headers state, if the caller is to try again
+                since a later configuration may have a route.
+        """
         request = exchange.request
         detail = f'no Route matches {request.method} on this path'
+        refusal = Refusal.not_run(Reason.NO_ROUTE, detail)
+        retry_after_s = FIRST_PAUSE_S
+        if retry_meta:
+            refusal = Refusal.not_run(
+                Reason.ROUTE_UNCONFIRMED,
+                f'{detail}, but a later configuration may have one',
+            )
+            retry_after_s = self.choose_retry_after(UNMATCHED, retry_meta)
         self.refuse(
             exchange,
-            Refusal.not_run(Reason.NO_ROUTE, detail),
+            refusal,
+            retry_after_s,
             domain=domain_of(request),
             release=view.release.number,
-            release_age_s=round(self.release_age_s(), AGE_DECIMALS),
+            release_age_s=round(age_s, AGE_DECIMALS),
         )
 
     def refuse(
-        self, exchange: HttpExchange, refusal: Refusal, **details: Any
+        self,
+        exchange: HttpExchange,
+        refusal: Refusal,
+        retry_after_s: float = FIRST_PAUSE_S,
+        **details: Any,
     ) -> None:
         """Refuses a call before any attempt is made.
 
         Args:
             exchange: The request.
             refusal: Why it is refused.
+            retry_after_s: Time after which the caller may send it again,
+                seconds.
             details: Further fields of the log's line.
         """
         if exchange.request.header(KEY_HEADER):
@@ -317,7 +355,7 @@
             **details,
         )
         self.count(reply)
-        exchange.respond(response_of(reply, self.dialect))
+        exchange.respond(response_of(reply, self.dialect, retry_after_s))
 
     def count(self, reply: CallReply) -> None:
         """Counts an answered or refused call by its outcome."""
--- a/egretlanding/outcomes.py
+++ b/egretlanding/outcomes.py
@@ -25,6 +25,7 @@
     """Why a call was refused or failed."""
 
     NO_ROUTE = 'no-route'
+    ROUTE_UNCONFIRMED = 'route-unconfirmed'
     NO_TARGET = 'no-target'
     DEADLINE = 'deadline'
     QUEUE_FULL = 'queue-full'
@@ -80,6 +81,9 @@
         HTTPStatus.NOT_FOUND,
         'publish a Route for the path and method',
     ),
+    Reason.ROUTE_UNCONFIRMED: ReasonTraits(
+        HTTPStatus.SERVICE_UNAVAILABLE, _RETRY_LATER
+    ),
     Reason.NO_TARGET: ReasonTraits(
         HTTPStatus.SERVICE_UNAVAILABLE, _RETRY_LATER
     ),
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -11,6 +11,9 @@
 REFUSAL_STATUSES = frozenset((408, 421, 429, 503))
 OK = 200
 NOT_FOUND = 404
+# Text of each refusal of a daemon that has no route for a request. Its status
+# is 503 instead of 404 while the daemon's configuration isn't confirmed.
+UNMATCHED_TEXT = 'no Route matches'
 # Time after which a draining target must get no new requests, seconds.
 DRAIN_LIMIT_S = 2.0
 # Time after which a configuration must be in force everywhere, seconds.
@@ -111,16 +114,23 @@
 def check_routes_kept(history: History) -> Iterator[str]:
     """A daemon that has served a route doesn't lose it until it restarts."""
     return (
-        f'{later.host} served {later.path} and answered 404 afterwards'
+        f'{later.host} served {later.path} and lacked its route afterwards'
         for earlier, later in lost_routes(history)
         if not was_restarted(history, earlier, later)
     )
 
 
+def lacks_route(request: CallerRequest) -> bool:
+    """Returns whether a daemon had no route for a request."""
+    return request.status == NOT_FOUND or (
+        request.status in REFUSAL_STATUSES and UNMATCHED_TEXT in request.body
+    )
+
+
 def lost_routes(
     history: History,
 ) -> Iterator[tuple[CallerRequest, CallerRequest]]:
-    """Yields pairs of a success and a later 404 for one path of a daemon.
+    """Yields a success and a later lack of the route, of one daemon each.
 
     Only a success shows that a daemon had the route: one without any
     configuration answers 503.
@@ -132,7 +142,7 @@
         earlier = last_successes.get(key)
         if request.status == OK:
             last_successes[key] = request
-        elif earlier and request.status == NOT_FOUND:
+        elif earlier and lacks_route(request):
             yield earlier, request
 
 
@@ -161,7 +171,7 @@
     }
     for request in history.requests:
         began = published_at.get(request.path.split('/')[1])
-        if began is None or request.status != NOT_FOUND:
+        if began is None or not lacks_route(request):
             continue
         faults = (*STORE_FAULTS, *DAEMON_FAULTS, 'term')
         undisturbed = not history.has_actions(
@@ -205,10 +215,10 @@
         (action.undone_at for action in history.actions), default=math.inf
     )
     return (
-        f'{request.host} answered 404 to {request.path}, '
+        f'{request.host} lacked the route of {request.path}, '
         f'{round(request.sent - faults_ended, 1)} s after the last fault'
         for request in history.requests
-        if request.status == NOT_FOUND
+        if lacks_route(request)
         and request.sent > faults_ended + RECOVERY_LIMIT_S
     )
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,6 +17,7 @@
 # Seeds that once failed; docs/SOAK.md lists the causes.
 REGRESSION_SEEDS = (102,)
 FRESH_SEED = 7
+UNMATCHED = 'The call did not run: no Route matches POST on this path; wait.'
 
 
 def caller_request(request_id='r1', status=200, sent=100.0, **overrides):
@@ -103,6 +104,14 @@
                 caller_request('r2', 404, 101.0, path='/v2/a'),
             ],
         ),
+        (
+            'never-back',
+            [
+                caller_request(path='/v2/a'),
+                target_run(),
+                caller_request('r2', 503, 101.0, path='/v2/a', body=UNMATCHED),
+            ],
+        ),
         (
             'in-force',
             [
@@ -110,6 +119,15 @@
                 caller_request(status=404, sent=102.5, path='/v3/a'),
             ],
         ),
+        (
+            'in-force',
+            [
+                SoakAction('publish', 'v3', 100.0, 100.0),
+                caller_request(
+                    status=503, sent=102.5, path='/v3/a', body=UNMATCHED
+                ),
+            ],
+        ),
         (
             'drain',
             [
@@ -178,6 +196,15 @@
                 caller_request(status=404, sent=98.0, path='/v3/a'),
             ],
         ),
+        (
+            'caught-up',
+            [
+                SoakAction('store-restored', 'a', 80.0, 82.0),
+                caller_request(
+                    status=503, sent=98.0, path='/v3/a', body=UNMATCHED
+                ),
+            ],
+        ),
         (
             'recovery',
             [
