Refuse entries that are nested too deep or too long

An entry with 100,000 nested arrays or objects, left by another writer, made the decoder raise RecursionError, which DECODE_ERRORS did not hold. Three daemons each logged task_failed (event 111) in place of the refusal, and the entry that the target had before stayed on the roster, so that calls went on to a target whose entry could not be read. An entry of a megabyte was a target like others: all daemons connected to the address that it named.

RecursionError is now a decode error, of entries and of the configuration, an entry has at most 65,536 bytes (targets write a few hundred), and the logged error at most 200 characters. A refused entry removes the target of that name as before.

The stand-in of the store gives its list in pages, as the platform does, since values of a megabyte don't fit into one answer.

--- a/egretlanding/platform/records.py
+++ b/egretlanding/platform/records.py
@@ -23,6 +23,7 @@
 from egretlanding.publication import Publication
 from egretlanding.records import Record
 from egretlanding.roster import TargetEntry
+from egretlanding.texts import printable
 
 MS_PER_S = 1_000
 # An idempotent request is hedged no earlier than after the target latency of
@@ -32,7 +33,12 @@
 IDEMPOTENT_KIND = 'safe'
 DRAINING_STATE = 'draining'
 KNOWN_STATES = frozenset(('ready', DRAINING_STATE))
-DECODE_ERRORS = (msgspec.MsgspecError, ValueError, TypeError)
+# Values that are nested too deep exhaust the decoder's stack.
+DECODE_ERRORS = (msgspec.MsgspecError, ValueError, TypeError, RecursionError)
+# Most bytes of an entry; targets write a few hundred.
+MAX_ENTRY_BYTES = 65_536
+# Most characters of an error of the decoder that are logged.
+MAX_ERROR_CHARS = 200
 
 
 class WeightedService(msgspec.Struct, rename='kebab'):
@@ -233,34 +239,39 @@
         """Decodes the entry of a target.
 
         Raises:
-            PlatformError: It can't be decoded or has an unknown state.
+            PlatformError: It can't be decoded or names no target that can be
+                used.
         """
         try:
-            body = ENTRY_DECODER.decode(record.content)
-            address, _, port = body.address.partition(':')
-            entry = TargetEntry(
-                instance=self.target_of_entry(record),
-                address=address,
-                port=int(port),
-                service=body.info.service,
-                region=self.regions.get(body.info.zone, ''),
-                failure_domain=body.info.zone,
-                slots=max(1, body.info.slots),
-                draining=body.status.state == DRAINING_STATE,
-                born_ms=body.born,
-                sequence=body.status.sequence,
-            )
+            return self.build_entry(record)
         except DECODE_ERRORS as error:
-            raise PlatformError(
-                f'cannot decode the entry {record.key} ({error})',
-                'find out who wrote it; targets write their own entries',
-            ) from error
+            raise refused_entry(record, str(error)) from error
+
+    def build_entry(self, record: Record) -> TargetEntry:
+        """Builds the entry of a target from a record.
+
+        Raises:
+            ValueError: The record is too long, or a field has no usable value.
+            RecursionError: Its values are nested too deep.
+        """
+        if len(record.content) > MAX_ENTRY_BYTES:
+            raise ValueError(f'it is longer than {MAX_ENTRY_BYTES} bytes')
+        body = ENTRY_DECODER.decode(record.content)
         if body.status.state not in KNOWN_STATES:
-            raise PlatformError(
-                f'the entry {record.key} has an unknown state',
-                'find out who wrote it; targets write their own entries',
-            )
-        return entry
+            raise ValueError('its state is unknown')
+        address, _, port = body.address.partition(':')
+        return TargetEntry(
+            instance=self.target_of_entry(record),
+            address=address,
+            port=int(port),
+            service=body.info.service,
+            region=self.regions.get(body.info.zone, ''),
+            failure_domain=body.info.zone,
+            slots=max(1, body.info.slots),
+            draining=body.status.state == DRAINING_STATE,
+            born_ms=body.born,
+            sequence=body.status.sequence,
+        )
 
     def objects_of(self, body: ConfigBody) -> Iterator[ConfigObject]:
         """Returns the objects of a configuration, which refer to each other."""
@@ -345,6 +356,15 @@
         )
 
 
+def refused_entry(record: Record, fault: str) -> PlatformError:
+    """Returns the error that says why an entry is refused."""
+    return PlatformError(
+        f'the entry {printable(record.key)} names no target '
+        f'({printable(fault, MAX_ERROR_CHARS)})',
+        'find out who wrote it; targets write their own entries',
+    )
+
+
 def name_policy(policy: Policy) -> str:
     """Returns the name of a policy; equal policies get the same name."""
     values = (
--- a/standins/platformfleet.py
+++ b/standins/platformfleet.py
@@ -5,6 +5,7 @@
 
 import base64
 import contextlib
+import itertools
 import json
 import os
 import subprocess
@@ -28,6 +29,9 @@
 SHUTDOWN_POLL_S = 0.1
 # Bytes that a link of limited bandwidth carries at a time.
 SLICE_BYTES = 4_096
+# Most items of one page of the store's list, and most bytes of their values.
+PAGE_ITEMS = 500
+PAGE_BYTES = 1_000_000
 ORDERS_ROUTE = {
     'host': 'one.example',
     'prefix': '/a/',
@@ -129,7 +133,8 @@
         }
         prefix = query.get('prefix', '')
         if parts.path == '/-/kv-range':
-            content = store.items(prefix)
+            store.lists += 1
+            content = store.items(prefix, query.get('after', ''))
         else:
             content = store.watch(
                 int(query['after']), int(query['wait-ms']), prefix
@@ -205,6 +210,7 @@
         era: How often it was restored from an older copy, from 1.
         reads: Number of list and watch requests.
         refuses: Whether it answers all requests with status 503.
+        lists: Number of list requests.
         events_added: Condition that is notified after each write.
         server: The server that answers reads and watches.
         unavailable_server: A server that refuses every request with status 503.
@@ -215,6 +221,7 @@
     era: int = 1
     reads: int = 0
     refuses: bool = False
+    lists: int = 0
     events_added: threading.Condition = attrs.field(factory=threading.Condition)
     server: StatefulServer = attrs.field(init=False)
     unavailable_server: StatefulServer = attrs.field(init=False)
@@ -241,12 +248,16 @@
 
     def write(self, key: str, content: object) -> None:
         """Writes the content of a key as JSON; None deletes the key."""
+        encoded = None if content is None else json.dumps(content).encode()
+        self.write_bytes(key, encoded)
+
+    def write_bytes(self, key: str, encoded: bytes | None) -> None:
+        """Writes the bytes of a key; None deletes the key."""
         with self.events_added:
             event = {'key': key, 'revision': len(self.events) + 1}
-            if content is None:
+            if encoded is None:
                 event['tombstone'] = True
             else:
-                encoded = json.dumps(content).encode()
                 event['value'] = base64.b64encode(encoded).decode()
             self.events.append(event)
             self.events_added.notify_all()
@@ -266,20 +277,28 @@
             if event['key'].startswith(prefix)
         ]
 
-    def items(self, prefix: str = '') -> dict:
-        """Returns the newest write of each key that is not deleted.
+    def items(self, prefix: str = '', after: str = '') -> dict:
+        """Returns a page of the newest write of each key that isn't deleted.
 
         Args:
             prefix: What the keys begin with.
+            after: The key that the page follows, empty for the first page.
         """
         with self.events_added:
             newest = {
                 event['key']: event for event in self.events_since(0, prefix)
             }
-            items = [e for e in newest.values() if not e.get('tombstone')]
+            items = [
+                newest[key]
+                for key in sorted(newest)
+                if key > after and not newest[key].get('tombstone')
+            ]
+            sizes = itertools.accumulate(len(item['value']) for item in items)
+            fitting = sum(size <= PAGE_BYTES for size in sizes)
+            page = items[: max(1, min(fitting, PAGE_ITEMS))]
             return {
-                'items': items,
-                'truncated': False,
+                'items': page,
+                'truncated': len(page) < len(items),
                 'current-rev': len(self.events),
             }
 
@@ -329,6 +348,8 @@
         process: The daemon's process, None before it starts.
         advertised_address: The address at which others reach the host; it
             differs from its own if a proxy is in between.
+        cold_start_ms: Time over which the daemon raises the share of a new
+            target, ms.
         target: The target's server.
     """
 
@@ -342,6 +363,7 @@
     status: int = 200
     process: subprocess.Popen | None = None
     advertised_address: str = ''
+    cold_start_ms: int = 3_000
     target: StatefulServer = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -408,6 +430,7 @@
             'seeds': seeds,
             'retry_ratio': '0.2',
             'retry_slack': 60,
+            'cold_start_ms': self.cold_start_ms,
         }
         path = folder / f'{self.address}.yaml'
         path.write_text(json.dumps(settings))
@@ -550,6 +573,7 @@
     folder: Path,
     services: list[str],
     link_bytes_per_s: float | None = None,
+    prepare: Callable[[PlatformFleet], None] | None = None,
 ) -> Iterator[PlatformFleet]:
     """Runs a store and one host for each service, and stops them at the end.
 
@@ -558,6 +582,7 @@
         services: The service of each host.
         link_bytes_per_s: Bytes of the store's answers that each daemon can
             receive in a second, None if unlimited.
+        prepare: Called before the daemons start.
     """
     names = ('callers', 'peers', 'readiness', 'metrics', 'target')
     ports = free_ports(names)
@@ -571,6 +596,8 @@
     for member in members:
         fleet.store.write(f'servers/{member.instance}', member.store_record())
     fleet.configure(1, orders=ORDERS_ROUTE)
+    if prepare:
+        prepare(fleet)
     try:
         for member in members:
             fleet.start_process(member)
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -15,8 +15,15 @@
 from egretlanding.records import Record
 from egretlanding.routing import RouteTable
 from egretlanding.views import View
+from tests.oddentries import (
+    ARRAYS,
+    ODD_FIELDS,
+    ODD_VALUES,
+    odd_entry,
+)
 
 PACKAGE = Path(__file__).parent.parent / 'egretlanding'
+MAX_MESSAGE_CHARS = 400
 DECODER = RecordDecoder({'z1': 'north', 'z2': 'south'}, 20, 3_000, 64)
 CONFIG = {
     'version': 7,
@@ -148,6 +155,21 @@
         DECODER.decode_entry(make_record(f'{ENTRY_PREFIX}i-1', content))
 
 
+@pytest.mark.parametrize('kind', [*ODD_FIELDS, *ODD_VALUES])
+def test_an_odd_entry_is_refused_in_few_words(kind: str) -> None:
+    encoded = odd_entry(kind, '10.0.0.9', 8080)
+    with pytest.raises(PlatformError, match=f'{ENTRY_PREFIX}{kind} ') as raised:
+        DECODER.decode_entry(Record(f'{ENTRY_PREFIX}{kind}', 1, encoded))
+    assert len(str(raised.value)) < MAX_MESSAGE_CHARS
+
+
+# Failure: a configuration nested too deep was an unexpected error.
+def test_a_configuration_nested_too_deep_is_refused() -> None:
+    encoded = json.dumps({**CONFIG, 'extra': 'DEEP'}).replace('"DEEP"', ARRAYS)
+    with pytest.raises(PlatformError):
+        DECODER.decode_publication(Record('op/config', 1, encoded.encode()))
+
+
 def test_records_that_are_not_utf8_are_refused() -> None:
     with pytest.raises(PlatformError):
         DECODER.decode_entry(Record(f'{ENTRY_PREFIX}i-1', 1, b'\xff\xfe'))
