Refuse entries whose address no host can have

An entry with the port 99999, 0, -1, 8_0, Arabic-Indic digits or spaces, or the address nohost, localhost, 127.1, 127.0.0.256, 0.0.0.0, a broadcast or multicast address, none at all, or one with spaces, a path or a zero byte, was taken as a target. Such a host was also ranked among those that read the store for their region; the daemons' reads fell by half while it was. On the code before, tests/test_odd_entries.py saw 503 to callers, as calls were sent to what the entries name.

A port is now one to five ASCII digits from 1 to 65535, and an address an IPv4 address that a host can have, by the ipaddress module. The rule is the product's, in entrychecks.py; 19 new cases of tests/test_platform_records.py failed before, one for each kind.

--- a/egretlanding/platform/records.py
+++ b/egretlanding/platform/records.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from egretlanding.durations import milliseconds
+from egretlanding.entrychecks import parse_endpoint
 from egretlanding.exceptions import PlatformError
 from egretlanding.httpmessages import HttpLimits
 from egretlanding.objects import (
@@ -259,11 +260,11 @@
         body = ENTRY_DECODER.decode(record.content)
         if body.status.state not in KNOWN_STATES:
             raise ValueError('its state is unknown')
-        address, _, port = body.address.partition(':')
+        address, port = parse_endpoint(body.address)
         return TargetEntry(
             instance=self.target_of_entry(record),
             address=address,
-            port=int(port),
+            port=port,
             service=body.info.service,
             region=self.regions.get(body.info.zone, ''),
             failure_domain=body.info.zone,
