--- a/egretlanding/entrychecks.py
+++ b/egretlanding/entrychecks.py
@@ -2,10 +2,15 @@
 
 import ipaddress
 import re
+from collections.abc import Iterator
+
+from egretlanding.roster import TargetEntry
 
 ADDRESS_FORM = 'an IPv4 address of a host and a port from 1 to 65535'
 PORT_PATTERN = '[0-9]{1,5}'
 MAX_PORT = 65_535
+# The same bound as for the slots that a service declares.
+MAX_SLOTS = 1_024
 
 
 def parse_endpoint(text: str) -> tuple[str, int]:
@@ -25,3 +30,13 @@
     if not re.fullmatch(PORT_PATTERN, port) or not 1 <= int(port) <= MAX_PORT:
         raise ValueError(f'the port is not valid; write {ADDRESS_FORM}')
     return address, int(port)
+
+
+def find_entry_faults(entry: TargetEntry) -> Iterator[str]:
+    """Yields why an entry names no target that can be used.
+
+    Args:
+        entry: The entry.
+    """
+    if not 1 <= entry.slots <= MAX_SLOTS:
+        yield f'its slots are not from 1 to {MAX_SLOTS}'
--- a/egretlanding/platform/records.py
+++ b/egretlanding/platform/records.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from egretlanding.durations import milliseconds
-from egretlanding.entrychecks import parse_endpoint
+from egretlanding.entrychecks import find_entry_faults, parse_endpoint
 from egretlanding.exceptions import PlatformError
 from egretlanding.httpmessages import HttpLimits
 from egretlanding.objects import (
@@ -244,9 +244,13 @@
                 used.
         """
         try:
-            return self.build_entry(record)
+            entry = self.build_entry(record)
         except DECODE_ERRORS as error:
             raise refused_entry(record, str(error)) from error
+        faults = tuple(find_entry_faults(entry))
+        if faults:
+            raise refused_entry(record, faults[0])
+        return entry
 
     def build_entry(self, record: Record) -> TargetEntry:
         """Builds the entry of a target from a record.
@@ -268,7 +272,7 @@
             service=body.info.service,
             region=self.regions.get(body.info.zone, ''),
             failure_domain=body.info.zone,
-            slots=max(1, body.info.slots),
+            slots=body.info.slots,
             draining=body.status.state == DRAINING_STATE,
             born_ms=body.born,
             sequence=body.status.sequence,
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -42,6 +42,8 @@
     'port-5000-digits',
     'address-name',
     'address-zero-byte',
+    'slots-huge',
+    'slots-zero',
     'slots-1e400',
     'state-unknown',
     'empty',
