Refuse entries with a start or a sequence that no target has

The process that started last at an address is the one that runs there, so an entry that says it started in the far future was the latest for ever, whoever wrote it, and 2^64-1 could never be followed by a restart. A huge sequence has the same effect after a return of the store.

A fixed year would not depend on the clock, but hold for decades.

The seven born and sequence cases of tests/test_platform_records.py failed before.

--- a/egretlanding/entrychecks.py
+++ b/egretlanding/entrychecks.py
@@ -11,6 +11,12 @@
 MAX_PORT = 65_535
 # The same bound as for the slots that a service declares.
 MAX_SLOTS = 1_024
+# A target that wrote its entry each millisecond would need 31 years for these.
+MAX_SEQUENCE = 1_000_000_000_000
+# Longest time by which a target may have started after the reader's clock, ms.
+# Clocks differ by seconds, and refusing all targets for a wrong clock would be
+# worse than using a false start for as long as this.
+MAX_START_AHEAD_MS = 86_400_000
 
 
 def parse_endpoint(text: str) -> tuple[str, int]:
@@ -32,11 +38,16 @@
     return address, int(port)
 
 
-def find_entry_faults(entry: TargetEntry) -> Iterator[str]:
+def find_entry_faults(entry: TargetEntry, wall_ms: int) -> Iterator[str]:
     """Yields why an entry names no target that can be used.
 
     Args:
         entry: The entry.
+        wall_ms: The reader's wall clock, ms since the epoch.
     """
     if not 1 <= entry.slots <= MAX_SLOTS:
         yield f'its slots are not from 1 to {MAX_SLOTS}'
+    if not 0 <= entry.born_ms <= wall_ms + MAX_START_AHEAD_MS:
+        yield 'its start is before 1970 or more than a day ahead'
+    if not 0 <= entry.sequence <= MAX_SEQUENCE:
+        yield f'its sequence is not from 0 to {MAX_SEQUENCE}'
--- a/egretlanding/platform/records.py
+++ b/egretlanding/platform/records.py
@@ -1,7 +1,8 @@
 """Decodes the records that operators and targets write to the store."""
 
 import itertools
-from collections.abc import Iterator, Mapping
+import time
+from collections.abc import Callable, Iterator, Mapping
 
 import attrs
 import msgspec
@@ -197,6 +198,7 @@
         retry_percent: Retries allowed per hundred requests, percent.
         cold_start_ms: Time that a new target needs to reach full speed, ms.
         queue_limit: Most calls in the queue of one target.
+        wall: Returns the time since the epoch, seconds.
         route_cache: The routes of the last configuration, by name.
     """
 
@@ -204,6 +206,7 @@
     retry_percent: int
     cold_start_ms: int
     queue_limit: int
+    wall: Callable[[], float] = time.time
     route_cache: dict[str, BuiltRoute] = attrs.field(factory=dict, eq=False)
 
     def is_publication(self, record: Record) -> bool:
@@ -247,7 +250,8 @@
             entry = self.build_entry(record)
         except DECODE_ERRORS as error:
             raise refused_entry(record, str(error)) from error
-        faults = tuple(find_entry_faults(entry))
+        wall_ms = int(self.wall() * MS_PER_S)
+        faults = tuple(find_entry_faults(entry, wall_ms))
         if faults:
             raise refused_entry(record, faults[0])
         return entry
--- a/tests/oddentries.py
+++ b/tests/oddentries.py
@@ -12,6 +12,7 @@
 LETTERS = 'x' * 1_000_000
 MARK = 'the place of the odd value'
 START_MS = int(time.time() * 1_000) - 60_000
+CENTURY_MS = 100 * 365 * 86_400_000
 
 # The field that is odd, and the JSON text in its place; HOST and PORT stand
 # for the address that the entry names.
@@ -64,8 +65,15 @@
     'slots-text': ('info.slots', '"2"'),
     'slots-null': ('info.slots', 'null'),
     'slots-true': ('info.slots', 'true'),
+    'born-huge': ('born', str(2**64 - 1)),
+    'born-larger': ('born', str(10**30)),
+    'born-next-century': ('born', str(START_MS + CENTURY_MS)),
+    'born-negative': ('born', '-1'),
     'born-float': ('born', f'{START_MS}.5'),
     'born-text': ('born', f'"{START_MS}"'),
+    'sequence-huge': ('status.sequence', str(2**64 - 1)),
+    'sequence-larger': ('status.sequence', str(10**30)),
+    'sequence-negative': ('status.sequence', '-1'),
     'sequence-text': ('status.sequence', '"1"'),
     'state-unknown': ('status.state', '"asleep"'),
     'state-null': ('status.state', 'null'),
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -19,6 +19,7 @@
     ARRAYS,
     ODD_FIELDS,
     ODD_VALUES,
+    START_MS,
     odd_entry,
 )
 
@@ -163,6 +164,15 @@
     assert len(str(raised.value)) < MAX_MESSAGE_CHARS
 
 
+# Failure: a rule of what a usable entry is refused a target for a clock that
+# differs from its own.
+@pytest.mark.parametrize('ahead_s', [-86_400 * 365, -60, 0, 60, 3_600])
+def test_a_target_of_another_clock_is_used(ahead_s: int) -> None:
+    born_ms = START_MS + ahead_s * 1_000
+    record = make_record(f'{ENTRY_PREFIX}i-1', {**ENTRY, 'born': born_ms})
+    assert DECODER.decode_entry(record).born_ms == born_ms
+
+
 # Failure: a configuration nested too deep was an unexpected error.
 def test_a_configuration_nested_too_deep_is_refused() -> None:
     encoded = json.dumps({**CONFIG, 'extra': 'DEEP'}).replace('"DEEP"', ARRAYS)
