Refuse entries without a usable name, service or failure domain

An entry under a key of 200 bytes, or one with slashes, spaces, a line break, a zero byte or letters beyond ASCII after the prefix, was a target of that name; the name is sent on in a header of each call. A failure domain that the settings don't name was one without a region, and an empty service a service.

A name is now at most 128 letters, digits, dots, underscores and hyphens, a service has 1 to 128 characters, and the failure domain must be in the settings.

test_an_entry_without_the_name_of_a_target_is_refused and the cases service-empty, service-long, zone-unknown and zone-empty failed before.

--- a/egretlanding/entrychecks.py
+++ b/egretlanding/entrychecks.py
@@ -9,6 +9,8 @@
 ADDRESS_FORM = 'an IPv4 address of a host and a port from 1 to 65535'
 PORT_PATTERN = '[0-9]{1,5}'
 MAX_PORT = 65_535
+INSTANCE_PATTERN = '[A-Za-z0-9._-]{1,128}'
+MAX_SERVICE_CHARS = 128
 # The same bound as for the slots that a service declares.
 MAX_SLOTS = 1_024
 # A target that wrote its entry each millisecond would need 31 years for these.
@@ -45,6 +47,12 @@
         entry: The entry.
         wall_ms: The reader's wall clock, ms since the epoch.
     """
+    if not re.fullmatch(INSTANCE_PATTERN, entry.instance):
+        yield 'its key ends with no name of a target'
+    if not 1 <= len(entry.service) <= MAX_SERVICE_CHARS:
+        yield 'its service has no name or a name that is too long'
+    if not entry.region:
+        yield 'its failure domain is not in the settings'
     if not 1 <= entry.slots <= MAX_SLOTS:
         yield f'its slots are not from 1 to {MAX_SLOTS}'
     if not 0 <= entry.born_ms <= wall_ms + MAX_START_AHEAD_MS:
--- a/tests/oddentries.py
+++ b/tests/oddentries.py
@@ -79,7 +79,11 @@
     'state-null': ('status.state', 'null'),
     'state-long': ('status.state', f'"{LETTERS[:50_000]}"'),
     'state-surrogate': ('status.state', r'"\udfff"'),
+    'service-empty': ('info.service', '""'),
     'service-null': ('info.service', 'null'),
+    'service-long': ('info.service', f'"{LETTERS[:50_000]}"'),
+    'zone-unknown': ('info.zone', '"z9"'),
+    'zone-empty': ('info.zone', '""'),
     'info-list': ('info', '[]'),
     'status-null': ('status', 'null'),
 }
@@ -95,6 +99,16 @@
     'zero-bytes': bytes(100),
     'long-junk': b'{' * 1_000_000,
 }
+# Keys below the prefix of entries that are no name of a target.
+ODD_NAMES = {
+    'key-200-bytes': 'k' * 192,
+    'key-slashes': 'i-1/i-2',
+    'key-dots': '../i-1',
+    'key-non-ascii': 'i-ä٨',
+    'key-spaces': 'i 1',
+    'key-lines': 'i-1\r\nx: y',
+    'key-zero-byte': 'i-\0',
+}
 
 
 def sound_entry(address: str, port: int, sequence: int = 1) -> dict:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -20,6 +20,7 @@
 )
 from tests.oddentries import (
     ODD_FIELDS,
+    ODD_NAMES,
     ODD_VALUES,
     odd_entry,
     sound_entry,
@@ -50,6 +51,7 @@
     'sequence-huge',
     'sequence-negative',
     'state-unknown',
+    'zone-unknown',
     'empty',
     'long-junk',
 )
@@ -81,7 +83,7 @@
         self.thread = threading.Thread(target=self.run)
 
     def __enter__(self) -> 'Traps':
-        for number, kind in enumerate(KINDS, 1):
+        for number, kind in enumerate((*KINDS, *ODD_NAMES), 1):
             self.addresses[kind] = f'127.0.1.{number}'
             for name in ('peers', 'target'):
                 self.listen(kind, self.ports[name])
@@ -108,8 +110,13 @@
                 self.hit.add(key.data)
 
     def write(self, fleet: PlatformFleet, kind: str) -> None:
-        """Writes the odd entry of a kind."""
+        """Writes the odd entry of a kind, or of a kind of key."""
         address, port = self.addresses[kind], self.ports['target']
+        odd_name = ODD_NAMES.get(kind)
+        if odd_name is not None:
+            entry = sound_entry(address, port)
+            fleet.store.write(f'servers/{odd_name}', entry)
+            return
         encoded = odd_entry(kind, address, port)
         fleet.store.write_bytes(f'servers/{kind}', encoded)
 
@@ -197,7 +204,8 @@
     assert not second.requests_received
     assert not ended(fleet)
     assert traps.hit == set()
-    assert listed(fleet) & set(REFUSED_KINDS) == set()
+    odd_names = {*REFUSED_KINDS, *ODD_NAMES.values()}
+    assert listed(fleet) & odd_names == set()
 
 
 @contextlib.contextmanager
@@ -224,7 +232,7 @@
 # following the store, or daemons connected to what it names.
 def test_odd_entries_of_the_first_list_name_no_target(tmp_path: Path) -> None:
     services = ['front', 'orders', 'orders']
-    kinds = KINDS
+    kinds = (*KINDS, *ODD_NAMES)
     with odd_fleet(tmp_path, services, kinds) as (fleet, traps):
         check_neighbours(fleet, traps)
         check_logs(fleet, REFUSED_KINDS)
@@ -233,7 +241,7 @@
 # Failure: the same, where the odd entry came as a change.
 def test_odd_entries_written_later_name_no_target(tmp_path: Path) -> None:
     with odd_fleet(tmp_path, ['front', 'orders', 'orders']) as (fleet, traps):
-        for kind in KINDS:
+        for kind in (*KINDS, *ODD_NAMES):
             traps.write(fleet, kind)
             time.sleep(PAUSE_S)
             assert not ended(fleet), kind
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -18,6 +18,7 @@
 from tests.oddentries import (
     ARRAYS,
     ODD_FIELDS,
+    ODD_NAMES,
     ODD_VALUES,
     START_MS,
     odd_entry,
@@ -164,6 +165,14 @@
     assert len(str(raised.value)) < MAX_MESSAGE_CHARS
 
 
+@pytest.mark.parametrize('name', ODD_NAMES.values())
+def test_an_entry_without_the_name_of_a_target_is_refused(name: str) -> None:
+    with pytest.raises(PlatformError) as raised:
+        DECODER.decode_entry(make_record(f'{ENTRY_PREFIX}{name}', ENTRY))
+    assert len(str(raised.value)) < MAX_MESSAGE_CHARS
+    assert str(raised.value).isprintable()
+
+
 # Failure: a rule of what a usable entry is refused a target for a clock that
 # differs from its own.
 @pytest.mark.parametrize('ahead_s', [-86_400 * 365, -60, 0, 60, 3_600])
