Leave entries of unknown services out of the hosts

An entry of a service that the configuration doesn't name was no target of any route, but it was a host: with a later start it hid the target at its address, so that callers got no answer from that target any more (test_an_entry_of_an_unknown_service_hides_no_target timed out), and it was ranked among the hosts that read the store for their region.

Whether a service exists depends on the configuration, which may come later than the entry. So the entry stays on the roster, and the roster leaves it out of the hosts and of the search for the target at an address until a configuration names its service.

test_an_entry_of_an_unknown_service_is_left_out fails on the code before.

--- a/egretlanding/entrychecks.py
+++ b/egretlanding/entrychecks.py
@@ -43,6 +43,9 @@
 def find_entry_faults(entry: TargetEntry, wall_ms: int) -> Iterator[str]:
     """Yields why an entry names no target that can be used.
 
+    Whether its service exists depends on the configuration in force, so that
+    is decided by the roster.
+
     Args:
         entry: The entry.
         wall_ms: The reader's wall clock, ms since the epoch.
--- a/egretlanding/publication.py
+++ b/egretlanding/publication.py
@@ -36,6 +36,15 @@
         own = (self.number, self.era, self.revision)
         return own > (other.number, other.era, other.revision)
 
+    @property
+    def services(self) -> frozenset[str]:
+        """The names of its services."""
+        return frozenset(
+            config_object.name
+            for config_object in self.objects
+            if config_object.kind == 'Service'
+        )
+
     def to_release(self) -> Release:
         """Returns the release that daemons serve calls with."""
         objects = {
--- a/egretlanding/roster.py
+++ b/egretlanding/roster.py
@@ -1,6 +1,6 @@
 """The roster of targets, from the entries that they keep in the store."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 import attrs
 
@@ -87,12 +87,15 @@
             daemons.
         targets: The targets by instance.
         departures: The targets that were removed last, by instance.
+        services: The services of the configuration in force, None before the
+            first. An entry of any other service names no target.
         revision: Number of changes of the roster so far.
     """
 
     peer_port: int
     targets: dict[str, RosterTarget] = attrs.field(factory=dict)
     departures: dict[str, Departure] = attrs.field(factory=dict)
+    services: frozenset[str] | None = None
     revision: int = 0
 
     def is_outdated(self, entry: TargetEntry, era: int) -> bool:
@@ -175,7 +178,7 @@
         """Returns the entry of the newest target at an address, if any."""
         at_address = (
             target
-            for target in self.targets.values()
+            for target in self._targets_in_service()
             if target.entry.address == address and target.entry.port == port
         )
         return _newest(at_address)
@@ -183,12 +186,20 @@
     def host_list(self) -> HostList:
         """Returns the hosts, each with the newest target at its address."""
         by_address: dict[str, list[RosterTarget]] = {}
-        for target in self.targets.values():
+        for target in self._targets_in_service():
             by_address.setdefault(target.entry.address, []).append(target)
         newest = map(_newest, by_address.values())
         hosts = (self._host(entry) for entry in newest if entry)
         return HostList(self.revision, {host.host_id: host for host in hosts})
 
+    def _targets_in_service(self) -> Iterator[RosterTarget]:
+        # An entry of an unknown service doesn't displace others of its address.
+        return (
+            target
+            for target in self.targets.values()
+            if self.services is None or target.entry.service in self.services
+        )
+
     def _host(self, entry: TargetEntry) -> Host:
         return Host(
             host_id=entry.address,
--- a/egretlanding/sidecar.py
+++ b/egretlanding/sidecar.py
@@ -250,6 +250,7 @@
             )
         self.view = View.from_release(candidate.to_release(), HostList())
         self.publication = candidate
+        self.roster.services = candidate.services
         self.applied_roster_revision = -1
         self.calls.http.limits = candidate.limits
         log_event(
--- a/tests/oddentries.py
+++ b/tests/oddentries.py
@@ -87,6 +87,11 @@
     'info-list': ('info', '[]'),
     'status-null': ('status', 'null'),
 }
+# No record tells of these; the configuration names no such service.
+UNKNOWN_SERVICES = {
+    'service-unknown': ('info.service', '"no-such-service"'),
+    'service-zero-byte': ('info.service', r'"orders\u0000"'),
+}
 ODD_VALUES = {
     'empty': b'',
     'not-json': b'not JSON',
@@ -135,7 +140,7 @@
     odd_value = ODD_VALUES.get(kind)
     if odd_value is not None:
         return odd_value
-    path, odd_text = ODD_FIELDS[kind]
+    path, odd_text = {**ODD_FIELDS, **UNKNOWN_SERVICES}[kind]
     entry = sound_entry(address, port)
     *parents, name = path.split('.')
     place = entry[parents[0]] if parents else entry
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -22,6 +22,7 @@
     ODD_FIELDS,
     ODD_NAMES,
     ODD_VALUES,
+    UNKNOWN_SERVICES,
     odd_entry,
     sound_entry,
 )
@@ -32,7 +33,7 @@
 ENTRY_REFUSED = 222
 TARGET_LISTED = 223
 REFUSED_KINDS = (*ODD_FIELDS, *ODD_VALUES)
-KINDS = REFUSED_KINDS
+KINDS = (*REFUSED_KINDS, *UNKNOWN_SERVICES)
 # One kind of each fault; the tests of the decoder have them all.
 REPLACING_KINDS = (
     'arrays-in-unknown-field',
@@ -52,6 +53,7 @@
     'sequence-negative',
     'state-unknown',
     'zone-unknown',
+    'service-unknown',
     'empty',
     'long-junk',
 )
@@ -297,3 +299,18 @@
 
     wait_until(all_are_used, APPLY_TIMEOUT_S)
     return used
+
+
+# Failure: an entry of a service that no configuration names hid the sound entry
+# of the same address, and its target was called no more.
+def test_an_entry_of_an_unknown_service_hides_no_target(
+    tmp_path: Path,
+) -> None:
+    with odd_fleet(tmp_path, ['front', 'orders']) as (fleet, _traps):
+        orders = fleet.members[1]
+        entry = odd_entry(
+            'service-unknown', orders.address, orders.ports['target']
+        )
+        fleet.store.write_bytes('servers/i-other', entry)
+        add_route(fleet, 10)
+        wait_for_answer(fleet.members[0])
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -105,3 +105,18 @@
     assert roster.expire(10 + RENEWAL_GRACE_S) == ['i-1']
     assert not roster.is_outdated(entry, era=2)
     assert roster.is_outdated(entry, era=3)
+
+
+# Failure: an entry of a service that no configuration names hid the target at
+# its address, and daemons fetched records from the address that it named.
+def test_an_entry_of_an_unknown_service_is_left_out() -> None:
+    unknown = attrs.evolve(ENTRY, instance='i-2', service='none', born_ms=5)
+    elsewhere = attrs.evolve(unknown, instance='i-3', address='10.0.0.2')
+    roster = make_roster(ENTRY, unknown, elsewhere)
+    assert len(roster.host_list().hosts) == 2
+    roster.services = frozenset(('orders',))
+    hosts = roster.host_list().hosts
+    assert {host.instance for host in hosts.values()} == {'i-1'}
+    assert roster.entry_at('10.0.0.1', 8300) == ENTRY
+    roster.services = frozenset(('orders', 'none'))
+    assert len(roster.host_list().hosts) == 2
