Show that long values of another writer stop daemons

The bytes of an entry are refused above 64 KiB, but they pass two bounds before that. Five such values in the store make more than 4,000,000 bytes of records; a daemon that is cut off from the store refused them from the others ("compressed data is truncated or exceeds 4000000 bytes", event 216) and was not ready within 10 s.

Dropping the content of entries that are too long as they are read would mend the second. The first needs a larger bound for answers of the store, or the paged list where an answer to a watch can't be read.

--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -13,6 +13,7 @@
 
 from standins.platformfleet import (
     ORDERS_ROUTE,
+    START_TIMEOUT_S,
     Member,
     PlatformFleet,
     platform_fleet,
@@ -59,6 +60,8 @@
 )
 # Targets whose entries are replaced at a time.
 VICTIMS = 4
+LONG_NAMES = ('i-1', 'i-2', 'i-3', 'i-4', 'i-5')
+LONG_VALUE = b'x' * 1_000_000
 # Time between two odd entries that are written one by one, seconds.
 PAUSE_S = 0.1
 
@@ -314,3 +317,33 @@
         fleet.store.write_bytes('servers/i-other', entry)
         add_route(fleet, 10)
         wait_for_answer(fleet.members[0])
+
+
+# Failure: values of a megabyte, written within one wait of a watch, exceeded
+# the bound on its answer, and daemons asked for the same answer for ever.
+def test_long_entries_in_one_answer_stop_no_daemon(tmp_path: Path) -> None:
+    with odd_fleet(tmp_path, ['front', 'orders']) as (fleet, _traps):
+        with fleet.store.events_added:
+            for name in LONG_NAMES:
+                fleet.store.write_bytes(f'servers/{name}', LONG_VALUE)
+        add_route(fleet, 10)
+
+
+# Failure: the records of such values together exceeded the bound on what one
+# daemon sends to another, and a daemon cut off from the store got none.
+def test_long_entries_do_not_keep_records_from_other_daemons(
+    tmp_path: Path,
+) -> None:
+    with odd_fleet(tmp_path, ['front', 'orders', 'orders']) as (fleet, _traps):
+        for name in LONG_NAMES:
+            fleet.store.write_bytes(f'servers/{name}', LONG_VALUE)
+            time.sleep(SETTLING_S / 2)
+        cut_off = fleet.members[2]
+        assert cut_off.process
+        cut_off.process.kill()
+        cut_off.process.wait()
+        cut_off.start(
+            fleet.store.unavailable_server.server_port, fleet.seeds(), tmp_path
+        )
+        wait_until(cut_off.is_ready, START_TIMEOUT_S / 3)
+        add_route(fleet, 10)
