--- a/egretlanding/news.py
+++ b/egretlanding/news.py
@@ -1,5 +1,6 @@
 """The news of the store: a feed and a relay for each topic of its records."""
 
+import math
 import random
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -15,10 +16,6 @@
 from egretlanding.recordrelay import RecordRelay
 from egretlanding.records import Topic
 
-# Time after the start for which a large topic is expected from other daemons
-# before it is read from the store, seconds.
-FIRST_WAIT_S = 1.0
-
 
 @attrs.frozen
 class TopicNews:
@@ -66,7 +63,6 @@
             seed_hosts: Daemons to ask while this one has no records.
             link_kbps: Width of the host's link, kbit/s; 0 if unknown.
         """
-        waits_until = reactor.seconds() + FIRST_WAIT_S
 
         def build(topic: Topic) -> TopicNews:
             is_large = topic is Topic.CONFIGURATION
@@ -77,7 +73,7 @@
                 topic,
                 lists_when_late=is_large,
                 is_reader=not is_large,
-                waits_until=waits_until if is_large else 0,
+                waits_until=math.inf if is_large else 0,
             )
             relay = RecordRelay(reactor, host_id, links, seed_hosts, feed)
             relay.better.widths = LinkWidths(LinkWidth(link_kbps, host_id))
--- a/egretlanding/recordrelay.py
+++ b/egretlanding/recordrelay.py
@@ -5,6 +5,7 @@
 then tells it of changes and confirmations for a while without being asked.
 """
 
+import math
 from collections.abc import Iterable
 from typing import Any
 
@@ -43,6 +44,9 @@
 # reads it too, seconds. For a large topic it allows for the whole transfer.
 TURN_S = 0.5
 LARGE_TURN_S = 3.0
+# Time for which a large topic is expected from other daemons at first, before it
+# is read from the store, seconds.
+FIRST_WAIT_S = 1.0
 # Age of the records after which readers and standbys are asked too, seconds.
 LATE_S = 0.8
 
@@ -157,6 +161,10 @@
         regions = {host.region for host in all_hosts} - {region}
         self.tree = RecordTree.of_host(self.host_id, region, all_hosts)
         self.feed.is_reader = self.tree.upstream is None
+        # A large topic is left alone until it is known who reads it.
+        is_first = bool(self.tree.order) and self.feed.waits_until == math.inf
+        if is_first:
+            self.feed.waits_until = self.reactor.seconds() + FIRST_WAIT_S
         turn_s = LARGE_TURN_S if self.feed.lists_when_late else TURN_S
         self.feed.stale_after_s = STALE_S + turn_s * self.tree.earlier_groups()
         far_readers = [
--- a/tests/test_recordrelay.py
+++ b/tests/test_recordrelay.py
@@ -20,6 +20,7 @@
 from egretlanding.recordfeed import STALE_S, RecordFeed
 from egretlanding.recordrelay import (
     ANNOUNCE_INTERVAL_S,
+    FIRST_WAIT_S,
     LATE_S,
     LISTENING_S,
     MAX_REPLY_S,
@@ -343,6 +344,20 @@
         assert not relay.feed.should_read_store(clock.seconds())
 
 
+# Failure: the same; at the start of all daemons each of them read the first
+# configuration, before it knew of the others.
+def test_a_large_topic_is_not_read_before_the_readers_are_known() -> None:
+    relay, clock = build_relay('10.9.9.9', 'north')
+    feed = relay.feed
+    feed.is_reader, feed.waits_until = False, float('inf')
+    clock.advance(60)
+    assert not feed.should_read_store(clock.seconds())
+    relay.update_hosts(HOSTS, 'north')
+    assert not feed.should_read_store(clock.seconds())
+    clock.advance(FIRST_WAIT_S + 1.1 * feed.stale_after_s)
+    assert feed.should_read_store(clock.seconds())
+
+
 def test_a_daemon_that_hears_of_no_other_reads_the_store() -> None:
     relay, clock = build_ranked(200, 250)
     relay.handle_state(connect_from('10.0.0.2'), RecordsState(0, 0, era=0))
