--- a/tests/test_recordrelay.py
+++ b/tests/test_recordrelay.py
@@ -349,7 +349,8 @@
 def test_a_large_topic_is_not_read_before_the_readers_are_known() -> None:
     relay, clock = build_relay('10.9.9.9', 'north')
     feed = relay.feed
-    feed.is_reader, feed.waits_until = False, float('inf')
+    feed.is_reader = False
+    feed.waits_until = float('inf')
     clock.advance(60)
     assert not feed.should_read_store(clock.seconds())
     relay.update_hosts(HOSTS, 'north')
