--- a/egretlanding/recordrelay.py
+++ b/egretlanding/recordrelay.py
@@ -44,8 +44,7 @@
 # reads it too, seconds. For a large topic it allows for the whole transfer.
 TURN_S = 0.5
 LARGE_TURN_S = 3.0
-# Time for which a large topic is at first expected from other daemons instead of
-# the store, seconds.
+# Time for which a large topic is at first expected from other daemons, seconds.
 FIRST_WAIT_S = 1.0
 # Age of the records after which readers and standbys are asked too, seconds.
 LATE_S = 0.8
