--- a/egretlanding/recordrelay.py
+++ b/egretlanding/recordrelay.py
@@ -159,10 +159,10 @@
         all_hosts = tuple(hosts)
         regions = {host.region for host in all_hosts} - {region}
         self.tree = RecordTree.of_host(self.host_id, region, all_hosts)
-        self.feed.is_reader = self.tree.upstream is None
         # A large topic is left alone until it is known who reads it.
-        is_first = bool(self.tree.order) and self.feed.waits_until == math.inf
-        if is_first:
+        is_known = bool(self.tree.order) or not self.feed.lists_when_late
+        self.feed.is_reader = is_known and self.tree.upstream is None
+        if is_known and self.feed.waits_until == math.inf:
             self.feed.waits_until = self.reactor.seconds() + FIRST_WAIT_S
         turn_s = LARGE_TURN_S if self.feed.lists_when_late else TURN_S
         self.feed.stale_after_s = STALE_S + turn_s * self.tree.earlier_groups()
--- a/egretlanding/recordtree.py
+++ b/egretlanding/recordtree.py
@@ -53,12 +53,22 @@
 
     @property
     def upstream(self) -> Host | None:
-        """The daemon to fetch records from, None for a reader."""
-        if not self.order or self.rank < READERS_PER_REGION:
+        """The daemon to fetch records from, None for a reader.
+
+        A host that isn't listed yet is no reader, so that a fleet that starts
+        doesn't consist of readers only.
+        """
+        if not self.order or self.rank < self.reader_count:
             return None
-        place = min(self.rank - READERS_PER_REGION, len(self.order) - 1)
+        last = len(self.order) - 1
+        place = max(0, min(self.rank - READERS_PER_REGION, last))
         return self.order[place // MAX_DOWNSTREAM]
 
+    @property
+    def reader_count(self) -> int:
+        """The number of readers."""
+        return min(READERS_PER_REGION, len(self.order))
+
     def is_below(self, host_id: str) -> bool:
         """Returns whether a host of the region comes later in the order."""
         return self.rank < rank_of(host_id, self.order) < len(self.order)
