--- a/egretlanding/recordrelay.py
+++ b/egretlanding/recordrelay.py
@@ -224,7 +224,16 @@
         if self.tree.upstream and now >= self.asked_at + ASK_INTERVAL_S:
             self.asked_at = now
             self.ask(self.tree.upstream)
+        before = self.better.appointee
         self.better.update_appointee(now)
+        if self.better.appointee != before:
+            log_event(
+                Event.READER_APPOINTED,
+                'another daemon is asked to read the store instead',
+                topic=self.feed.topic,
+                appointed=self.better.appointee,
+                before=before,
+            )
         for host in self.tree.order:
             if host.host_id == self.better.appointee:
                 self.ask(host, appoints=True)
@@ -258,7 +267,7 @@
                 table, state = self.feed.table, self.state_frame()
                 connection.send(self.replies.reply_to(frame, table, state))
             case RecordsUpdate():
-                self.handle_records(frame)
+                self.handle_records(connection, frame)
 
     def handle_state(
         self, connection: PeerConnection, frame: RecordsState
@@ -346,7 +355,9 @@
             return False
         return connection.bytes_received > self.bytes_at_request
 
-    def handle_records(self, frame: RecordsUpdate) -> None:
+    def handle_records(
+        self, connection: PeerConnection, frame: RecordsUpdate
+    ) -> None:
         """Applies the records that another daemon sent."""
         self.requested_at = float('-inf')
         if frame.era is None or not self.feed.table.is_before(
@@ -364,10 +375,24 @@
             )
             return
         self.behind_since = float('inf')
+        age_s = oldest_s(frame, self.reactor.seconds())
+        log_event(
+            Event.RECORDS_TAKEN,
+            'records were taken over from another daemon',
+            topic=self.feed.topic,
+            source=connection.peer.host_id if connection.peer else '',
+            held=self.feed.table.complete_revision,
+            revision=frame.revision,
+            records=len(records),
+            whole=frame.whole,
+            base=frame.base,
+            size=len(frame.packed),
+            age_ms=in_ms(age_s),
+        )
         self.feed.apply_records(
             records,
             frame.revision,
-            oldest_s(frame, self.reactor.seconds()),
+            age_s,
             whole=frame.whole,
             era=frame.era or 0,
         )
--- a/egretlanding/sidecar.py
+++ b/egretlanding/sidecar.py
@@ -40,6 +40,8 @@
 
 MS_PER_S = 1_000
 TICK_S = 0.25
+# Largest age in the log, seconds; it is infinite before the first confirmation.
+MAX_LOGGED_AGE_S = 1_000
 # Part of a caller's timeout kept for a refusal to reach the caller, ms. It
 # includes the time that the egress daemon has to reply that a call did not run.
 REFUSAL_MARGIN_MS = 65
@@ -259,6 +261,8 @@
             number=candidate.number,
             era=candidate.era,
             revision=candidate.revision,
+            age_ms=configuration_age_ms(self),
+            superseded=self.application.superseded,
         )
 
     def apply_target_entry(self, record: Record) -> None:
@@ -452,6 +456,12 @@
     return sidecar.news.configuration.age(sidecar.reactor.seconds())
 
 
+def configuration_age_ms(sidecar: Sidecar) -> int:
+    """Returns the age of the configuration that is held, ms."""
+    age_s = sidecar.news.configuration.age(sidecar.reactor.seconds())
+    return int(min(age_s, MAX_LOGGED_AGE_S) * MS_PER_S)
+
+
 def retire_local_target(sidecar: Sidecar) -> None:
     """Gives the target no new calls once its entry is gone.
 
--- a/tests/test_eras.py
+++ b/tests/test_eras.py
@@ -263,7 +263,9 @@
     daemon.relay.handle_state(connection, frame)
     assert not connection.sent
     packed = reply_of(daemon.relay, RecordsRequest(0)).packed
-    daemon.relay.handle_records(RecordsUpdate(9, 0, packed, whole=True))
+    daemon.relay.handle_records(
+        connection, RecordsUpdate(9, 0, packed, whole=True)
+    )
     assert daemon.feed.table.complete_revision == 1
 
 
