Read what has arrived before a call is hedged

What callers could see: work for callers that had left, and second runs of calls that were answered already.

Cause: the reactor runs timers before it reads. The timer of a hedge ran after a busy time and sent the call to a second target although its answer, or the end of its caller's connection, waited in the kernel.

Evidence, before the change: test_a_caller_that_has_left_gets_no_hedge: 1 hedge test_a_call_whose_answer_has_arrived_is_not_hedged: 1 hedge test_a_late_target_is_hedged shows that the same call is hedged otherwise; it passes before and after.

--- a/egretlanding/attempts.py
+++ b/egretlanding/attempts.py
@@ -161,7 +161,9 @@
         timer = self.ingress.service_states.hedge_timer(self.match.route_name)
         delay = timer.delay(self.context, self.match.policy)
         if delay is not None and delay < remaining and self.ingress.hedging:
-            self.timers.append(reactor.callLater(delay, self.hedge))
+            self.timers.append(
+                reactor.callLater(delay, after_reads, reactor, self.hedge),
+            )
 
     def make_attempt(self) -> None:
         """Sends the call to the owner of its key or to a chosen target."""
--- a/tests/test_call_path.py
+++ b/tests/test_call_path.py
@@ -596,3 +596,54 @@
     daemon.reactor.callLater(left_s, daemon.requests.answer_one, daemon.rng)
     daemon.reactor.advance(left_s)
     assert status_of(wire) == 200
+
+
+def call_late_target(daemon: Daemon) -> tuple[Wire, float]:
+    """Sends a request that is hedged unless something happens meanwhile.
+
+    Returns:
+        The connection of the caller, and the time until the hedge, seconds.
+    """
+    daemon.write('servers/i-2', make_entry(2, 'orders'))
+    daemon.pool.fixed_outcome = ANSWERED
+    ingress = daemon.sidecar.calls.ingress
+    for _ in range(20):
+        wire = call_daemon(daemon)
+        daemon.requests.answer_one(daemon.rng)
+        assert wire.value()
+    state = ingress.service_states.service('orders', daemon.reactor.seconds())
+    for host_id in usable_hosts(daemon):
+        state.balancer.targets.record_load(host_id, 0, daemon.reactor.seconds())
+    wire = call_daemon(daemon)
+    assert not ingress.hedges
+    return wire, 0.2
+
+
+def test_a_late_target_is_hedged() -> None:
+    daemon = Daemon.build_plain()
+    _, delay_s = call_late_target(daemon)
+    daemon.reactor.advance(delay_s)
+    assert daemon.sidecar.calls.ingress.hedges == 1
+
+
+# Failure: a daemon that had been busy sent the call of a caller that had left
+# to a second target.
+def test_a_caller_that_has_left_gets_no_hedge() -> None:
+    daemon = Daemon.build_plain()
+    wire, delay_s = call_late_target(daemon)
+    # The reactor reads after the timers that were due.
+    daemon.reactor.callLater(delay_s, wire.loseConnection)
+    daemon.reactor.advance(delay_s)
+    assert not daemon.sidecar.calls.ingress.hedges
+
+
+# Failure: a daemon that had been busy sent a call to a second target although
+# the answer of the first one had arrived.
+def test_a_call_whose_answer_has_arrived_is_not_hedged() -> None:
+    daemon = Daemon.build_plain()
+    wire, delay_s = call_late_target(daemon)
+    # The reactor reads after the timers that were due.
+    daemon.reactor.callLater(delay_s, daemon.requests.answer_one, daemon.rng)
+    daemon.reactor.advance(delay_s)
+    assert wire.value()
+    assert not daemon.sidecar.calls.ingress.hedges
