Keep the calls in flight to a silent daemon, and open a second connection

What callers saw: 502, or a late retry, because a connection between daemons was closed with all its calls after one silent second, though the other daemon was only busy or its link full.

Cause: one silent interval was taken for an outage. Class: a busy process, or a transfer in progress, taken for a dead one.

After one silent interval a connection with calls in flight is set aside for them, and another one is opened at once. New calls wait for its hello, as they did before, so that none is sent to a daemon that may be dead. If the hello does not come within HELLO_TIMEOUT_S, or TCP does not connect, the calls on connections that are still silent fail as before, 0.5 to 1 s later. A connection that was set aside closes with its last call, after three silent intervals, or when the hello is another process's. One without calls closes after the first silent interval, as before.

--- a/egretlanding/peerlinks.py
+++ b/egretlanding/peerlinks.py
@@ -14,6 +14,7 @@
 from egretlanding.outcomes import Reason, Refusal
 from egretlanding.peers import OnReply, PeerConnection, PeerContext, PeerFactory
 from egretlanding.reads import after_reads
+from egretlanding.silentconnections import SilentConnections
 
 CONNECT_TIMEOUT_S = 0.5
 # Time from an open connection to the hello of the other daemon, seconds.
@@ -89,6 +90,8 @@
         failures: Consecutive failed attempts to connect.
         backoff_until: Time before which no attempt is made, seconds.
         last_used: Time at which the lane was last used, seconds.
+        silent: Earlier connections, on which the daemon fell silent and calls
+            are in flight.
     """
 
     connection: PeerConnection | None = None
@@ -97,6 +100,7 @@
     failures: int = 0
     backoff_until: float = 0
     last_used: float = 0
+    silent: SilentConnections = attrs.field(factory=SilentConnections)
 
     def is_open(self) -> bool:
         """Returns whether the connection can be used."""
@@ -107,6 +111,16 @@
             and connection.peer is not None
         )
 
+    def is_unused(self, now: float) -> bool:
+        """Returns whether the lane has had no use for a long time."""
+        in_use = self.connecting or self.silent.connections
+        return not in_use and now - self.last_used > IDLE_LIMIT_S
+
+    def set_aside(self, connection: PeerConnection) -> None:
+        """Leaves a silent connection to its calls in flight."""
+        self.connection = None
+        self.silent.add(connection)
+
     def record_failure(self, now: float) -> list[PendingCall]:
         """Sets the backoff and returns the calls that can't be sent."""
         pause = BACKOFF_FIRST_S * 2**self.failures
@@ -128,7 +142,10 @@
 
 @attrs.define(eq=False)
 class PeerLinks:
-    """All outgoing connections to daemons, at most two to each.
+    """All outgoing connections to daemons: one of each lane for new calls.
+
+    While a daemon is silent, its earlier connections stay open beside these
+    for the calls in flight on them.
 
     Attributes:
         reactor: The reactor to connect with.
@@ -253,6 +270,8 @@
                 peer=host.host_id,
                 after_failures=lane.failures,
             )
+        if connection.peer:
+            lane.silent.end_other_incarnations(connection.peer.incarnation)
         for pending in lane.record_success():
             pending.send(connection)
 
@@ -277,6 +296,7 @@
             )
         queued = lane.record_failure(self.reactor.seconds())
         self.on_unreachable(host.host_id)
+        lane.silent.end_unreachable()
         for pending in queued:
             pending.fail(f'no connection to the daemon ({error})')
 
@@ -290,32 +310,50 @@
         """Closes unresponsive and unused connections, and pings the others."""
         now = self.reactor.seconds()
         for key, lane in tuple(self.lanes.items()):
+            lane.silent.check_heartbeats()
             if lane.connection and lane.is_open():
-                self.check_connection(lane, lane.connection, now)
-            elif not lane.connecting and now - lane.last_used > IDLE_LIMIT_S:
+                self.check_connection(key, lane, lane.connection)
+            elif lane.is_unused(now):
                 del self.lanes[key]
 
     def check_connection(
         self,
+        key: tuple[Host, Lane],
         lane: LaneConnection,
         connection: PeerConnection,
-        now: float,
     ) -> None:
-        """Closes a connection if it is idle, else checks its heartbeat."""
-        if now - lane.last_used > IDLE_LIMIT_S and connection.is_idle():
+        """Closes a connection if it is idle, else checks its heartbeat.
+
+        If the daemon is silent, another connection is opened at once: it tells
+        whether the daemon is reachable, and takes the new calls.
+        """
+        unused_s = self.reactor.seconds() - lane.last_used
+        if unused_s > IDLE_LIMIT_S and connection.is_idle():
             connection.abort()
-        else:
-            connection.check_heartbeat()
+            return
+        connection.check_heartbeat()
+        if connection.silent_intervals and connection.is_open():
+            log_event(
+                Event.PEER_SILENT,
+                'daemon is silent, new calls use another connection',
+                Severity.WARNING,
+                peer=key[0].host_id,
+                calls=len(connection.pending_replies),
+            )
+            lane.set_aside(connection)
+            self.connect(*key)
 
     def reset_heartbeats(self) -> None:
         """Restarts all heartbeats after a pause of this process."""
         for lane in self.lanes.values():
+            lane.silent.reset_heartbeats()
             if lane.connection:
                 lane.connection.reset_heartbeat()
 
     def close(self) -> None:
         """Closes all connections at once."""
         for lane in self.lanes.values():
+            lane.silent.close()
             if lane.connection:
                 lane.connection.abort()
 
--- a/egretlanding/peers.py
+++ b/egretlanding/peers.py
@@ -35,6 +35,9 @@
 from egretlanding.outcomes import Reason, Refusal
 from egretlanding.tcpwrites import enable_keepalive, write_now
 
+# Consecutive heartbeat intervals without a byte after which a connection is
+# closed with its calls, like the time-outs of TCP.
+SILENT_INTERVALS_TO_CLOSE = 3
 # Space that a frame keeps for what a call contains besides its body, bytes.
 MAX_CALL_HEAD_BYTES = 262_144
 MAX_CALL_BODY_BYTES = MAX_FRAME_BYTES - MAX_CALL_HEAD_BYTES
@@ -86,7 +89,8 @@
         greeting: Reports the hello, or the end of a connection without one.
         bytes_received: Number of bytes received so far.
         bytes_at_last_check: Value of `bytes_received` at the last heartbeat,
-            -1 if the next one must not close the connection.
+            -1 if the next one must not count as silent.
+        silent_intervals: Consecutive heartbeat intervals without a byte.
     """
 
     MAX_LENGTH = MAX_FRAME_BYTES
@@ -107,6 +111,7 @@
         self.greeting = Greeting()
         self.bytes_received = 0
         self.bytes_at_last_check = -1
+        self.silent_intervals = 0
 
     def connectionMade(self) -> None:
         """Registers the connection and sends the hello of this daemon."""
@@ -171,21 +176,25 @@
             self.send(Cancel(call_id))
 
     def check_heartbeat(self) -> None:
-        """Closes the connection if nothing arrived, else sends a ping.
+        """Counts a silent interval or none, and sends a ping.
 
-        Called once per heartbeat interval. Replies of an unresponsive daemon
-        would arrive too late; closing the connection fails the calls that
-        wait for them.
+        Called once per heartbeat interval. A silent daemon may only be busy,
+        so a connection with calls in flight closes after several intervals,
+        and one without calls after the first.
         """
         if self.bytes_received == self.bytes_at_last_check:
-            self.abort()
-            return
+            self.silent_intervals += 1
+            is_lost = self.silent_intervals >= SILENT_INTERVALS_TO_CLOSE
+            if is_lost or self.is_idle():
+                self.abort()
+                return
         self.bytes_at_last_check = self.bytes_received
         self.send(Ping())
 
     def reset_heartbeat(self) -> None:
         """Restarts the heartbeat after a pause of this process."""
         self.bytes_at_last_check = -1
+        self.silent_intervals = 0
 
     def abort(self) -> None:
         """Closes the connection at once."""
@@ -196,6 +205,7 @@
     def dataReceived(self, data: bytes) -> None:
         """Counts the received bytes and decodes the frames in them."""
         self.bytes_received += len(data)
+        self.silent_intervals = 0
         super().dataReceived(data)
 
     def stringReceived(self, string: bytes) -> None:
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -14,6 +14,7 @@
 from standins.fleet import wait_until
 from tests.callfleet import (
     INGRESS_HOST,
+    INGRESS_HOSTS,
     LONG_TIMEOUT,
     ORDERS,
     SOLO,
@@ -216,6 +217,35 @@
     assert calls.count_runs('slept') == 0
 
 
+# Failure: calls failed as possibly run, with their connection, because the
+# daemon beside their target was busy for more than a second.
+@pytest.mark.parametrize('pause_s', [1.5, 1.7])
+def test_calls_in_flight_to_a_busy_daemon_are_answered(
+    calls: CallFleet, pause_s: float
+) -> None:
+    solo = calls.member(SOLO)
+    assert solo.daemon
+    calls.wait_served()
+    body = f'busy-{pause_s}'
+    with ThreadPoolExecutor() as pool:
+        answers = [
+            pool.submit(
+                calls.order,
+                body,
+                ingress_host=ingress_host,
+                x_service_ms='200',
+                **LONG_TIMEOUT,
+            )
+            for ingress_host in INGRESS_HOSTS
+        ]
+        wait_until(lambda: calls.runs()[body] == len(answers))
+        solo.daemon.send_signal(signal.SIGSTOP)
+        time.sleep(pause_s)
+        solo.daemon.send_signal(signal.SIGCONT)
+    assert [answer.result().status for answer in answers] == [200, 200]
+    assert calls.runs()[body] == len(answers)
+
+
 def test_a_request_that_crashes_targets_is_stopped(calls: CallFleet) -> None:
     answers = [
         calls.member(INGRESS_HOST).call(
--- a/tests/test_peerlinks.py
+++ b/tests/test_peerlinks.py
@@ -1,11 +1,17 @@
 """Tests of the persistent connections to other daemons."""
 
+import attrs
+import pytest
+from twisted.internet.error import ConnectError
 from twisted.internet.testing import MemoryReactorClock
+from twisted.python.failure import Failure
 
 from egretlanding.frames import (
+    AnyFrame,
     CallReply,
     CallRequest,
     Hello,
+    Pong,
     Ran,
     encode_frame,
 )
@@ -131,3 +137,157 @@
     reactor.callLater(HELLO_TIMEOUT_S, connection.dataReceived, prefixed)
     reactor.advance(HELLO_TIMEOUT_S)
     assert wire.connected
+
+
+@attrs.define(eq=False)
+class SilentPeer:
+    """Links to a daemon that has fallen silent with one call in flight.
+
+    Attributes:
+        reactor: The reactor.
+        links: The links.
+        replies: The replies to the call.
+        connection: The connection that carries the call.
+        unreachable: The ids of the hosts that were found unreachable.
+    """
+
+    reactor: MemoryReactorClock
+    links: PeerLinks
+    replies: list[CallReply]
+    connection: PeerConnection
+    unreachable: list[str]
+
+    @classmethod
+    def create(cls) -> 'SilentPeer':
+        """Builds the links and lets one heartbeat pass without a byte."""
+        reactor = MemoryReactorClock()
+        links = make_links(reactor)
+        replies, connection, _ = open_lane(reactor, links)
+        greet(connection, 1)
+        unreachable: list[str] = []
+        links.on_unreachable = unreachable.append
+        links.check_heartbeats()
+        links.check_heartbeats()
+        return cls(reactor, links, replies, connection, unreachable)
+
+    def accept(self) -> tuple[PeerConnection, Wire]:
+        """Accepts the latest attempt to connect."""
+        factory = self.reactor.tcpClients[-1][2]
+        connection = factory.buildProtocol(None)._wrappedProtocol
+        wire = attach(connection)
+        factory._onConnection.callback(connection)
+        return connection, wire
+
+    def refuse(self) -> None:
+        """Lets the latest attempt to connect fail."""
+        factory = self.reactor.tcpClients[-1][2]
+        factory.clientConnectionFailed(None, Failure(ConnectError()))
+
+    def call(self) -> list[CallReply]:
+        """Sends another call and returns the list of its replies."""
+        replies: list[CallReply] = []
+        request = CallRequest(0, 'GET', '/new', [], b'', 'route', 100, 50)
+        self.links.send(HOST, Lane.SHORT, PendingCall(request, replies.append))
+        return replies
+
+    def answer(self) -> None:
+        """Lets the reply to the first call arrive."""
+        receive(self.connection, CallReply(1, 200, [], b''))
+
+
+def receive(connection: PeerConnection, frame: AnyFrame) -> None:
+    """Lets a frame of the other daemon arrive."""
+    encoded = encode_frame(frame)
+    connection.dataReceived(len(encoded).to_bytes(4, 'big') + encoded)
+
+
+def greet(connection: PeerConnection, incarnation: int) -> None:
+    """Lets the hello of the other daemon arrive."""
+    receive(connection, Hello('h1', incarnation, ready=True))
+
+
+# Failure: the calls in flight to a daemon that was only busy for a second
+# failed as possibly run.
+def test_calls_in_flight_to_a_busy_daemon_are_answered() -> None:
+    peer = SilentPeer.create()
+    new_replies = peer.call()
+    connection, wire = peer.accept()
+    assert b'/new' not in wire.value()
+    greet(connection, 1)
+    assert b'/new' in wire.value()
+    peer.answer()
+    assert [reply.status for reply in peer.replies] == [200]
+    assert not new_replies
+
+
+# Failure: a call would wait for the reply of a daemon that can't be reached,
+# until it is too late to answer its caller.
+@pytest.mark.parametrize('accepts', [True, False])
+def test_calls_in_flight_fail_once_a_silent_daemon_is_unreachable(
+    accepts: bool,
+) -> None:
+    peer = SilentPeer.create()
+    new_replies = peer.call()
+    if accepts:
+        peer.accept()
+        peer.reactor.advance(HELLO_TIMEOUT_S)
+    else:
+        peer.refuse()
+    assert [reply.ran for reply in peer.replies] == [Ran.UNKNOWN]
+    assert [reply.ran for reply in new_replies] == [Ran.NOT_RUN]
+    assert peer.unreachable == ['h1']
+
+
+# Failure: a daemon that has spoken again would lose its calls because a
+# connection to it could not be opened while it was busy.
+def test_calls_go_on_if_the_daemon_speaks_before_the_attempt_fails() -> None:
+    peer = SilentPeer.create()
+    receive(peer.connection, Pong())
+    peer.refuse()
+    peer.answer()
+    assert [reply.status for reply in peer.replies] == [200]
+
+
+# Failure: a call with a long deadline would wait on a connection that has
+# been silent for good.
+def test_a_connection_that_stays_silent_is_closed() -> None:
+    peer = SilentPeer.create()
+    greet(peer.accept()[0], 1)
+    peer.links.check_heartbeats()
+    assert not peer.replies
+    peer.links.check_heartbeats()
+    assert [reply.ran for reply in peer.replies] == [Ran.UNKNOWN]
+
+
+# Failure: a call would wait for a process that another one has replaced.
+def test_calls_in_flight_fail_once_another_process_says_hello() -> None:
+    peer = SilentPeer.create()
+    greet(peer.accept()[0], 2)
+    assert [reply.ran for reply in peer.replies] == [Ran.UNKNOWN]
+
+
+# Failure: connections that were set aside would stay open for ever.
+def test_a_connection_set_aside_closes_after_its_last_call() -> None:
+    peer = SilentPeer.create()
+    latest, _ = peer.accept()
+    greet(latest, 1)
+    peer.answer()
+    peer.links.check_heartbeats()
+    assert not peer.connection.is_open()
+    assert peer.links.context.connections == {latest}
+
+
+def test_connections_set_aside_are_closed_with_all_others() -> None:
+    peer = SilentPeer.create()
+    peer.links.close()
+    assert not peer.connection.is_open()
+
+
+# Failure: a pause of this process would count as a silence of the others.
+def test_a_pause_does_not_count_for_connections_set_aside() -> None:
+    peer = SilentPeer.create()
+    greet(peer.accept()[0], 1)
+    for _ in range(3):
+        peer.links.check_heartbeats()
+        peer.links.reset_heartbeats()
+    assert not peer.replies
