Don't begin a call whose cancellation arrived with it

Cause: the daemon beside the target began each call as it read its frame, though the cancellation stood behind it in the same bytes, because the daemon had been busy or its link full. Class: judging by what was not read yet, as with hedges.

Calls begin once all bytes that were read are decoded. Before the change: test_a_call_that_was_cancelled_before_it_was_read_does_not_begin: ['/kept', '/left'] == ['/kept'] test_a_call_that_began_is_cancelled passes before and after.

--- a/egretlanding/peers.py
+++ b/egretlanding/peers.py
@@ -91,6 +91,8 @@
         bytes_at_last_check: Value of `bytes_received` at the last heartbeat,
             -1 if the next one must not count as silent.
         silent_intervals: Consecutive heartbeat intervals without a byte.
+        arrived_calls: Calls in the bytes that are being read, by call id. They
+            begin once these are read, unless a cancellation is among them.
     """
 
     MAX_LENGTH = MAX_FRAME_BYTES
@@ -112,6 +114,7 @@
         self.bytes_received = 0
         self.bytes_at_last_check = -1
         self.silent_intervals = 0
+        self.arrived_calls: dict[int, CallRequest] = {}
 
     def connectionMade(self) -> None:
         """Registers the connection and sends the hello of this daemon."""
@@ -203,10 +206,11 @@
         transport.abortConnection()
 
     def dataReceived(self, data: bytes) -> None:
-        """Counts the received bytes and decodes the frames in them."""
+        """Decodes the frames in the received bytes, then begins the calls."""
         self.bytes_received += len(data)
         self.silent_intervals = 0
         super().dataReceived(data)
+        begin_calls(self)
 
     def stringReceived(self, string: bytes) -> None:
         """Handles a frame; a malformed one closes the connection."""
@@ -232,9 +236,10 @@
                 if on_reply:
                     on_reply(frame)
             case CallRequest():
-                self.context.on_call(self, frame)
+                self.arrived_calls[frame.call_id] = frame
             case Cancel():
-                self.context.on_cancel(self, frame.call_id)
+                if self.arrived_calls.pop(frame.call_id, None) is None:
+                    self.context.on_cancel(self, frame.call_id)
             case Suspicion():
                 self.context.on_suspicion(frame)
             case HostsState():
@@ -325,6 +330,23 @@
         return PeerConnection(self.context)
 
 
+def begin_calls(connection: PeerConnection) -> None:
+    """Begins the calls that were read, if they can still be answered.
+
+    Args:
+        connection: The connection on which they arrived.
+    """
+    calls = connection.arrived_calls
+    connection.arrived_calls = {}
+    if not connection.is_open():
+        return
+    for call in calls.values():
+        try:
+            connection.context.on_call(connection, call)
+        except Exception as error:
+            log_unexpected('call of another daemon', error)
+
+
 def oversized_reply(call_id: int) -> CallReply:
     """Returns the reply for a call that is too large for a frame."""
     return refusal_reply(
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -125,6 +126,31 @@
     assert replies == [reply]
 
 
+# Failure: a busy daemon began calls whose cancellation had arrived with them,
+# so that targets ran them for callers that had left.
+def test_a_call_that_was_cancelled_before_it_was_read_does_not_begin() -> None:
+    sender, _ = connect()
+    receiver, received = connect()
+    for path in ('/kept', '/left'):
+        request = msgspec.structs.replace(make_request(), path=path)
+        call_id = sender.call(request, lambda _reply: None)
+    sender.cancel(call_id)
+    receiver.dataReceived(sender.transport.value())
+    calls = [call.path for call in received if isinstance(call, CallRequest)]
+    assert calls == ['/kept']
+
+
+def test_a_call_that_began_is_cancelled() -> None:
+    sender, _ = connect()
+    receiver, received = connect()
+    call_id = sender.call(make_request(), lambda _reply: None)
+    receiver.dataReceived(sender.transport.value())
+    sender.transport.clear()
+    sender.cancel(call_id)
+    receiver.dataReceived(sender.transport.value())
+    assert received[-1] == call_id
+
+
 # Bytes of a frame that never ends must not be held beyond the limit.
 def test_a_frame_beyond_the_limit_closes_the_connection() -> None:
     connection, received = connect()
