Say which side closed a connection between daemons, and why

PEER_LOST (232) gave only the daemon and the number of calls. On changed-often it was written 150 times, and no line told the daemons that were given up as silent from those that closed the connection, so that the cause had to be guessed from groups: 10, 9, 8 and 7 losses within 0.1 s at one daemon, whose own processor or link was busy.

The line has closed_here, silent_intervals and error now. Before the change, test_the_log_says_which_side_closed_a_connection_and_why: KeyError: 'closed_here'

--- a/egretlanding/peers.py
+++ b/egretlanding/peers.py
@@ -136,6 +136,9 @@
                 Severity.WARNING,
                 peer=self.peer.host_id if self.peer else '',
                 calls=len(pending_replies),
+                closed_here=self.aborted,
+                silent_intervals=self.silent_intervals,
+                error=reason.getErrorMessage(),
             )
         for call_id, on_reply in pending_replies.items():
             on_reply(lost_reply(call_id))
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,12 +1,16 @@
 """Tests of the connections between daemons: replies, frames, heartbeats."""
 
+from collections.abc import Iterator
 from typing import Any
 
 import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from twisted.internet.error import ConnectionLost
+from twisted.python.failure import Failure
 
+from egretlanding.events import SINKS, Event, Severity
 from egretlanding.frames import (
     MAX_FRAME_BYTES,
     CallReply,
@@ -22,6 +26,7 @@
 )
 from tests.wires import attach, feed
 
+Fields = dict[str, object]
 REPLIES = st.lists(st.binary(max_size=50), min_size=1, max_size=5)
 
 
@@ -151,6 +156,38 @@
     assert received[-1] == call_id
 
 
+@pytest.fixture(name='lines')
+def collect_lines() -> Iterator[list[Fields]]:
+    lines: list[Fields] = []
+
+    def write(
+        event: Event, _message: str, _severity: Severity, fields: Any
+    ) -> None:
+        if event is Event.PEER_LOST:
+            lines.append(fields)
+
+    SINKS.insert(0, write)
+    yield lines
+    SINKS.remove(write)
+
+
+# Failure: the log did not tell a daemon that was given up as silent from one
+# that had closed the connection.
+def test_the_log_says_which_side_closed_a_connection_and_why(
+    lines: list[Fields],
+) -> None:
+    silent, _ = connect()
+    silent.call(make_request(), lambda _reply: None)
+    for _ in range(4):
+        silent.check_heartbeat()
+    closed, _ = connect()
+    closed.call(make_request(), lambda _reply: None)
+    closed.connectionLost(Failure(ConnectionLost()))
+    causes = [(line['closed_here'], line['silent_intervals']) for line in lines]
+    assert causes == [(True, 3), (False, 0)]
+    assert 'non-clean' in str(lines[1]['error'])
+
+
 # Bytes of a frame that never ends must not be held beyond the limit.
 def test_a_frame_beyond_the_limit_closes_the_connection() -> None:
     connection, received = connect()
