Refuse an answer of the store that is nested too deep

A value nested 100,000 deep made the decoder raise RecursionError, which the client of the store did not take for an unusable answer. The task that reads the store ended with event 111 and met the same answer after each restart.

Evidence: test_an_answer_that_is_nested_too_deep_is_an_error failed with RecursionError in place of PlatformError, for arrays and for objects.

The decoder's errors now include RecursionError, so that the answer counts as a failed request, with its pauses and its log line.

--- a/egretlanding/platform/store.py
+++ b/egretlanding/platform/store.py
@@ -33,6 +33,8 @@
 MAX_CONNECTIONS = 4
 CONNECT_TIMEOUT_S = 1
 RETRY_REMEDY = 'wait; the call is repeated soon'
+# An answer that is nested too deep exhausts the decoder's stack.
+DECODE_ERRORS = (msgspec.MsgspecError, ValueError, RecursionError)
 
 
 class Item(msgspec.Struct):
@@ -224,7 +226,7 @@
     """
     try:
         return msgspec.json.decode(response.body, type=of_type)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         raise PlatformError(
             f"cannot decode the store's answer ({error})",
             RETRY_REMEDY,
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -127,6 +127,15 @@
     assert call_store(FakePool(answer=answer))[0].check(PlatformError)
 
 
+# Failure: a value nested 100,000 deep raised RecursionError, which ended the
+# task that reads the store (event 111), again with each restart.
+@pytest.mark.parametrize('bracket', [b'[', b'{"a":'])
+def test_an_answer_that_is_nested_too_deep_is_an_error(bracket: bytes) -> None:
+    body = b'{"items": [{"other": %s' % (bracket * 100_000)
+    answer = HttpResponse(200, [], body)
+    assert call_store(FakePool(answer=answer))[0].check(PlatformError)
+
+
 def test_a_call_without_an_answer_times_out() -> None:
     pool = FakePool()
     outcomes = call_store(pool)
