Read pages of the store that are longer than a target's answer

The client of the store took over the bound of 2 MiB on the answers of targets. A page ends once its items have about a megabyte, so that one with two values of a megabyte is longer; daemons cut such a page and asked for it again for ever.

A client of HTTP now has its own bound on a body, which stays as it was for targets. That of the store follows from its page: two values of the longest kind in base64, and 500 items without their values.

--- a/egretlanding/httpclient.py
+++ b/egretlanding/httpclient.py
@@ -24,7 +24,9 @@
 # answer's head, the decoded body, and all bytes with their framing.
 MAX_HEAD_BYTES = 65_536
 MAX_BODY_BYTES = MAX_FRAME_BYTES // 2
-MAX_ANSWER_BYTES = MAX_FRAME_BYTES
+# The framing may be as long as the body.
+FRAMING_FACTOR = 2
+MAX_ANSWER_BYTES = MAX_BODY_BYTES * FRAMING_FACTOR
 
 # Failed requests after which a connection is not used again.
 MAX_FAILED_REQUESTS = 256
@@ -85,15 +87,22 @@
         received_bytes: Bytes received since the request was sent.
         max_bytes: Bound on `received_bytes`, which rises once the head of the
             answer is complete.
+        max_body_bytes: Bound on the decoded body of an answer.
     """
 
-    def __init__(self, on_close: Callable[['HttpClient'], None]) -> None:
+    def __init__(
+        self,
+        on_close: Callable[['HttpClient'], None],
+        max_body_bytes: int = MAX_BODY_BYTES,
+    ) -> None:
         """Prepares the parser.
 
         Args:
             on_close: Called once when the connection was closed.
+            max_body_bytes: Bound on the decoded body of an answer.
         """
         self.on_close = on_close
+        self.max_body_bytes = max_body_bytes
         self.on_response: OnResponse | None = None
         self.usable = True
         self.is_head = False
@@ -216,7 +225,7 @@
         status = self.parser.get_status_code()
         if status < HTTPStatus.OK or self.complete_response is not None:
             return
-        self.max_bytes = MAX_ANSWER_BYTES
+        self.max_bytes = self.max_body_bytes * FRAMING_FACTOR
         if self.is_head or status in BODILESS:
             self.store_response(drop_hop_headers(self.headers))
         elif not has_explicit_length(self.headers):
@@ -227,7 +236,7 @@
     def on_body(self, body: bytes) -> None:
         """Collects a piece of the body, up to the size limit."""
         self.body += body
-        if len(self.body) > MAX_BODY_BYTES:
+        if len(self.body) > self.max_body_bytes:
             raise AnswerSizeError('the body exceeds the size limit')
 
     def on_message_complete(self) -> None:
--- a/egretlanding/platform/store.py
+++ b/egretlanding/platform/store.py
@@ -30,6 +30,18 @@
 # What the keys of a topic's records begin with.
 PREFIXES = {Topic.CONFIGURATION: CONFIG_KEY, Topic.ENTRIES: ENTRY_PREFIX}
 MS_PER_S = 1_000
+# Most bytes of an item's value. The store ends a page once its items have about
+# a megabyte, so that a page holds less than two such values.
+MAX_VALUE_BYTES = 1_048_576
+MAX_PAGE_VALUES = 2
+MAX_PAGE_ITEMS = 500
+# Most bytes of an item without its value; a key has 200 at most.
+MAX_ITEM_HEAD_BYTES = 2_048
+# Most bytes of an answer. Base64 writes three bytes as four.
+MAX_ANSWER_BYTES = (
+    MAX_PAGE_VALUES * MAX_VALUE_BYTES * 4 // 3
+    + MAX_PAGE_ITEMS * MAX_ITEM_HEAD_BYTES
+)
 MAX_CONNECTIONS = 4
 CONNECT_TIMEOUT_S = 1
 RETRY_REMEDY = 'wait; the call is repeated soon'
@@ -105,6 +117,7 @@
             port,
             MAX_CONNECTIONS,
             connect_timeout_s=CONNECT_TIMEOUT_S,
+            max_body_bytes=MAX_ANSWER_BYTES,
         )
         return cls(pool)
 
--- a/egretlanding/targetpool.py
+++ b/egretlanding/targetpool.py
@@ -11,7 +11,7 @@
 from twisted.python.failure import Failure
 
 from egretlanding.frames import Headers
-from egretlanding.httpclient import HttpClient, encode_request
+from egretlanding.httpclient import MAX_BODY_BYTES, HttpClient, encode_request
 from egretlanding.httpmessages import HttpRequest, HttpResponse
 from egretlanding.outcomes import Progress
 
@@ -109,6 +109,7 @@
         connect_timeout_s: Timeout for opening a connection, seconds.
         reuse_limit_s: Idle time after which a connection isn't used again,
             seconds.
+        max_body_bytes: Bound on the body of an answer.
     """
 
     reactor: Any
@@ -121,6 +122,7 @@
     fastest_connect_s: float = math.inf
     connect_timeout_s: float = CONNECT_TIMEOUT_S
     reuse_limit_s: float = REUSE_LIMIT_S
+    max_body_bytes: int = MAX_BODY_BYTES
 
     def run(
         self,
@@ -204,7 +206,7 @@
         )
         started = self.reactor.seconds()
         connected = connectProtocol(
-            endpoint, HttpClient(self.on_connection_closed)
+            endpoint, HttpClient(self.on_connection_closed, self.max_body_bytes)
         )
         connected.addCallbacks(
             self.record_connect_time,
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -136,6 +136,18 @@
     assert reported == [HttpResponse(200, [('request-id', 'mine')], body)]
 
 
+@pytest.mark.parametrize('excess', [0, 1])
+def test_a_client_may_have_a_bound_of_its_own(excess: int) -> None:
+    bound = 2 * MAX_ANSWER_BYTES
+    reported: list[HttpResponse | None] = []
+    client = HttpClient(lambda _client: None, max_body_bytes=bound)
+    attach(client)
+    client.send(b'', reported.append)
+    body = bytes(bound + excess)
+    client.dataReceived(encode(body, chunked=False))
+    assert [response is None for response in reported] == [excess > 0]
+
+
 def test_the_keep_alive_timeout_of_a_target_is_read() -> None:
     client, _ = connect()
     client.dataReceived(
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -12,7 +12,11 @@
 from egretlanding.exceptions import HistoryLostError, PlatformError
 from egretlanding.httpmessages import HttpResponse
 from egretlanding.outcomes import Progress
-from egretlanding.platform.store import REPLY_TIMEOUT_S, PlatformStore
+from egretlanding.platform.store import (
+    MAX_VALUE_BYTES,
+    REPLY_TIMEOUT_S,
+    PlatformStore,
+)
 from egretlanding.records import Record, Topic
 from egretlanding.targetpool import RequestHandle, TargetOutcome
 
@@ -127,6 +131,22 @@
     assert call_store(FakePool(answer=answer))[0].check(PlatformError)
 
 
+# Failure: a page of two values of a megabyte exceeded the bound on the answers
+# of targets, and daemons asked for it again for ever.
+def test_the_longest_page_is_within_the_bound_on_answers() -> None:
+    value = base64.b64encode(bytes(MAX_VALUE_BYTES)).decode()
+    heads = {f'servers/{number}'.ljust(200, '-'): '' for number in range(498)}
+    values = heads | dict.fromkeys(('servers/y', 'servers/z'), value)
+    items = [
+        {'key': key, 'value': text, 'revision': 1, 'create-revision': 1}
+        for key, text in values.items()
+    ]
+    body = {'items': items, 'truncated': True, 'current-rev': 7}
+    encoded = make_response(200, body).body
+    store = PlatformStore.from_address(Clock(), '127.0.0.1', 1)
+    assert len(encoded) <= store.pool.max_body_bytes
+
+
 # Failure: a value nested 100,000 deep raised RecursionError, which ended the
 # task that reads the store (event 111), again with each restart.
 @pytest.mark.parametrize('bracket', [b'[', b'{"a":'])
