Mend what the review of the late-news design found

Each has a test in tests/test_review_news.py that failed before: a list or watch whose answer arrives after later news of another daemon no longer brings back what was deleted since; the pause after an application has a bound; questions from below don't count as hearing of others; a far reader is relied on only while its own records are fresh, an appointed one only while the store answers it; differences are based on content of the same era, and never on a deletion; a slow list without changes is followed by a watch; late daemons ask no more often than others; a record that both hold is not sent in full. Daemons of a region without listed hosts read after a while.

--- a/egretlanding/betterreaders.py
+++ b/egretlanding/betterreaders.py
@@ -78,10 +78,17 @@
 
     def is_nearer(self, peer: str, frame: RecordsState) -> bool:
         """Returns whether a daemon reads for another, nearer region."""
-        distance_ms = frame.distance_ms + MIN_DISTANCE_GAIN_MS
-        return peer in self.far_reader_ids and distance_ms < self.distance_ms()
+        is_nearer = (
+            frame.distance_ms + MIN_DISTANCE_GAIN_MS < self.distance_ms()
+        )
+        return peer in self.far_reader_ids and is_nearer and is_fresh(frame)
 
     def is_appointed(self, peer: str, frame: RecordsState) -> bool:
         """Returns whether a daemon was appointed, and reads."""
-        reads = frame.reads and frame.age_ms < STALE_S * MS_PER_S
+        reads = frame.reads and is_fresh(frame)
         return reads and bool(peer) and peer == self.appointee
+
+
+def is_fresh(frame: RecordsState) -> bool:
+    """Returns whether the records of another daemon were confirmed lately."""
+    return frame.age_ms < STALE_S * MS_PER_S
--- a/egretlanding/pacedwork.py
+++ b/egretlanding/pacedwork.py
@@ -10,8 +10,11 @@
 # Time for which work is left until others have been served, seconds. What has
 # arrived meanwhile, such as the questions of other daemons, is handled first.
 DELAY_S = 0.02
-# Largest share of the time that the work takes.
+# Largest share of the time that the work takes, up to the longest pause.
 MAX_SHARE = 0.2
+# Longest pause, seconds. A host that was suspended during the work would
+# otherwise pause for a multiple of that time.
+MAX_PAUSE_S = 0.5
 
 
 @attrs.define(eq=False)
@@ -53,4 +56,5 @@
             with contained(self.name):
                 work()
         now = self.reactor.seconds()
-        self.next_at = now + (now - started_at) * (1 / MAX_SHARE - 1)
+        pause_s = (now - started_at) * (1 / MAX_SHARE - 1)
+        self.next_at = now + min(pause_s, MAX_PAUSE_S)
--- a/egretlanding/recordfeed.py
+++ b/egretlanding/recordfeed.py
@@ -139,6 +139,7 @@
         relist: Whether the next read must list all records.
         may_be_late: Whether changes may have followed those that were read
             last.
+        listed_last: Whether the last read was a list.
         better_until: Until when to rely on a reader that is nearer to the store
             or has a wider link, seconds.
         answered: Number of requests that the store answered.
@@ -165,6 +166,7 @@
     reachable: bool = True
     relist: bool = True
     may_be_late: bool = False
+    listed_last: bool = False
     better_until: float = float('-inf')
     answered: int = 0
     failed: int = 0
@@ -242,9 +244,13 @@
             await self.read_list()
             return
         is_stale = self.age(self.reactor.seconds()) >= STALE_S
-        if self.lists_when_late and (self.may_be_late or is_stale):
+        # A list without changes is followed by a watch, however long it took.
+        if self.lists_when_late and (
+            self.may_be_late or (is_stale and not self.listed_last)
+        ):
             await self.read_list()
             return
+        self.listed_last = False
         # If the records are stale, the watch returns at once: while it waits,
         # nothing would confirm them.
         wait_s = 0 if is_stale else MAX_WATCH_S
@@ -258,6 +264,9 @@
             self.relist = changes.era >= self.table.era
             await self.pause(BATCH_PAUSE_S)
             return
+        if changes.revision < self.table.complete_revision:
+            # Another daemon told later news while the answer was on its way.
+            return
         changed = self.table.apply(changes.records)
         self.table.confirm(changes.revision)
         # An answer without changes was given when the wait was over.
@@ -303,6 +312,7 @@
         self.confirm(self.reactor.seconds() - asked_at)
         self.notify(changed)
         self.may_be_late = may_have_followers(changed, transfer_s)
+        self.listed_last = True
 
     def replace(
         self, records: Iterable[Record], revision: int, era: int
--- a/egretlanding/recordrelay.py
+++ b/egretlanding/recordrelay.py
@@ -145,7 +145,7 @@
             widest.kbps,
             widest.host_id,
             appoints,
-            self.feed.reads_for_others(now),
+            self.feed.reads_for_others(now) and self.feed.reachable,
             in_ms(now) if asks else 0,
         )
 
@@ -162,7 +162,7 @@
         # A large topic is left alone until it is known who reads it.
         is_known = bool(self.tree.order) or not self.feed.lists_when_late
         self.feed.is_reader = is_known and self.tree.upstream is None
-        if is_known and self.feed.waits_until == math.inf:
+        if all_hosts and self.feed.waits_until == math.inf:
             self.feed.waits_until = self.reactor.seconds() + FIRST_WAIT_S
         turn_s = LARGE_TURN_S if self.feed.lists_when_late else TURN_S
         self.feed.stale_after_s = STALE_S + turn_s * self.tree.earlier_groups()
@@ -186,7 +186,7 @@
         Those that follow shortly on one another are told together.
         """
         if self.listeners:
-            self.replies.keep(changed)
+            self.replies.keep(changed, self.feed.table.era)
         now = self.reactor.seconds()
         due = self.announced_at + ANNOUNCE_INTERVAL_S
         if now >= due:
@@ -221,8 +221,10 @@
         their records are late.
         """
         now = self.reactor.seconds()
-        if self.tree.upstream and now >= self.asked_at + ASK_INTERVAL_S:
+        asks_now = now >= self.asked_at + ASK_INTERVAL_S
+        if asks_now:
             self.asked_at = now
+        if asks_now and self.tree.upstream:
             self.ask(self.tree.upstream)
         before = self.better.appointee
         self.better.update_appointee(now)
@@ -237,16 +239,19 @@
         for host in self.tree.order:
             if host.host_id == self.better.appointee:
                 self.ask(host, appoints=True)
-        for host in self.hosts_to_ask(now):
+        others = self.hosts_to_ask(now) if asks_now else ()
+        for host in others:
             self.ask(host)
 
     def hosts_to_ask(self, now: float) -> tuple[Host, ...]:
         """Returns whom to ask besides the upstream."""
         if not self.feed.table.complete_revision:
             return self.seeds
-        if self.feed.age(now) > LATE_S:
-            return (*self.readers, *self.others(*self.tree.standbys))
-        return self.readers if self.feed.is_reader else ()
+        if self.feed.age(now) <= LATE_S:
+            return self.readers if self.feed.is_reader else ()
+        upstream = self.tree.upstream
+        candidates = (*self.readers, *self.others(*self.tree.standbys))
+        return tuple(host for host in candidates if host != upstream)
 
     def ask(self, host: Host, *, appoints: bool = False) -> None:
         """Asks a daemon for its state, or opens a connection to it."""
@@ -275,7 +280,8 @@
         """Compares states, and requests records that only the other has."""
         now = self.reactor.seconds()
         peer = connection.peer.host_id if connection.peer else ''
-        self.feed.heard_at = now
+        if not self.tree.is_below(peer):
+            self.feed.heard_at = now
         if frame.asks:
             question = Question(frame.stamp, now)
             self.listeners[connection] = question
--- a/egretlanding/recordreplies.py
+++ b/egretlanding/recordreplies.py
@@ -27,18 +27,23 @@
     Attributes:
         cache: Replies for one position, by the request.
         position: That position: the era, and the last change in it.
-        bases: Contents of large records by revision, the newest last.
+        bases: Contents of large records by era and revision, the newest last.
     """
 
     cache: dict[RecordsRequest, RecordsUpdate] = attrs.field(factory=dict)
     position: tuple[int | None, int | None] = (None, None)
-    bases: dict[int, bytes] = attrs.field(factory=dict)
+    bases: dict[tuple[int, int], bytes] = attrs.field(factory=dict)
 
-    def keep(self, changed: Iterable[Record]) -> None:
-        """Keeps the contents of large records as bases of differences."""
+    def keep(self, changed: Iterable[Record], era: int) -> None:
+        """Keeps the contents of large records as bases of differences.
+
+        Args:
+            changed: The records.
+            era: The era of the store in which they were written.
+        """
         for record in changed:
             if len(record.content) >= MIN_BASE_BYTES:
-                self.bases[record.revision] = record.content
+                self.bases[era, record.revision] = record.content
         size = sum(map(len, self.bases.values()))
         while size > MAX_BASES_BYTES and len(self.bases) > 1:
             size -= len(self.bases.pop(next(iter(self.bases))))
@@ -60,7 +65,7 @@
         wanted = msgspec.structs.replace(frame, stamp=0)
         reply = self.cache.get(wanted)
         if reply is None:
-            base = self.bases.get(frame.base, b'')
+            base = self.base_for(frame, table)
             reply = pack_reply(frame, table, state, base)
             self.cache[wanted] = reply
         return msgspec.structs.replace(
@@ -70,6 +75,13 @@
             echo=frame.stamp,
         )
 
+    def base_for(self, frame: RecordsRequest, table: RecordTable) -> bytes:
+        """Returns the content that a request names as its base, or nothing."""
+        if not frame.base or frame.era != table.era:
+            return b''
+        kept = self.bases.get((table.era, frame.base), b'')
+        return kept or find_content(table, frame.base)
+
 
 def pack_reply(
     frame: RecordsRequest,
@@ -98,7 +110,7 @@
     if send_all:
         records = [record for record in records if not record.deleted]
     encoded = msgspec.msgpack.encode(records)
-    has_base = bool(base) and frame.era == state.era
+    has_base = bool(base)
     return RecordsUpdate(
         state.revision,
         state.age_ms,
@@ -147,16 +159,24 @@
     Raises:
         ReleaseError: It isn't held, or is of another era.
     """
-    bases = (
-        record.content
-        for record in table.records.values()
-        if record.revision == update.base and update.era == table.era
-    )
-    base = next(bases, None)
-    if base is None:
+    base = find_content(table, update.base) if update.era == table.era else b''
+    if not base:
         raise ReleaseError(
             f'a difference is based on revision {update.base}, which is not '
             'held here any more',
             'none; the daemon requests the records again',
         )
     return base
+
+
+def find_content(table: RecordTable, revision: int) -> bytes:
+    """Returns the content of the record at a revision, empty if none is held.
+
+    A deletion that a list implies may have the revision of another record.
+    """
+    contents = (
+        record.content
+        for record in table.records.values()
+        if record.revision == revision and record.content
+    )
+    return next(contents, b'')
--- a/egretlanding/records.py
+++ b/egretlanding/records.py
@@ -122,13 +122,14 @@
             since: The store's revision when reading the list began. Later
                 writes may be missing from the list.
             era: The era in which the list was read. A list of an earlier era
-                than the table's is passed over.
+                or revision than the table's is passed over.
 
         Returns:
             The records that changed, with deletions for those not listed.
         """
         listed = {record.key: record for record in existing}
-        if era < self.era:
+        if (era, since) < (self.era, self.complete_revision):
+            # It may list what was deleted since, of which nothing is kept.
             return []
         if era > self.era:
             return self._begin_era(listed, since, era)
--- a/tests/test_difference.py
+++ b/tests/test_difference.py
@@ -65,7 +65,7 @@
     """Returns the replies of a daemon that held some tables in turn."""
     replies = RecordReplies()
     for table in tables:
-        replies.keep(table.records.values())
+        replies.keep(table.records.values(), table.era)
     return replies
 
 
--- a/tests/test_review_news.py
+++ b/tests/test_review_news.py
@@ -75,7 +75,11 @@
 def build_daemon(clock: Clock, store: Store, number: int) -> Daemon:
     """Returns a daemon that keeps bases, as one to which others listen does."""
     daemon = Daemon.build(clock, store, number)
-    daemon.feed.on_change.append(daemon.relay.replies.keep)
+    daemon.feed.on_change.append(
+        lambda changed: daemon.relay.replies.keep(
+            changed, daemon.feed.table.era
+        )
+    )
     return daemon
 
 
