Measure configurations that a timer puts in force

Configurations that follow another one are put in force by a timer, which the idle reactor never ran, so that six of seven applications were left out. It now advances the clock by the delay of the timer.

--- a/lab/applycost.py
+++ b/lab/applycost.py
@@ -15,6 +15,7 @@
 
 from twisted.internet.task import Clock
 
+from egretlanding.pacedwork import DELAY_S
 from egretlanding.platform.names import DIALECT, READINESS_PATH
 from egretlanding.platform.records import RecordDecoder
 from egretlanding.platform.store import PlatformStore
@@ -117,6 +118,8 @@
     """Returns the processor time that a daemon needs for a record, ms."""
     started_at = time.process_time()
     feed.apply_records([record], record.revision, 0, whole=False)
+    # A configuration that follows another is put in force by a timer.
+    feed.reactor.advance(DELAY_S)
     return (time.process_time() - started_at) * MS_PER_S
 
 
