Check unchanged objects only in relation to changed ones

Hosts with a part of a core took long to put in force a configuration of many routes of which one had changed. Only the checks of single fields passed over unchanged objects; links, overlaps, contradictions and coverage were checked again for all, and the whole set was sorted.

An earlier set without faults vouches for its objects among themselves. A new fault therefore involves a changed object, or a link to an object that the new set lacks. Routes and rules are now checked in groups that can contradict each other, and only groups with a changed object; rules again if they or their route changed; unchanged links only if they refer to a lost object. An earlier set that repeats a name vouches for nothing.

Random sets and changes have the faults of a full check, and the pairs of routes and rules that contradict are compared with a plain definition.

--- a/egretlanding/check.py
+++ b/egretlanding/check.py
@@ -21,8 +21,9 @@
     Args:
         objects: The objects; a daemon passes those of a release.
         partial: Further objects that couldn't be read completely.
-        checked: Objects of an earlier set without faults. Their fields
-            aren't checked again if the same instances are in this set.
+        checked: All objects of an earlier set without faults. Those of which
+            the same instances are in this set aren't checked again, except in
+            relation to objects that changed.
 
     Returns:
         All faults, ordered by check and object; empty if there are none.
--- a/egretlanding/faults.py
+++ b/egretlanding/faults.py
@@ -1,8 +1,9 @@
 """Faults in a set of objects, and the registry of checks that find them."""
 
+import collections
 import functools
 import itertools
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Hashable, Iterable, Iterator
 from typing import Any
 
 import attrs
@@ -10,6 +11,7 @@
 from egretlanding.objects import ConfigObject
 
 ObjectKey = tuple[str, str]
+GroupOf = Callable[[Any], Hashable]
 
 
 @attrs.frozen
@@ -64,20 +66,24 @@
 
 @attrs.frozen
 class ObjectSet:
-    """The objects that are checked together, ordered by kind and name.
+    """The objects that are checked together.
 
     Attributes:
-        objects: The objects that were read completely.
-        partial: Objects of which some fields couldn't be read; these fields
-            hold None.
+        objects: The objects that were read completely, in any order.
+        partial: Objects of which some fields couldn't be read, ordered by
+            kind and name; these fields hold None.
         keys: Kind and name of all these objects, to which links may refer.
-        unchecked: The objects whose fields have not been checked before.
+        unchecked: The objects that have not been checked before, ordered by
+            kind and name.
+        lost: Kind and name of the objects that the earlier set had and this
+            one lacks.
     """
 
     objects: tuple[ConfigObject, ...]
     partial: tuple[ConfigObject, ...]
     keys: frozenset[ObjectKey]
     unchecked: tuple[ConfigObject, ...]
+    lost: frozenset[ObjectKey]
 
     @classmethod
     def from_objects(
@@ -91,49 +97,87 @@
         Args:
             objects: The objects that were read completely.
             partial: Further objects that couldn't be read completely.
-            checked: Objects of an earlier set without faults. If the set
-                contains one of these (the same instance, not merely an
-                equal one), its fields aren't checked again.
+            checked: All objects of an earlier set without faults, none of
+                them read partially. What the set contains of these (the same
+                instance, not merely an equal one) isn't checked again, except
+                in relation to objects that changed.
         """
-        complete = tuple(sorted(objects, key=_key_of))
-        incomplete = tuple(sorted(partial, key=_key_of))
-        keys = frozenset(map(_key_of, complete + incomplete))
-        checked_ids = frozenset(map(id, checked))
-        unchecked = tuple(
-            config_object
-            for config_object in complete
-            if id(config_object) not in checked_ids
-        )
-        return cls(complete, incomplete, keys, unchecked)
-
-    def of_kind(self, kind: str) -> Iterator[ConfigObject]:
-        """Yields the completely read objects of one kind, ordered by name."""
-        return (
-            config_object
-            for config_object in self.objects
-            if config_object.kind == kind
-        )
+        complete = tuple(objects)
+        incomplete = order(partial)
+        keys = frozenset(map(key_of, complete + incomplete))
+        earlier = _without_repeats(checked)
+        ids = frozenset(map(id, complete))
+        removed = (one for one in earlier.values() if id(one) not in ids)
+        checked_ids = frozenset(map(id, earlier.values()))
+        unchecked = (one for one in complete if id(one) not in checked_ids)
+        lost = frozenset(map(key_of, removed)) - keys
+        return cls(complete, incomplete, keys, order(unchecked), lost)
+
+    def of_kind(self, kind: str) -> tuple[ConfigObject, ...]:
+        """Returns the completely read objects of one kind, ordered by name."""
+        return order(one for one in self.objects if one.kind == kind)
+
+    def unchecked_of_kind(self, kind: str) -> tuple[ConfigObject, ...]:
+        """Returns the unchecked objects of one kind, ordered by name."""
+        return tuple(one for one in self.unchecked if one.kind == kind)
+
+    def related(self, kind: str, group_of: GroupOf) -> Iterator[ConfigObject]:
+        """Yields the objects that may contradict another one of their group.
+
+        A group without an unchecked object is part of a group of the earlier
+        set, in which no objects contradicted each other.
 
-    def fields(
-        self,
-        option: str,
-        *,
-        include_checked: bool = False,
-    ) -> Iterator[FieldValue]:
-        """Yields the fields whose metadata has a key, object by object.
+        Args:
+            kind: The kind of the objects.
+            group_of: Returns the group of a spec; objects of different groups
+                never contradict each other.
+        """
+        groups = {group_of(one.spec) for one in self.unchecked_of_kind(kind)}
+        if not groups:
+            return iter(())
+        members = [
+            (group, one)
+            for one in self.objects
+            if one.kind == kind and (group := group_of(one.spec)) in groups
+        ]
+        sizes = collections.Counter(group for group, _member in members)
+        return iter(order(one for group, one in members if sizes[group] > 1))
+
+    def fields(self, option: str) -> Iterator[FieldValue]:
+        """Yields the unchecked fields whose metadata has a key.
 
         Args:
             option: The key.
-            include_checked: Whether to include objects that were checked
-                before.
         """
-        objects = self.objects if include_checked else self.unchecked
         fields_of = functools.partial(fields_with, option=option)
-        return self.field_values(fields_of, objects)
+        return self.field_values(fields_of, self.unchecked)
+
+    def link_fields(self) -> Iterator[FieldValue]:
+        """Yields the links of unchecked objects, and links to lost objects."""
+        fields_of = functools.partial(fields_with, option='link')
+        if not self.lost:
+            return self.field_values(fields_of, self.unchecked)
+        unchecked_ids = frozenset(map(id, self.unchecked))
+        lost_kinds = frozenset(kind for kind, _name in self.lost)
+        classes = {type(one.spec) for one in self.objects}
+        fields_to_lost = {
+            spec_class: _fields_to(spec_class, lost_kinds)
+            for spec_class in classes
+        }
+        affected = (
+            one
+            for one in self.objects
+            if id(one) in unchecked_ids
+            or (
+                (fields := fields_to_lost[type(one.spec)])
+                and _refers_to(one.spec, fields, self.lost)
+            )
+        )
+        return self.field_values(fields_of, order(affected))
 
     def values(self) -> Iterator[FieldValue]:
         """Yields every field that could be read, object by object."""
-        return self.field_values(attrs.fields, self.objects)
+        return self.field_values(attrs.fields, order(self.objects))
 
     def field_values(
         self,
@@ -185,5 +229,39 @@
     return register
 
 
-def _key_of(config_object: ConfigObject) -> ObjectKey:
+def key_of(config_object: ConfigObject) -> ObjectKey:
+    """Returns kind and name of an object."""
     return config_object.kind, config_object.name
+
+
+def order(objects: Iterable[ConfigObject]) -> tuple[ConfigObject, ...]:
+    """Returns objects ordered by kind and name."""
+    return tuple(sorted(objects, key=key_of))
+
+
+def _without_repeats(
+    checked: Iterable[ConfigObject],
+) -> dict[ObjectKey, ConfigObject]:
+    # Of two objects with one name, one may have hidden a fault of the other.
+    objects = tuple(checked)
+    by_key = dict(zip(map(key_of, objects), objects, strict=True))
+    return by_key if len(by_key) == len(objects) else {}
+
+
+def _fields_to(kind: type, kinds: frozenset[str]) -> tuple[Any, ...]:
+    return tuple(
+        field
+        for field in fields_with(kind, 'link')
+        if field.metadata['link'] in kinds
+    )
+
+
+def _refers_to(
+    spec: Any, fields: Iterable[Any], keys: frozenset[ObjectKey]
+) -> bool:
+    for field in fields:
+        content = getattr(spec, field.name)
+        names = (content,) if isinstance(content, str) else content
+        if any((field.metadata['link'], name) in keys for name in names):
+            return True
+    return False
--- a/egretlanding/setchecks.py
+++ b/egretlanding/setchecks.py
@@ -1,5 +1,6 @@
 """Checks across objects: links, cycles, overlaps and contradictions."""
 
+import operator
 from collections.abc import Iterator, Mapping
 
 from egretlanding.faults import (
@@ -8,12 +9,14 @@
     ObjectKey,
     ObjectSet,
     check,
+    order,
 )
-from egretlanding.objects import ConfigObject, Policy, Route
+from egretlanding.objects import ConfigObject, IdempotencyRule, Policy, Route
 from egretlanding.schema import HTTP_METHODS
 from egretlanding.texts import quote
 
 RESERVED_PREFIX = '/.egretlanding'
+RULE_KIND = IdempotencyRule.__name__
 ANY_METHOD = '*'
 ALL_METHODS = (*sorted(HTTP_METHODS), ANY_METHOD)
 
@@ -26,7 +29,7 @@
             f'refers to {kind} {quote(name)}, which does not exist',
             f'add that {kind} or refer to another',
         )
-        for value in objects.fields('link', include_checked=True)
+        for value in objects.link_fields()
         for kind, name in _links(value)
         if (kind, name) not in objects.keys
     )
@@ -71,7 +74,7 @@
 def check_routes(objects: ObjectSet) -> Iterator[Fault]:
     """Finds routes that match the same calls as another route."""
     first_names: dict[tuple[str, str, str], str] = {}
-    for route in objects.of_kind(Route.__name__):
+    for route in objects.related(Route.__name__, _calls_of):
         matched = [
             (route.spec.domain, route.spec.path_prefix, method)
             for method in _covered(route.spec.methods)
@@ -92,7 +95,7 @@
 @check('reserved paths')
 def check_reserved(objects: ObjectSet) -> Iterator[Fault]:
     """Finds prefixes that are reserved or contain relative segments."""
-    for route in objects.of_kind(Route.__name__):
+    for route in objects.unchecked_of_kind(Route.__name__):
         segments = route.spec.path_prefix.split('/')
         if route.spec.path_prefix.startswith(RESERVED_PREFIX):
             problem = f'{RESERVED_PREFIX} is reserved for the daemons'
@@ -106,7 +109,7 @@
 def check_rules(objects: ObjectSet) -> Iterator[Fault]:
     """Finds idempotency rules that contradict one another."""
     first_rules: dict[tuple[str, str], ConfigObject] = {}
-    for rule in objects.of_kind('IdempotencyRule'):
+    for rule in objects.related(RULE_KIND, operator.attrgetter('route')):
         covered = [
             (rule.spec.route, method) for method in _covered(rule.spec.methods)
         ]
@@ -135,7 +138,7 @@
         route_object.name: route_object
         for route_object in objects.of_kind(Route.__name__)
     }
-    for rule in objects.of_kind('IdempotencyRule'):
+    for rule in _uncovered_rules(objects):
         route = routes.get(rule.spec.route)
         if route is None:
             continue
@@ -153,6 +156,24 @@
         )
 
 
+def _uncovered_rules(objects: ObjectSet) -> tuple[ConfigObject, ...]:
+    # A rule that did not change is affected by a change of its route.
+    changed = frozenset(map(id, objects.unchecked))
+    changed_routes = {
+        route.name for route in objects.unchecked_of_kind(Route.__name__)
+    }
+    return order(
+        one
+        for one in objects.objects
+        if one.kind == RULE_KIND
+        and (one.spec.route in changed_routes or id(one) in changed)
+    )
+
+
+def _calls_of(route: Route) -> tuple[str, str]:
+    return route.domain, route.path_prefix
+
+
 def _links(value: FieldValue) -> list[ObjectKey]:
     if value.value == value.field.default:
         return []
