Rank hosts again when the services of the configuration change

Entries of services that no configuration names are left out of the hosts, but the hosts by which daemons are ranked were kept from before the first configuration, when no service is known. Names of services that can't be printed are refused. The tests of odd entries wait until daemons hold the entries, since a route that is followed doesn't show it any more.

--- a/egretlanding/entrychecks.py
+++ b/egretlanding/entrychecks.py
@@ -54,6 +54,8 @@
         yield 'its key ends with no name of a target'
     if not 1 <= len(entry.service) <= MAX_SERVICE_CHARS:
         yield 'its service has no name or a name that is too long'
+    if not entry.service.isprintable():
+        yield 'the name of its service has characters that are not printable'
     if not entry.region:
         yield 'its failure domain is not in the settings'
     if not 1 <= entry.slots <= MAX_SLOTS:
--- a/egretlanding/sidecar.py
+++ b/egretlanding/sidecar.py
@@ -252,7 +252,9 @@
             )
         self.view = View.from_release(candidate.to_release(), HostList())
         self.publication = candidate
-        self.roster.services = candidate.services
+        if self.roster.services != candidate.services:
+            self.roster.services = candidate.services
+            self.hosts = HostList(-1)
         self.applied_roster_revision = -1
         self.calls.http.limits = candidate.limits
         log_event(
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -68,6 +68,7 @@
     'empty',
     'long-junk',
 )
+ENTRIES_METRIC = 'egretlanding_records_revision{topic="entries"'
 # Targets whose entries are replaced at a time.
 VICTIMS = 4
 LONG_NAMES = ('i-1', 'i-2', 'i-3', 'i-4', 'i-5')
@@ -151,8 +152,29 @@
     wait_until(lambda: send(member) == 200, APPLY_TIMEOUT_S)
 
 
+def held_revision(member: Member) -> int:
+    """Returns the revision up to which a daemon holds all entries."""
+    answer = member.send_request('/metrics', 'metrics')
+    lines = answer[1].decode().splitlines()
+    line = next(line for line in lines if line.startswith(ENTRIES_METRIC))
+    return int(float(line.rpartition(' ')[2]))
+
+
+def wait_for_entries(fleet: PlatformFleet) -> None:
+    """Waits until all daemons hold the entries that were written so far."""
+    written = len(fleet.store.events)
+    wait_until(
+        lambda: min(map(held_revision, fleet.members)) >= written,
+        APPLY_TIMEOUT_S,
+    )
+
+
 def add_route(fleet: PlatformFleet, number: int) -> None:
-    """Publishes a route and waits until all daemons follow it."""
+    """Publishes a route and waits until all daemons follow it.
+
+    They read entries apart from it, so these are waited for as well.
+    """
+    wait_for_entries(fleet)
     route = {**ORDERS_ROUTE, 'prefix': f'/r{number}/'}
     fleet.configure(number, orders=ORDERS_ROUTE, added=route)
     wait_until(
