Send no heartbeats on unused connections between daemons

An unused connection (no call in flight, 3 s without use) now gets none. The next call waits for the answer to one ping on it; without an answer in 0.25 s the connection closes and the call goes over a new one, so a connection that fell silent unused no longer takes calls that may have run.

Lanes moved out of peerlinks into a module of their own.

--- a/egretlanding/ingress.py
+++ b/egretlanding/ingress.py
@@ -32,15 +32,11 @@
 from egretlanding.httpserver import HttpExchange
 from egretlanding.jobs import MS_PER_S
 from egretlanding.keys import parse_key
+from egretlanding.lanes import BULK_BYTES, PendingCall, lane_for
 from egretlanding.objects import Branch, WorkClass
 from egretlanding.outcomes import Reason, Refusal
 from egretlanding.ownership import locate_owner
-from egretlanding.peerlinks import (
-    BULK_BYTES,
-    PeerLinks,
-    PendingCall,
-    lane_for,
-)
+from egretlanding.peerlinks import PeerLinks
 from egretlanding.quarantine import request_signature
 from egretlanding.retries import KEY_HEADER, CallContext
 from egretlanding.retryafter import FIRST_PAUSE_S, RetryAfterEstimator
--- a/egretlanding/keyissuer.py
+++ b/egretlanding/keyissuer.py
@@ -19,8 +19,9 @@
 from egretlanding.httpmessages import HttpResponse
 from egretlanding.httpserver import HttpExchange
 from egretlanding.keys import issue_key
+from egretlanding.lanes import Lane
 from egretlanding.outcomes import Reason, Refusal
-from egretlanding.peerlinks import Lane, PeerLinks
+from egretlanding.peerlinks import PeerLinks
 from egretlanding.servicestates import ServiceStates
 
 KEYS_PATH_PREFIX = '/.egretlanding/keys/'
--- a/egretlanding/peerlinks.py
+++ b/egretlanding/peerlinks.py
@@ -1,6 +1,5 @@
 """Persistent connections to the daemons that this one sends calls to."""
 
-import enum
 from collections.abc import Callable
 from typing import Any
 
@@ -9,135 +8,23 @@
 from twisted.python.failure import Failure
 
 from egretlanding.events import Event, Severity, log_event
-from egretlanding.frames import CallReply, CallRequest, refusal_reply
+from egretlanding.frames import Ping
 from egretlanding.hosts import Host
-from egretlanding.outcomes import Reason, Refusal
-from egretlanding.peers import OnReply, PeerConnection, PeerContext, PeerFactory
+from egretlanding.lanes import (
+    IDLE_LIMIT_S,
+    Lane,
+    LaneConnection,
+    PendingCall,
+)
+from egretlanding.peers import PeerConnection, PeerContext, PeerFactory
 from egretlanding.reads import after_reads
-from egretlanding.silentconnections import SilentConnections
 
 CONNECT_TIMEOUT_S = 0.5
 # Time from an open connection to the hello of the other daemon, seconds.
 HELLO_TIMEOUT_S = 1.0
-BACKOFF_FIRST_S = 0.1
-BACKOFF_LONGEST_S = 2
+# Time from a ping on a connection that was unused to its answer, seconds.
+PROBE_TIMEOUT_S = 0.25
 HEARTBEAT_S = 1
-IDLE_LIMIT_S = 120
-# Calls with a request or answers above this size use the bulk lane, bytes.
-# Their frames would delay the small ones that are sent after them.
-BULK_BYTES = 16_384
-
-
-class Lane(enum.Enum):
-    """The two kinds of connections to one daemon."""
-
-    SHORT = enum.auto()
-    BULK = enum.auto()
-
-
-@attrs.define(eq=False)
-class PendingCall:
-    """A call that is to be sent or was sent to another daemon.
-
-    Attributes:
-        request: The call.
-        on_reply: Called once with the reply.
-        connection: The connection that carries it, None before it is sent.
-        call_id: Number of the call on that connection.
-        cancelled: Whether the call was abandoned.
-    """
-
-    request: CallRequest
-    on_reply: OnReply
-    connection: PeerConnection | None = None
-    call_id: int = 0
-    cancelled: bool = False
-
-    def send(self, connection: PeerConnection) -> None:
-        """Sends the call unless it was cancelled."""
-        if self.cancelled:
-            return
-        self.connection = connection
-        self.call_id = connection.call(self.request, self.on_reply)
-
-    def is_sent(self) -> bool:
-        """Returns whether any byte of the call may have left this daemon."""
-        return self.connection is not None
-
-    def cancel(self) -> None:
-        """Abandons the call; its reply is dropped."""
-        self.cancelled = True
-        if self.connection:
-            self.connection.cancel(self.call_id)
-
-    def fail(self, detail: str) -> None:
-        """Reports that no byte of the call left this daemon."""
-        if not self.cancelled:
-            self.on_reply(unsent_reply(detail))
-
-
-@attrs.define(eq=False)
-class LaneConnection:
-    """The connection of one lane, opened when it is needed.
-
-    Calls are sent only after the hello of the other daemon. Until then, the
-    connection may still be waiting in the backlog of a daemon that stops.
-
-    Attributes:
-        connection: The last connection, None before the first.
-        connecting: Whether a connection is being opened, up to the hello.
-        queued: Calls that wait for the hello.
-        failures: Consecutive failed attempts to connect.
-        backoff_until: Time before which no attempt is made, seconds.
-        last_used: Time at which the lane was last used, seconds.
-        silent: Earlier connections, on which the daemon fell silent and calls
-            are in flight.
-    """
-
-    connection: PeerConnection | None = None
-    connecting: bool = False
-    queued: list[PendingCall] = attrs.field(factory=list)
-    failures: int = 0
-    backoff_until: float = 0
-    last_used: float = 0
-    silent: SilentConnections = attrs.field(factory=SilentConnections)
-
-    def is_open(self) -> bool:
-        """Returns whether the connection can be used."""
-        connection = self.connection
-        return (
-            connection is not None
-            and connection.is_open()
-            and connection.peer is not None
-        )
-
-    def is_unused(self, now: float) -> bool:
-        """Returns whether the lane has had no use for a long time."""
-        in_use = self.connecting or self.silent.connections
-        return not in_use and now - self.last_used > IDLE_LIMIT_S
-
-    def set_aside(self, connection: PeerConnection) -> None:
-        """Leaves a silent connection to its calls in flight."""
-        self.connection = None
-        self.silent.add(connection)
-
-    def record_failure(self, now: float) -> list[PendingCall]:
-        """Sets the backoff and returns the calls that can't be sent."""
-        pause = BACKOFF_FIRST_S * 2**self.failures
-        self.failures += 1
-        self.backoff_until = now + min(BACKOFF_LONGEST_S, pause)
-        self.connecting = False
-        queued = self.queued
-        self.queued = []
-        return queued
-
-    def record_success(self) -> list[PendingCall]:
-        """Returns the calls that wait for the connection."""
-        self.connecting = False
-        self.failures = 0
-        queued = self.queued
-        self.queued = []
-        return queued
 
 
 @attrs.define(eq=False)
@@ -145,7 +32,8 @@
     """All outgoing connections to daemons: one of each lane for new calls.
 
     While a daemon is silent, its earlier connections stay open beside these
-    for the calls in flight on them.
+    for the calls in flight on them. An unused connection gets no heartbeats;
+    the next call waits until the other daemon has answered a ping on it.
 
     Attributes:
         reactor: The reactor to connect with.
@@ -181,7 +69,7 @@
         )
 
     def send(self, host: Host, lane_kind: Lane, pending: PendingCall) -> None:
-        """Sends a call now or as soon as a connection is open.
+        """Sends a call now or as soon as a connection is known to work.
 
         Args:
             host: The host of the target.
@@ -189,17 +77,61 @@
             pending: The call; it records whether it was sent.
         """
         lane = self.connect(host, lane_kind)
-        lane.last_used = self.reactor.seconds()
-        if lane.connection and lane.is_open():
-            pending.send(lane.connection)
-        elif lane.connecting:
+        now = self.reactor.seconds()
+        if lane.connection and lane.is_open() and lane.rests(now):
+            self.probe(host, lane_kind, lane.connection)
+        lane.last_used = now
+        if lane.connecting:
             lane.queued.append(pending)
+        elif lane.connection and lane.is_open():
+            pending.send(lane.connection)
         else:
             # The reply is sent only after this function has returned, as it is
             # after a failed attempt to connect.
             detail = 'connecting to the daemon failed a moment ago'
             self.reactor.callLater(0, pending.fail, detail)
 
+    def probe(
+        self, host: Host, lane_kind: Lane, connection: PeerConnection
+    ) -> None:
+        """Pings on a connection before calls use it again.
+
+        If no answer comes, the calls that wait for it use a new connection.
+
+        Args:
+            host: The host of the other daemon.
+            lane_kind: The lane of the connection.
+            connection: The connection.
+        """
+        lane = self.lanes[host, lane_kind]
+        lane.connecting = True
+        timer = self.reactor.callLater(
+            PROBE_TIMEOUT_S, self.end_without_pong, connection
+        )
+
+        def on_pong(arrived: bool) -> None:
+            if timer.active():
+                timer.cancel()
+            if arrived:
+                for pending in lane.record_success():
+                    pending.send(connection)
+            else:
+                lane.connecting = False
+                self.connect(host, lane_kind)
+
+        connection.pong.on_end = on_pong
+        connection.send(Ping())
+
+    def end_without_pong(self, connection: PeerConnection) -> None:
+        """Closes a connection unless its pong waits to be read."""
+
+        def close() -> None:
+            if connection.pong.is_expected():
+                connection.abort()
+                connection.pong.end(arrived=False)
+
+        after_reads(self.reactor, close)
+
     def connect(self, host: Host, lane_kind: Lane) -> LaneConnection:
         """Begins to open a connection unless it is open or in backoff."""
         lane = self.lanes.setdefault((host, lane_kind), LaneConnection())
@@ -322,15 +254,18 @@
         lane: LaneConnection,
         connection: PeerConnection,
     ) -> None:
-        """Closes a connection if it is idle, else checks its heartbeat.
+        """Closes an idle connection, or checks the heartbeat of one in use.
 
         If the daemon is silent, another connection is opened at once: it tells
         whether the daemon is reachable, and takes the new calls.
         """
-        unused_s = self.reactor.seconds() - lane.last_used
-        if unused_s > IDLE_LIMIT_S and connection.is_idle():
+        now = self.reactor.seconds()
+        if now - lane.last_used > IDLE_LIMIT_S and connection.is_idle():
             connection.abort()
             return
+        if lane.rests(now) or connection.pong.is_expected():
+            connection.reset_heartbeat()
+            return
         connection.check_heartbeat()
         if connection.silent_intervals and connection.is_open():
             log_event(
@@ -356,18 +291,3 @@
             lane.silent.close()
             if lane.connection:
                 lane.connection.abort()
-
-
-def lane_for(size: int, is_long: bool) -> Lane:
-    """Returns the lane for a call.
-
-    Args:
-        size: Size of the request or of the answers of its route, bytes.
-        is_long: Whether the route declares long work.
-    """
-    return Lane.BULK if is_long or size > BULK_BYTES else Lane.SHORT
-
-
-def unsent_reply(detail: str) -> CallReply:
-    """Returns the reply for a call of which no byte left this daemon."""
-    return refusal_reply(0, Refusal.not_run(Reason.NO_TARGET, detail))
--- a/egretlanding/peers.py
+++ b/egretlanding/peers.py
@@ -51,23 +51,27 @@
 RecordsFrame = RecordsState | RecordsRequest | RecordsUpdate
 OnRecords = Callable[['PeerConnection', RecordsFrame], None]
 OnConnection = Callable[['PeerConnection'], None]
-# Called once with whether the hello arrived before the connection ended.
-OnGreeting = Callable[[bool], None]
+# Called once with whether a frame arrived before the connection ended.
+OnArrival = Callable[[bool], None]
 
 
 @attrs.define(eq=False)
-class Greeting:
-    """Waits for the hello of the other daemon.
+class ExpectedFrame:
+    """Waits for a frame of the other daemon.
 
     Attributes:
-        on_end: Called when the hello arrived or the connection ended; None
-            afterwards.
+        on_end: Called when the frame arrived or the connection ended; None
+            afterwards, and while no frame is expected.
     """
 
-    on_end: OnGreeting | None = None
+    on_end: OnArrival | None = None
+
+    def is_expected(self) -> bool:
+        """Returns whether the frame has yet to arrive."""
+        return self.on_end is not None
 
     def end(self, *, arrived: bool) -> None:
-        """Reports once whether the hello arrived."""
+        """Reports once whether the frame arrived."""
         on_end = self.on_end
         self.on_end = None
         if on_end:
@@ -87,6 +91,7 @@
         ready: Whether the other daemon accepts calls.
         aborted: Whether this daemon has closed the connection at once.
         greeting: Reports the hello, or the end of a connection without one.
+        pong: Reports the answer to a ping, or the end of the connection.
         bytes_received: Number of bytes received so far.
         bytes_at_last_check: Value of `bytes_received` at the last heartbeat,
             -1 if the next one must not count as silent.
@@ -110,7 +115,8 @@
         self.call_ids = itertools.count(1)
         self.ready = True
         self.aborted = False
-        self.greeting = Greeting()
+        self.greeting = ExpectedFrame()
+        self.pong = ExpectedFrame()
         self.bytes_received = 0
         self.bytes_at_last_check = -1
         self.silent_intervals = 0
@@ -143,6 +149,7 @@
         for call_id, on_reply in pending_replies.items():
             on_reply(lost_reply(call_id))
         self.greeting.end(arrived=False)
+        self.pong.end(arrived=False)
         self.context.on_close(self)
 
     def is_open(self) -> bool:
@@ -251,6 +258,8 @@
                 self.context.on_records(self, frame)
             case Ping():
                 self.send(Pong())
+            case Pong():
+                self.pong.end(arrived=True)
             case Hello() | Readiness():
                 self.update_peer_state(frame)
 
--- a/egretlanding/recordrelay.py
+++ b/egretlanding/recordrelay.py
@@ -17,7 +17,8 @@
 from egretlanding.exceptions import ReleaseError
 from egretlanding.frames import RecordsRequest, RecordsState, RecordsUpdate
 from egretlanding.hosts import Host
-from egretlanding.peerlinks import Lane, PeerLinks
+from egretlanding.lanes import Lane
+from egretlanding.peerlinks import PeerLinks
 from egretlanding.peers import PeerConnection, RecordsFrame
 from egretlanding.recordfeed import STALE_S, RecordFeed
 from egretlanding.recordreplies import RecordReplies, base_of, unpack
--- a/egretlanding/servicepeers.py
+++ b/egretlanding/servicepeers.py
@@ -7,7 +7,8 @@
 from egretlanding.egress import Egress
 from egretlanding.frames import HostsState
 from egretlanding.hosts import Host
-from egretlanding.peerlinks import Lane, PeerLinks
+from egretlanding.lanes import Lane
+from egretlanding.peerlinks import PeerLinks
 from egretlanding.peers import PeerConnection
 from egretlanding.views import View
 
--- a/tests/test_call_path.py
+++ b/tests/test_call_path.py
@@ -19,9 +19,9 @@
 from egretlanding.frames import CallReply, Hello, refusal_reply
 from egretlanding.httpmessages import HttpResponse
 from egretlanding.httpserver import HttpServer
+from egretlanding.lanes import Lane, PendingCall
 from egretlanding.outcomes import Progress, Reason, Refusal
 from egretlanding.pacedwork import DELAY_S
-from egretlanding.peerlinks import Lane, PendingCall
 from egretlanding.peers import PeerConnection
 from egretlanding.platform.names import DIALECT, READINESS_PATH
 from egretlanding.platform.records import RecordDecoder
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -14,7 +14,7 @@
 from egretlanding.hosts import Host
 from egretlanding.httpmessages import HttpResponse
 from egretlanding.httpserver import HttpExchange, HttpServer, HttpServerFactory
-from egretlanding.peerlinks import Lane, LaneConnection
+from egretlanding.lanes import Lane, LaneConnection
 from egretlanding.peers import PeerConnection, PeerContext, PeerFactory
 from egretlanding.sidecarconfig import SidecarConfig
 from egretlanding.tcpwrites import UNTRIED_BUFFER
--- a/tests/test_peerlinks.py
+++ b/tests/test_peerlinks.py
@@ -11,17 +11,19 @@
     CallReply,
     CallRequest,
     Hello,
+    Ping,
     Pong,
     Ran,
     encode_frame,
 )
 from egretlanding.hosts import Host
+from egretlanding.lanes import REST_AFTER_S, Lane, PendingCall
 from egretlanding.outcomes import Execution, Reason, Refusal
 from egretlanding.peerlinks import (
+    HEARTBEAT_S,
     HELLO_TIMEOUT_S,
-    Lane,
+    PROBE_TIMEOUT_S,
     PeerLinks,
-    PendingCall,
 )
 from egretlanding.peers import PeerConnection, PeerContext
 from tests.wires import Wire, attach
@@ -291,3 +293,104 @@
         peer.links.check_heartbeats()
         peer.links.reset_heartbeats()
     assert not peer.replies
+
+
+def connected_peer() -> tuple[SilentPeer, Wire]:
+    """Returns a daemon that has answered the only call on its connection."""
+    reactor = MemoryReactorClock()
+    links = make_links(reactor)
+    replies, connection, wire = open_lane(reactor, links)
+    greet(connection, 1)
+    receive(connection, CallReply(1, 200, [], b''))
+    assert [reply.status for reply in replies] == [200]
+    wire.clear()
+    return SilentPeer(reactor, links, [], connection, []), wire
+
+
+def rest(peer: SilentPeer) -> None:
+    """Leaves a connection unused for some heartbeats, which are answered."""
+    for _ in range(REST_AFTER_S + 1):
+        peer.reactor.advance(HEARTBEAT_S)
+        peer.links.check_heartbeats()
+        receive(peer.connection, Pong())
+
+
+def framed(frame: AnyFrame) -> bytes:
+    """Returns a frame as it is sent."""
+    encoded = encode_frame(frame)
+    return len(encoded).to_bytes(4, 'big') + encoded
+
+
+# Load: many hosts, few calls to each. The heartbeats on all connections took
+# more processor time than the calls.
+def test_an_unused_connection_gets_no_heartbeats() -> None:
+    peer, wire = connected_peer()
+    peer.links.check_heartbeats()
+    assert wire.value() == framed(Ping())
+    receive(peer.connection, Pong())
+    rest(peer)
+    wire.clear()
+    rest(peer)
+    assert not wire.value()
+    assert peer.connection.is_open()
+
+
+def test_a_call_waits_for_a_sign_of_life_on_an_unused_connection() -> None:
+    peer, wire = connected_peer()
+    rest(peer)
+    wire.clear()
+    first, second = peer.call(), peer.call()
+    assert wire.value() == framed(Ping())
+    receive(peer.connection, Pong())
+    assert wire.value().count(b'/new') == 2
+    for call_id in (2, 3):
+        receive(peer.connection, CallReply(call_id, 200, [], b''))
+    assert [reply.status for reply in (*first, *second)] == [200, 200]
+    assert not peer.call()
+    assert wire.value().count(b'/new') == 3
+
+
+# Failure: a connection that fell silent while it was unused took calls, which
+# failed as possibly run.
+def test_a_call_avoids_a_connection_that_fell_silent_unused() -> None:
+    peer, wire = connected_peer()
+    rest(peer)
+    replies = peer.call()
+    peer.reactor.advance(PROBE_TIMEOUT_S)
+    peer.reactor.advance(0)
+    assert not peer.connection.is_open()
+    assert b'/new' not in wire.value()
+    connection, new_wire = peer.accept()
+    greet(connection, 1)
+    assert b'/new' in new_wire.value()
+    assert not replies
+
+
+@pytest.mark.parametrize('closes', [True, False])
+def test_a_call_on_an_unused_connection_to_a_dead_daemon_is_not_run(
+    closes: bool,
+) -> None:
+    peer, wire = connected_peer()
+    rest(peer)
+    replies = peer.call()
+    if closes:
+        wire.loseConnection()
+    else:
+        peer.reactor.advance(PROBE_TIMEOUT_S)
+        peer.reactor.advance(0)
+    peer.refuse()
+    assert [reply.ran for reply in replies] == [Ran.NOT_RUN]
+
+
+# Guards against a probe that ends because this process was busy, although the
+# sign of life has arrived.
+def test_a_sign_of_life_that_has_arrived_is_read_before_its_time_out() -> None:
+    peer, wire = connected_peer()
+    rest(peer)
+    peer.call()
+    peer.reactor.callLater(
+        PROBE_TIMEOUT_S, peer.connection.dataReceived, framed(Pong())
+    )
+    peer.reactor.advance(PROBE_TIMEOUT_S)
+    assert peer.connection.is_open()
+    assert b'/new' in wire.value()
