Spend less processor time on starts and on configurations

Objects are sorted once, links are searched by name, and the garbage collector leaves out the modules and classes that stay.

choose_branch moved to the route table, since it needs nothing else.

--- a/egretlanding/faults.py
+++ b/egretlanding/faults.py
@@ -3,7 +3,14 @@
 import collections
 import functools
 import itertools
-from collections.abc import Callable, Hashable, Iterable, Iterator
+import operator
+from collections.abc import (
+    Callable,
+    Hashable,
+    Iterable,
+    Iterator,
+    Mapping,
+)
 from typing import Any
 
 import attrs
@@ -12,6 +19,8 @@
 
 ObjectKey = tuple[str, str]
 GroupOf = Callable[[Any], Hashable]
+# How to read a link of a spec, and the names of objects that are searched.
+LinkSearch = tuple[Callable[[Any], Any], frozenset[str]]
 
 
 @attrs.frozen
@@ -157,23 +166,30 @@
         fields_of = functools.partial(fields_with, option='link')
         if not self.lost:
             return self.field_values(fields_of, self.unchecked)
-        unchecked_ids = frozenset(map(id, self.unchecked))
-        lost_kinds = frozenset(kind for kind, _name in self.lost)
+        broken = self.objects_that_refer_to(self.lost)
+        ids = frozenset(map(id, itertools.chain(self.unchecked, broken)))
+        affected = (one for one in self.objects if id(one) in ids)
+        return self.field_values(fields_of, order(affected))
+
+    def objects_that_refer_to(
+        self, keys: Iterable[ObjectKey]
+    ) -> Iterator[ConfigObject]:
+        """Yields the objects with a link to one of some objects, once a link.
+
+        Args:
+            keys: Kind and name of these objects.
+        """
+        names: dict[str, set[str]] = {}
+        for kind, name in keys:
+            names.setdefault(kind, set()).add(name)
         classes = {type(one.spec) for one in self.objects}
-        fields_to_lost = {
-            spec_class: _fields_to(spec_class, lost_kinds)
-            for spec_class in classes
-        }
-        affected = (
+        links = {one: _links_to(one, names) for one in classes}
+        return (
             one
             for one in self.objects
-            if id(one) in unchecked_ids
-            or (
-                (fields := fields_to_lost[type(one.spec)])
-                and _refers_to(one.spec, fields, self.lost)
-            )
+            for read, searched in links[type(one.spec)]
+            if _names_any(read(one.spec), searched)
         )
-        return self.field_values(fields_of, order(affected))
 
     def values(self) -> Iterator[FieldValue]:
         """Yields every field that could be read, object by object."""
@@ -229,9 +245,10 @@
     return register
 
 
-def key_of(config_object: ConfigObject) -> ObjectKey:
-    """Returns kind and name of an object."""
-    return config_object.kind, config_object.name
+# Returns kind and name of an object.
+key_of: Callable[[ConfigObject], ObjectKey] = operator.attrgetter(
+    'kind', 'name'
+)
 
 
 def order(objects: Iterable[ConfigObject]) -> tuple[ConfigObject, ...]:
@@ -248,20 +265,18 @@
     return by_key if len(by_key) == len(objects) else {}
 
 
-def _fields_to(kind: type, kinds: frozenset[str]) -> tuple[Any, ...]:
-    return tuple(
-        field
+def _links_to(kind: type, names: Mapping[str, set[str]]) -> list[LinkSearch]:
+    return [
+        (
+            operator.attrgetter(field.name),
+            frozenset(names[field.metadata['link']]),
+        )
         for field in fields_with(kind, 'link')
-        if field.metadata['link'] in kinds
-    )
+        if field.metadata['link'] in names
+    ]
 
 
-def _refers_to(
-    spec: Any, fields: Iterable[Any], keys: frozenset[ObjectKey]
-) -> bool:
-    for field in fields:
-        content = getattr(spec, field.name)
-        names = (content,) if isinstance(content, str) else content
-        if any((field.metadata['link'], name) in keys for name in names):
-            return True
-    return False
+def _names_any(content: str | Iterable[str], names: frozenset[str]) -> bool:
+    if isinstance(content, str):
+        return content in names
+    return not names.isdisjoint(content)
--- a/egretlanding/ingress.py
+++ b/egretlanding/ingress.py
@@ -2,7 +2,6 @@
 
 import itertools
 import math
-import random
 from collections import Counter
 from collections.abc import Callable
 from typing import Any
@@ -33,7 +32,7 @@
 from egretlanding.jobs import MS_PER_S
 from egretlanding.keys import parse_key
 from egretlanding.lanes import BULK_BYTES, PendingCall, lane_for
-from egretlanding.objects import Branch, WorkClass
+from egretlanding.objects import WorkClass
 from egretlanding.outcomes import Reason, Refusal
 from egretlanding.ownership import locate_owner
 from egretlanding.peerlinks import PeerLinks
@@ -160,8 +159,8 @@
             return
         branches = view.routes.branches.get(match.route_name)
         if branches:
-            match = choose_branch(
-                view, match, branches, self.service_states.rng
+            match = view.routes.choose_branch(
+                match, branches, self.service_states.rng
             )
         self.start_call(exchange, view, match, meta)
 
@@ -364,31 +363,3 @@
     def answered(self) -> int:
         """Returns the number of calls that targets answered."""
         return self.outcomes[Ran.YES.value, '']
-
-
-def choose_branch(
-    view: View,
-    match: Match,
-    branches: tuple[Branch, ...],
-    rng: random.Random,
-) -> Match:
-    """Chooses one of a route's services for a call, at random by weight.
-
-    Args:
-        view: The configuration in force.
-        match: The route and service that matched the call.
-        branches: The services that share the calls of the route.
-        rng: Source of the random choice.
-
-    Returns:
-        The match with the chosen service, or unchanged if all weights are 0.
-    """
-    weights = [branch.weight for branch in branches]
-    if not any(weights):
-        return match
-    service = rng.choices(branches, weights)[0].service
-    return attrs.evolve(
-        match,
-        service_name=service,
-        service=view.routes.services[service],
-    )
--- a/egretlanding/platform/__main__.py
+++ b/egretlanding/platform/__main__.py
@@ -1,5 +1,6 @@
 """Runs the daemon on the platform."""
 
+import gc
 import os
 import sys
 import time
@@ -10,6 +11,9 @@
 # Loading the other modules takes long enough for a signal to arrive.
 hold_signals()
 
+# Modules and classes stay, so that the collector need not look at them.
+gc.disable()
+
 # Modules for TLS and its hashes, which the platform does not use. They are
 # blocked before the first import; the libraries work without them.
 UNUSED = ('OpenSSL', 'ssl', '_hashlib')
@@ -27,6 +31,9 @@
 from egretlanding.sidecarconfig import SidecarConfig  # noqa: E402
 from egretlanding.sidecarprocess import serve  # noqa: E402
 
+gc.freeze()
+gc.enable()
+
 SETTINGS_VARIABLE = 'EGRETLANDING_CONFIG'
 
 
--- a/egretlanding/routing.py
+++ b/egretlanding/routing.py
@@ -1,6 +1,8 @@
 """Finds the route, policy and idempotency rule of a call in a release."""
 
 import itertools
+import random
+from collections import defaultdict
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -116,8 +118,8 @@
                 in it.
             resolve: Returns the effective policy for the name of a policy.
         """
-        routes: dict[str, Route] = _specs(release, 'Route')
-        rules: dict[str, IdempotencyRule] = _specs(release, 'IdempotencyRule')
+        specs = _specs_by_kind(release)
+        routes: dict[str, Route] = specs['Route']
         return cls(
             release=release.number,
             names_by_prefix=_group_by_prefix(routes),
@@ -128,10 +130,10 @@
                 ),
             ),
             routes=routes,
-            rules=_group_rules(routes, rules),
+            rules=_group_rules(routes, specs['IdempotencyRule']),
             policies=_resolve_policies(release, routes, resolve),
-            services=_specs(release, 'Service'),
-            branches=_group_branches(release),
+            services=specs['Service'],
+            branches=_group_branches(specs['Branch']),
         )
 
     def match(
@@ -218,6 +220,33 @@
             default=None,
         )
 
+    def choose_branch(
+        self,
+        match: Match,
+        branches: tuple[Branch, ...],
+        rng: random.Random,
+    ) -> Match:
+        """Chooses one of a route's services for a call, at random by weight.
+
+        Args:
+            match: The route and service that matched the call.
+            branches: The services that share the calls of the route.
+            rng: Source of the random choice.
+
+        Returns:
+            The match with the chosen service, or unchanged if all weights are
+            0.
+        """
+        weights = [branch.weight for branch in branches]
+        if not any(weights):
+            return match
+        service = rng.choices(branches, weights)[0].service
+        return attrs.evolve(
+            match,
+            service_name=service,
+            service=self.services[service],
+        )
+
     def explain(self, method: str, path: str) -> Explanation:
         """Returns the route and rules of a call, with the reasons."""
         match = self.match(method, path)
@@ -286,21 +315,21 @@
     return {route: tuple(named) for route, named in grouped.items()}
 
 
-def _group_branches(release: Release) -> dict[str, tuple[Branch, ...]]:
+def _group_branches(
+    named_branches: Mapping[str, Branch],
+) -> dict[str, tuple[Branch, ...]]:
     grouped: dict[str, list[Branch]] = {}
-    for branch in _specs(release, 'Branch').values():
+    for branch in named_branches.values():
         grouped.setdefault(branch.route, []).append(branch)
     return {name: tuple(branches) for name, branches in grouped.items()}
 
 
-def _specs(release: Release, kind: str) -> dict[str, Any]:
-    return {
-        name: config_object.spec
-        for (object_kind, name), config_object in sorted(
-            release.objects.items()
-        )
-        if object_kind == kind
-    }
+def _specs_by_kind(release: Release) -> Mapping[str, dict[str, Any]]:
+    # The objects of each kind are ordered by name.
+    specs: defaultdict[str, dict[str, Any]] = defaultdict(dict)
+    for kind, name in sorted(release.objects):
+        specs[kind][name] = release.objects[kind, name].spec
+    return specs
 
 
 def _explain_match(match: Match) -> tuple[str, ...]:
--- a/egretlanding/setchecks.py
+++ b/egretlanding/setchecks.py
@@ -134,11 +134,14 @@
 @check('rule coverage')
 def check_coverage(objects: ObjectSet) -> Iterator[Fault]:
     """Finds idempotency rules for methods that their route doesn't accept."""
+    rules = _uncovered_rules(objects)
+    rule_routes = {rule.spec.route for rule in rules}
     routes = {
-        route_object.name: route_object
-        for route_object in objects.of_kind(Route.__name__)
+        one.name: one
+        for one in objects.objects
+        if one.name in rule_routes and one.kind == Route.__name__
     }
-    for rule in _uncovered_rules(objects):
+    for rule in rules:
         route = routes.get(rule.spec.route)
         if route is None:
             continue
--- a/tests/test_call_path.py
+++ b/tests/test_call_path.py
@@ -486,7 +486,7 @@
 @pytest.mark.parametrize(
     ('place', 'name', 'statuses'),
     [
-        ('egretlanding.ingress', 'choose_branch', {500}),
+        ('egretlanding.routing.RouteTable', 'choose_branch', {500}),
         ('egretlanding.ingress.Ingress', 'find_owner', {500}),
         ('egretlanding.ingress.Ingress', 'check_quarantine', {503}),
         ('egretlanding.ingress.Ingress', 'send', {502}),
