Pass records on between daemons however long entries of other writers are

The longest contents are left out of a reply until it fits; entries of targets are short, so such a record names no target anyway. Items are decoded one by one; one whose value can't be read becomes an empty record.

--- a/egretlanding/platform/store.py
+++ b/egretlanding/platform/store.py
@@ -8,6 +8,7 @@
 import msgspec
 from twisted.internet.defer import Deferred
 
+from egretlanding.events import Event, Severity, log_event
 from egretlanding.exceptions import (
     HistoryLostError,
     PlatformError,
@@ -70,16 +71,32 @@
     tombstone: bool = False
 
 
+class ItemHead(msgspec.Struct):
+    """The fields of an item without which nothing is known of it.
+
+    Attributes:
+        key: The key.
+        revision: The store's revision at which it was written.
+    """
+
+    key: str
+    revision: int
+
+
+ITEM_DECODER = msgspec.json.Decoder(Item)
+ITEM_HEAD_DECODER = msgspec.json.Decoder(ItemHead)
+
+
 class ItemList(msgspec.Struct, rename='kebab'):
     """A page of the list of items.
 
     Attributes:
-        items: The items.
+        items: The items, each encoded.
         truncated: Whether more items follow on the next page.
         current_rev: The store's revision when the page was read.
     """
 
-    items: list[Item]
+    items: list[msgspec.Raw]
     truncated: bool
     current_rev: int
 
@@ -88,11 +105,11 @@
     """The answer to a watch.
 
     Attributes:
-        events: The items that were written or deleted.
+        events: The items that were written or deleted, each encoded.
         current_rev: The revision after which the next watch begins.
     """
 
-    events: list[Item]
+    events: list[msgspec.Raw]
     current_rev: int
 
 
@@ -142,9 +159,8 @@
             ITEM_LIST_PATH, query, REPLY_TIMEOUT_S
         )
         body = decode(response, ItemList)
-        records = tuple(map(to_record, body.items))
         return Page(
-            records,
+            decode_items(body.items),
             body.current_rev,
             not body.truncated,
             era_of(response),
@@ -163,7 +179,7 @@
         )
         body = decode(response, EventList)
         return Changes(
-            tuple(map(to_record, body.events)),
+            decode_items(body.events),
             body.current_rev,
             era_of(response),
             transfer_s,
@@ -226,11 +242,44 @@
     return PlatformError(f'the store did not answer {path}', RETRY_REMEDY)
 
 
-def to_record(item: Item) -> Record:
-    """Converts an item to a record."""
+def decode_items(items: list[msgspec.Raw]) -> tuple[Record, ...]:
+    """Returns the records of encoded items.
+
+    One item that can't be read doesn't keep the others back.
+    """
+    records = map(decode_item, items)
+    return tuple(record for record in records if record)
+
+
+def decode_item(encoded: msgspec.Raw) -> Record | None:
+    """Returns the record of an encoded item.
+
+    If only its value can't be read, the record is empty, so that it stands for
+    no target or configuration. An item without a readable key or revision has
+    no record.
+    """
+    try:
+        item = ITEM_DECODER.decode(encoded)
+    except DECODE_ERRORS as error:
+        log_event(
+            Event.RECORDS_REFUSED,
+            'cannot decode an item of the store',
+            Severity.WARNING,
+            error=str(error),
+        )
+        return empty_record(encoded)
     return Record(item.key, item.revision, item.value, item.tombstone)
 
 
+def empty_record(encoded: msgspec.Raw) -> Record | None:
+    """Returns a record without content for an item, if its key is readable."""
+    try:
+        head = ITEM_HEAD_DECODER.decode(encoded)
+    except DECODE_ERRORS:
+        return None
+    return Record(head.key, head.revision)
+
+
 def era_of(response: HttpResponse) -> int:
     """Returns how often the store was restored, zero if it doesn't say.
 
--- a/egretlanding/recordreplies.py
+++ b/egretlanding/recordreplies.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from egretlanding.difference import decode_difference, encode_difference
+from egretlanding.events import Event, Severity, log_event
 from egretlanding.exceptions import ReleaseError
 from egretlanding.frames import RecordsRequest, RecordsState, RecordsUpdate
 from egretlanding.records import Record, RecordTable
@@ -14,6 +15,8 @@
 
 # Most bytes that the records of one frame may decompress to.
 MAX_UNPACKED_BYTES = 4_000_000
+# Most bytes of a record without its content.
+MAX_RECORD_HEAD_BYTES = 256
 # Records smaller than this are sent as they are, bytes.
 MIN_BASE_BYTES = 2_048
 # Most bytes of earlier contents that are kept as bases.
@@ -109,7 +112,7 @@
     records = table.since(0 if send_all else frame.after)
     if send_all:
         records = [record for record in records if not record.deleted]
-    encoded = msgspec.msgpack.encode(records)
+    encoded = msgspec.msgpack.encode(without_longest(records))
     has_base = bool(base)
     return RecordsUpdate(
         state.revision,
@@ -124,6 +127,42 @@
     )
 
 
+def without_longest(records: list[Record]) -> list[Record]:
+    """Leaves out the longest contents until one frame can hold all records.
+
+    Entries of targets are short, so contents that don't fit together are of
+    other writers, whose records name no target with or without their contents.
+    """
+    head_bytes = MAX_RECORD_HEAD_BYTES * len(records)
+    excess = head_bytes - MAX_UNPACKED_BYTES
+    excess += sum(len(record.content) for record in records)
+    emptied = set()
+    for record in sorted(records, key=content_length, reverse=True):
+        if excess <= 0:
+            break
+        excess -= content_length(record)
+        emptied.add(record.key)
+    if emptied:
+        log_event(
+            Event.RECORDS_SHORTENED,
+            'records are too long to be sent to other daemons',
+            Severity.WARNING,
+            records=len(records),
+            without_content=len(emptied),
+        )
+    return [
+        msgspec.structs.replace(record, content=b'')
+        if record.key in emptied
+        else record
+        for record in records
+    ]
+
+
+def content_length(record: Record) -> int:
+    """Returns the length of a record's content, bytes."""
+    return len(record.content)
+
+
 def base_of(table: RecordTable) -> int:
     """Returns the revision of the largest record, 0 if all are small."""
     large = (
--- a/tests/test_difference.py
+++ b/tests/test_difference.py
@@ -11,6 +11,7 @@
 from egretlanding.frames import RecordsRequest, RecordsState, RecordsUpdate
 from egretlanding.recordreplies import (
     MAX_BASES_BYTES,
+    MAX_UNPACKED_BYTES,
     MIN_BASE_BYTES,
     RecordReplies,
     base_of,
@@ -137,3 +138,28 @@
     update = RecordsUpdate(1, 0, b'nonsense')
     with pytest.raises(ReleaseError):
         unpack(update, RecordTable())
+
+
+# Failure: entries of a megabyte exceeded the bound on what one daemon takes
+# from another, so that a daemon cut off from the store got no records at all.
+def test_records_that_are_too_long_together_are_sent_without_the_longest() -> (
+    None
+):
+    table = RecordTable()
+    real = [
+        Record(f'servers/i-{number}', number, b'entry' * 60)
+        for number in range(1, 200)
+    ]
+    odd = [
+        Record(f'servers/odd-{number}', 200 + number, b'x' * 1_000_000)
+        for number in range(6)
+    ]
+    table.replace([*real, *odd], 300)
+    empty = RecordTable()
+    reply = RecordReplies().reply_to(request_of(empty), table, state_of(table))
+    taken = unpack(reply, empty)
+    assert taken[: len(real)] == real
+    assert [record.key for record in taken[len(real) :]] == [
+        record.key for record in odd
+    ]
+    assert sum(len(record.content) for record in taken) <= MAX_UNPACKED_BYTES
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -118,6 +118,40 @@
     assert 'wait-ms=9000' in pool.paths[0]
 
 
+# Failure: one item that could not be decoded failed the whole answer, so that
+# daemons heard of no other target.
+@pytest.mark.parametrize(
+    ('odd', 'expected'),
+    [
+        ({'key': 'servers/odd', 'revision': 8, 'value': '%%'}, True),
+        ({'key': 'servers/odd', 'revision': 8, 'value': {'a': 1}}, True),
+        ({'key': 'servers/odd', 'revision': 8, 'tombstone': 'no'}, True),
+        ({'key': ['servers/odd'], 'revision': 8}, False),
+        ({'revision': 8}, False),
+        ('not an item', False),
+        (None, False),
+    ],
+)
+@pytest.mark.parametrize('watch_after', [None, 5])
+def test_an_item_that_cannot_be_read_keeps_no_other_back(
+    odd: object, expected: bool, watch_after: int | None
+) -> None:
+    good = {
+        'key': 'servers/good',
+        'revision': 9,
+        'value': base64.b64encode(b'entry').decode(),
+    }
+    name = 'items' if watch_after is None else 'events'
+    body = {name: [odd, good], 'truncated': False, 'current-rev': 9}
+    pool = FakePool(answer=make_response(200, body))
+    (outcome,) = call_store(pool, watch_after)
+    empty = [Record('servers/odd', 8)] if expected else []
+    assert list(outcome.records) == [
+        *empty,
+        Record('servers/good', 9, b'entry'),
+    ]
+
+
 def test_lost_history_raises_its_own_error() -> None:
     failure = call_store(
         FakePool(answer=make_response(410, {})), watch_after=5
