Ask a few targets how soon they could answer before a call is sent

Cause: in a large fleet an ingress daemon sends each target a call in ten seconds, so the load reports and latencies of its own calls are old or one sample of work with a long tail.

Now up to four targets of the region are asked before an attempt. The daemon beside each knows its queue, its service times over all callers and the share of calls that fail; the target that expects to answer first gets the call.

--- a/egretlanding/admission.py
+++ b/egretlanding/admission.py
@@ -102,6 +102,25 @@
         work = queue.expected_work(self.times) + sum(running) / 2
         return work / self.slots.usable(is_long)
 
+    def expected_delay(self, route: str, now: float) -> float | None:
+        """Returns how soon a short call that arrives now would be answered.
+
+        Args:
+            route: Name of the call's route.
+            now: Monotonic time, seconds.
+
+        Returns:
+            The time, seconds; None for a route that had no call here, or if a
+            queued call would probably be refused.
+        """
+        if route not in self.times.routes or self._is_crowded(route):
+            return None
+        wait_s = self.predicted_wait(is_long=False)
+        if self.pace.rate_per_s is not None:
+            paced_s = self.pace.wait_s(len(self.short) + 1, now)
+            wait_s = max(wait_s, paced_s)
+        return wait_s + self.times.expected(route)
+
     def next_advance_at(self, now: float) -> float | None:
         """Returns when `advance` must run at the latest, seconds.
 
@@ -223,6 +242,16 @@
             )
         return None
 
+    def _is_crowded(self, route: str) -> bool:
+        if self.slots.may_start(is_long=False) and not self.short:
+            return False
+        queued_s = self.short.expected_work(self.times)
+        work_s = queued_s + self.times.expected(route)
+        return work_s > self._max_queued_work_s()
+
+    def _max_queued_work_s(self) -> float:
+        return MAX_QUEUED_WORK_PER_SLOT_S * self.slots.usable(is_long=False)
+
     def _queue(self, is_long: bool) -> CallQueue:
         return self.long if is_long else self.short
 
@@ -257,9 +286,7 @@
             yield self._drop(queued, Reason.SHORT_WAIT)
 
     def _drop_excess(self, now: float) -> Iterator[Refuse]:
-        max_work_s = MAX_QUEUED_WORK_PER_SLOT_S * self.slots.usable(
-            is_long=False,
-        )
+        max_work_s = self._max_queued_work_s()
         while (
             self.short.time_sensitive
             and self.short.expected_work(self.times) > max_work_s
--- a/egretlanding/attempts.py
+++ b/egretlanding/attempts.py
@@ -97,6 +97,8 @@
         tried: Ids of the hosts that an attempt was sent to.
         timers: Timers of the deadline and the hedge.
         is_finished: Whether the caller was answered or has disconnected.
+        is_surveying: Whether targets are being asked for their delays, after
+            which an attempt is made.
         arrived: When it arrived, monotonic seconds.
         fallback: An error answer of a target. The caller gets it if no
             later attempt is answered.
@@ -116,6 +118,7 @@
     tried: frozenset[str] = frozenset()
     timers: list[Any] = attrs.field(factory=list)
     is_finished: bool = False
+    is_surveying: bool = False
     arrived: float = 0
     fallback: CallReply | None = None
     retry_after_s: float = FIRST_PAUSE_S
@@ -165,10 +168,42 @@
                 reactor.callLater(delay, after_reads, reactor, self.hedge),
             )
 
+    @property
+    def is_attempted(self) -> bool:
+        """Whether an attempt is open, or will be made in a moment."""
+        return bool(self.open_attempts) or self.is_surveying
+
     def make_attempt(self) -> None:
-        """Sends the call to the owner of its key or to a chosen target."""
-        number = self.ingress.next_attempt_number()
-        spec = AttemptSpec(
+        """Sends the call to a target, after a survey if that is configured."""
+        service_states = self.ingress.service_states
+        sample = (
+            self.service_state.balancer.survey_sample(
+                self.attempt_spec(0), self.now, service_states.rng
+            )
+            if service_states.surveys and not self.owner
+            else ()
+        )
+        if not sample:
+            self.send_to_choice()
+            return
+        self.is_surveying = True
+        self.ingress.surveyor.ask(
+            self.service_state.balancer.targets,
+            sample,
+            self.match.route_name,
+            self.end_survey,
+        )
+
+    @answers_failed_call
+    def end_survey(self) -> None:
+        """Makes the attempt that a survey has prepared."""
+        self.is_surveying = False
+        if not self.is_finished:
+            self.send_to_choice()
+
+    def attempt_spec(self, number: int) -> AttemptSpec:
+        """Returns what an attempt requires of its target."""
+        return AttemptSpec(
             attempt=number,
             route=self.match.route_name,
             deadline=self.context.deadline,
@@ -176,6 +211,11 @@
             idempotent=self.context.idempotent,
             excluded=self.tried,
         )
+
+    def send_to_choice(self) -> None:
+        """Sends the call to the owner of its key or to a chosen target."""
+        number = self.ingress.next_attempt_number()
+        spec = self.attempt_spec(number)
         choice = self.choose_target(spec)
         if isinstance(choice, Refusal):
             self.answer_without_target(choice)
@@ -210,7 +250,7 @@
 
     def answer_without_target(self, refusal: Refusal) -> None:
         """Refuses a call that has no target, once no attempt is open."""
-        if self.open_attempts:
+        if self.is_attempted:
             return
         if self.failed_attempts:
             refusal = combine_failures(self.failed_attempts)
@@ -278,7 +318,7 @@
 
     def retry_or_answer(self) -> None:
         """Retries a failed call or answers it, unless an attempt is open."""
-        if self.open_attempts:
+        if self.is_attempted:
             return
         request = self.exchange.request
         if self.ingress.check_quarantine(self.match, request):
@@ -325,6 +365,7 @@
         )
         if (
             len(self.open_attempts) != 1
+            or self.is_surveying
             or attempts >= self.match.policy.max_attempts
         ):
             return
@@ -357,11 +398,11 @@
             for attempt in self.open_attempts.values()
         ]
         self.cancel_open_attempts()
-        self.answer(
-            refusal_reply(
-                0, combine_failures([*self.failed_attempts, *unanswered])
-            ),
-        )
+        failures = [*self.failed_attempts, *unanswered]
+        refusal = Refusal.not_run(Reason.DEADLINE, 'no target chosen in time')
+        if failures:
+            refusal = combine_failures(failures)
+        self.answer(refusal_reply(0, refusal))
 
     def abandon(self) -> None:
         """Cancels a call whose caller has disconnected."""
--- a/egretlanding/balancing.py
+++ b/egretlanding/balancing.py
@@ -22,6 +22,11 @@
 # Of two sampled targets, the first is chosen if its score is at most this
 # multiple of the second one's.
 TIE_RATIO = 1.1
+# Most targets that are asked for their delay before a call is sent.
+SURVEY_SIZE = 4
+# Of two surveyed targets, the one of the ingress daemon's failure domain is
+# chosen if its delay is at most this multiple of the other's.
+NEAR_DELAY_RATIO = 1.2
 # Time for which unused bytes of the link budget are saved up, seconds.
 LINK_BURST_S = 30
 MIN_LINK_BURST_BYTES = 16_384
@@ -181,10 +186,7 @@
         probe = self._due_probe(group, spec, now)
         if probe is not None:
             return _choice(probe, is_probe=True)
-        with_room = [
-            target for target in group if not target.is_full(spec.route, now)
-        ]
-        usable = _without_shunned(with_room)
+        usable = self._usable_with_room(spec, now)
         near = self._choose_near(usable, now, rng)
         if near is not None:
             return _choice(near)
@@ -199,6 +201,64 @@
             )
         return _choice(remote)
 
+    def survey_sample(
+        self, spec: AttemptSpec, now: float, rng: random.Random
+    ) -> list[TargetEvidence]:
+        """Returns the targets to ask for their delay before an attempt.
+
+        Args:
+            spec: The attempt.
+            now: Monotonic time, seconds.
+            rng: Source of the random choices.
+
+        Returns:
+            Targets of the same region; none if there is nothing to choose.
+        """
+        near = [
+            target
+            for target in self._usable_with_room(spec, now)
+            if target.distance is not Distance.REMOTE
+        ]
+        sample = self._sample(near, SURVEY_SIZE, now, rng)
+        return sample if len(sample) > 1 else []
+
+    def choose_soonest(
+        self,
+        spec: AttemptSpec,
+        now: float,
+        rng: random.Random,
+    ) -> Choice | Refusal:
+        """Chooses the target that expects to answer first.
+
+        Without a fresh survey it chooses as `choose_near_first` does.
+
+        Args:
+            spec: The attempt.
+            now: Monotonic time, seconds.
+            rng: Source of the random choices.
+
+        Returns:
+            The target, or the reason why there is none.
+        """
+        group = self.targets.usable_targets(now, spec.excluded)
+        probe = self._due_probe(group, spec, now)
+        delays = [
+            (delay, target)
+            for target in self._usable_with_room(spec, now)
+            if (delay := target.expected_delay(spec.route, now)) is not None
+        ]
+        if probe is not None or not delays:
+            return self.choose_near_first(spec, now, rng)
+        _, soonest = min(
+            delays,
+            key=lambda delayed: (
+                delayed[0]
+                if delayed[1].distance is Distance.FAILURE_DOMAIN
+                else delayed[0] * NEAR_DELAY_RATIO
+            ),
+        )
+        return Choice(soonest.host, soonest.distance)
+
     def begin(self, choice: Choice, spec: AttemptSpec, now: float) -> None:
         """Records that an attempt was sent.
 
@@ -212,6 +272,15 @@
         if choice.distance is Distance.REMOTE:
             self.link.charge(spec.size, now)
 
+    def _usable_with_room(
+        self, spec: AttemptSpec, now: float
+    ) -> list[TargetEvidence]:
+        group = self.targets.usable_targets(now, spec.excluded)
+        with_room = [
+            target for target in group if not target.is_full(spec.route, now)
+        ]
+        return _without_shunned(with_room)
+
     def _due_probe(
         self,
         group: list[TargetEvidence],
@@ -270,22 +339,34 @@
         now: float,
         rng: random.Random,
     ) -> ScoredTarget | None:
-        # Weighted sampling of two targets without replacement: those with the
-        # greatest u^(1/share), where u is random in [0, 1).
-        cold_start_ms = self.targets.service.cold_start_ms
-        sampled = heapq.nlargest(
-            2,
-            (target for target in group if target.distance is distance),
-            key=lambda target: (
-                rng.random() ** (1 / target.share(cold_start_ms, now))
-            ),
-        )
+        at_distance = [
+            target for target in group if target.distance is distance
+        ]
+        sampled = self._sample(at_distance, 2, now, rng)
         scored = [self._scored(target, now) for target in sampled]
         if len(scored) < 2:
             return next(iter(scored), None)
         first, second = scored
         return second if first.score > TIE_RATIO * second.score else first
 
+    def _sample(
+        self,
+        group: list[TargetEvidence],
+        size: int,
+        now: float,
+        rng: random.Random,
+    ) -> list[TargetEvidence]:
+        # Weighted sampling without replacement: those with the greatest
+        # u^(1/share), where u is random in [0, 1).
+        cold_start_ms = self.targets.service.cold_start_ms
+        return heapq.nlargest(
+            size,
+            group,
+            key=lambda target: (
+                rng.random() ** (1 / target.share(cold_start_ms, now))
+            ),
+        )
+
 
 def _without_shunned(group: list[TargetEvidence]) -> list[TargetEvidence]:
     # If all targets are shunned they are used all the same.
--- a/egretlanding/callparts.py
+++ b/egretlanding/callparts.py
@@ -19,6 +19,8 @@
 from egretlanding.targethealth import HEALTH_CHECKS
 from egretlanding.targetpool import TargetPool
 
+# The value of the setting `balancing` with which targets are surveyed.
+SURVEYING = 'survey'
 # Provides the limits for the local target until a release is in force.
 DEFAULT_SERVICE = Service(regions=())
 
@@ -61,6 +63,7 @@
         server.on_call,
         server.on_cancel,
         server.on_close,
+        on_ping=server.egress.answer_ping,
     )
 
 
@@ -71,4 +74,5 @@
         locality,
         CHOOSERS[config.balancing],
         random.Random(config.host_id),
+        surveys=config.balancing == SURVEYING,
     )
--- a/egretlanding/egress.py
+++ b/egretlanding/egress.py
@@ -1,7 +1,9 @@
 """Runs calls at the target beside the daemon."""
 
 import itertools
+import math
 import time
+from http import HTTPStatus
 from typing import Any
 
 import attrs
@@ -15,7 +17,14 @@
 from egretlanding.dialect import DEFAULT_DIALECT, Dialect
 from egretlanding.events import Event, Severity, log_event
 from egretlanding.exceptions import KeyFormatError
-from egretlanding.frames import CallReply, CallRequest, refusal_reply
+from egretlanding.failureshare import FailureShare
+from egretlanding.frames import (
+    CallReply,
+    CallRequest,
+    Ping,
+    Pong,
+    refusal_reply,
+)
 from egretlanding.histograms import Histogram
 from egretlanding.httpheaders import header_values
 from egretlanding.httpmessages import HttpResponse
@@ -68,6 +77,7 @@
         dialect: The header names that the target uses.
         queue_times: Histogram of how long calls waited for a slot.
         run_times: Histogram of how long the target took.
+        failures: The share of the latest calls that failed.
     """
 
     reactor: Any
@@ -85,6 +95,7 @@
     dialect: Dialect = DEFAULT_DIALECT
     queue_times: Histogram = attrs.field(factory=Histogram)
     run_times: Histogram = attrs.field(factory=Histogram)
+    failures: FailureShare = attrs.field(factory=FailureShare)
 
     def moment(self) -> ClockReading:
         """Returns the current time on the monotonic and the wall clock."""
@@ -128,6 +139,17 @@
             self.admit(job, ticket, on_reply)
         return ticket
 
+    def answer_ping(self, ping: Ping) -> Pong:
+        """Tells how soon a call that arrives now would be answered."""
+        if not ping.route:
+            return Pong(ping.number)
+        now = self.reactor.seconds()
+        delay_s = self.admission.expected_delay(ping.route, now)
+        if delay_s is None or not self.health.takes_calls:
+            return Pong(ping.number, len(self.table.jobs))
+        delay_ms = math.ceil(self.failures.until_success(delay_s) * MS_PER_S)
+        return Pong(ping.number, len(self.table.jobs), delay_ms)
+
     def run_keyed(self, job: Job, ticket: int, on_reply: OnReply) -> None:
         """Runs a call that has an idempotency key, at most once per key."""
         call = job.call
@@ -205,6 +227,7 @@
             self.admission.record_shed(job.job_id, now)
         else:
             self.admission.release(job.job_id, now)
+            self.failures.observe(failed=is_failure(outcome))
         if outcome.cancelled:
             self.table.remove(job)
         elif outcome.response is None:
@@ -325,6 +348,14 @@
         self.quarantine.expire(self.reactor.seconds())
 
 
+def is_failure(outcome: TargetOutcome) -> bool:
+    """Returns whether a call that ran was lost or answered with an error."""
+    if outcome.cancelled:
+        return False
+    status = outcome.response.status if outcome.response else None
+    return status is None or status >= HTTPStatus.INTERNAL_SERVER_ERROR
+
+
 def hear_statement(
     egress: Egress, job: Job, response: HttpResponse | None
 ) -> None:
--- a/egretlanding/evidence.py
+++ b/egretlanding/evidence.py
@@ -18,6 +18,9 @@
 SLOWNESS_DECAY_S = 10
 # Time constant with which a load report loses its weight, seconds.
 LOAD_REPORT_DECAY_S = 2
+# Age from which an expected delay says nothing any more, seconds: a small part
+# of the time that most calls take.
+MAX_EXPECTED_AGE_S = 0.05
 # Share of calls that a target gets at the beginning of its cold start.
 MIN_COLD_SHARE = 0.1
 # Time for which a target counts as unreachable after the first failed
@@ -60,6 +63,21 @@
         )
 
 
+@attrs.frozen
+class ExpectedDelay:
+    """How soon a target could answer a call, as its daemon expects.
+
+    Attributes:
+        route: Name of the call's route.
+        delay_s: Time until the answer, seconds.
+        heard_at: When the daemon said so, seconds.
+    """
+
+    route: str
+    delay_s: float
+    heard_at: float
+
+
 @attrs.define
 class Probation:
     """The state of a shunned target, which gets only probe calls.
@@ -90,6 +108,7 @@
         samples: Answers that `slowness` is based on.
         flights: Attempts in flight, by number of the attempt.
         load_report: Its last load report.
+        expected: The delay that its daemon last expected, None if unknown.
         failed_connects: Failed attempts to connect, in a row.
         unreachable_until: Until when it counts as unreachable, seconds.
         probation: Set while the target is shunned for being slow.
@@ -107,6 +126,7 @@
     samples: int = 0
     flights: dict[int, Flight] = attrs.field(factory=dict)
     load_report: ReportedLoad = ReportedLoad()
+    expected: ExpectedDelay | None = None
     failed_connects: int = 0
     unreachable_until: float = -math.inf
     probation: Probation | None = None
@@ -130,6 +150,22 @@
         """Returns the calls that the target runs and queues, estimated."""
         return max(len(self.flights), self.load_report.current(now))
 
+    def expected_delay(self, route: str, now: float) -> float | None:
+        """Returns the delay that its daemon expects, seconds.
+
+        Args:
+            route: Name of the call's route.
+            now: Monotonic time, seconds.
+
+        Returns:
+            The delay, or None if it was not told lately.
+        """
+        expected = self.expected
+        if expected is None or expected.route != route:
+            return None
+        is_fresh = now - expected.heard_at <= MAX_EXPECTED_AGE_S
+        return expected.delay_s if is_fresh else None
+
     def share(self, cold_start_ms: int, now: float) -> float:
         """Returns the target's share of calls, which ramps up to 1.
 
--- a/egretlanding/frames.py
+++ b/egretlanding/frames.py
@@ -280,11 +280,30 @@
 
 
 class Ping(Frame, frozen=True, tag='ping'):
-    """Checks whether the other daemon is alive."""
+    """Checks whether the other daemon is alive, and may ask for a delay.
+
+    Attributes:
+        number: Number that the reply repeats, 0 if nothing is asked.
+        route: Name of the route whose delay is asked for.
+    """
+
+    number: int = 0
+    route: str = ''
 
 
 class Pong(Frame, frozen=True, tag='pong'):
-    """Replies to a ping."""
+    """Replies to a ping.
+
+    Attributes:
+        number: The number of the ping.
+        load: Calls that the target runs and queues.
+        delay_ms: Expected time until the answer to a call of the route that
+            arrives now, ms; 0 if unknown.
+    """
+
+    number: int = 0
+    load: int = 0
+    delay_ms: int = 0
 
 
 AnyFrame = (
--- a/egretlanding/ingress.py
+++ b/egretlanding/ingress.py
@@ -41,6 +41,7 @@
 from egretlanding.retryafter import FIRST_PAUSE_S, RetryAfterEstimator
 from egretlanding.routing import Match
 from egretlanding.servicestates import ServiceStates
+from egretlanding.surveys import Surveyor
 from egretlanding.views import View
 
 # Bounds the memory that is used to remember routes with large answers.
@@ -94,6 +95,7 @@
             monotonic seconds.
         release_age_s: Returns the time since the configuration was last known
             to be the newest, seconds.
+        surveyor: Asks targets how soon they could answer.
     """
 
     reactor: Any
@@ -118,6 +120,12 @@
     retry_pauses: RetryAfterEstimator = attrs.field(factory=RetryAfterEstimator)
     stops_at: float = math.inf
     release_age_s: Callable[[], float] = always_confirmed
+    surveyor: Surveyor = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.surveyor = Surveyor(
+            self.reactor, self.links, self.host_id, self.egress
+        )
 
     def next_attempt_number(self) -> int:
         """Returns an unused attempt number."""
--- a/egretlanding/servicestates.py
+++ b/egretlanding/servicestates.py
@@ -66,6 +66,17 @@
     return balancer.choose_near_first(spec, now, rng)
 
 
+@register_chooser('survey')
+def choose_soonest(
+    balancer: Balancer,
+    spec: AttemptSpec,
+    now: float,
+    rng: random.Random,
+) -> Choice | Refusal:
+    """Chooses the surveyed target that expects to answer first."""
+    return balancer.choose_soonest(spec, now, rng)
+
+
 @register_chooser('random')
 def choose_at_random(
     balancer: Balancer,
@@ -96,13 +107,12 @@
         excluded: Ids of hosts to disregard.
         now: Monotonic time, seconds.
     """
-    spare_load = targets.service.slots * SPARE_LOAD_SHARE
     loads = [
-        target.load(now)
+        target.load(now) / targets.slots_of(target)
         for target in targets.usable_targets(now, excluded)
         if now - target.load_report.reported < MAX_REPORT_AGE_S
     ]
-    return bool(loads) and statistics.median(loads) < spare_load
+    return bool(loads) and statistics.median(loads) < SPARE_LOAD_SHARE
 
 
 @attrs.define(eq=False)
@@ -140,6 +150,7 @@
         new_budget: Builds the retry budget of a service.
         daemon_count: Number of daemons that share the slack of the retry
             budgets, 0 if it is not shared.
+        surveys: Whether targets are asked for their delays before a choice.
     """
 
     locality: Locality
@@ -152,6 +163,7 @@
     unready: dict[str, float] = attrs.field(factory=dict)
     new_budget: Callable[[float], RetryBudget] = RetryBudget.with_initial_tokens
     daemon_count: int = 0
+    surveys: bool = False
 
     def service(self, name: str, now: float) -> ServiceState:
         """Returns the state of a service of the configuration in force."""
--- a/egretlanding/targets.py
+++ b/egretlanding/targets.py
@@ -5,8 +5,13 @@
 
 import attrs
 
-from egretlanding.evidence import Flight, ReportedLoad, TargetEvidence
-from egretlanding.frames import Statement
+from egretlanding.evidence import (
+    ExpectedDelay,
+    Flight,
+    ReportedLoad,
+    TargetEvidence,
+)
+from egretlanding.frames import Pong, Statement
 from egretlanding.hosts import Host
 from egretlanding.objects import Service
 from egretlanding.servicetimes import ServiceTimes
@@ -28,6 +33,7 @@
 # than it could be given: at most this many, or this multiple of what it takes.
 MAX_OFFERS_PER_S = 400
 OFFERS_PER_CALL = 4
+MS_PER_S = 1_000
 # Relative latency that is recorded for a call that the target lost or rejected.
 FAILURE_SLOWNESS = 4
 
@@ -99,10 +105,14 @@
             (now - flight.started) / self.times.expected(flight.route)
             for flight in target.flights.values()
         ]
-        load = 1 + target.load(now) / self.service.slots
+        load = 1 + target.load(now) / self.slots_of(target)
         share = target.share(self.service.cold_start_ms, now)
         return max(slowness, *in_flight, 0) * load / share
 
+    def slots_of(self, target: TargetEvidence) -> int:
+        """Returns how many calls a target runs at a time."""
+        return target.host.slots or self.service.slots
+
     def update_hosts(self, hosts: Iterable[Host], now: float) -> None:
         """Replaces the hosts by those of a new host list.
 
@@ -232,6 +242,26 @@
         return [*near[:MAX_NEAR_TARGETS], *remote[:MAX_REMOTE_TARGETS]]
 
 
+def record_delay(
+    targets: TargetTable, host_id: str, route: str, pong: Pong, now: float
+) -> None:
+    """Records how soon the daemon of a target expects to answer a call.
+
+    Args:
+        targets: The targets of the service.
+        host_id: Id of the target's host.
+        route: Name of the call's route.
+        pong: What the daemon says.
+        now: Monotonic time, seconds.
+    """
+    target = targets.evidence.get(host_id)
+    if target is None:
+        return
+    target.load_report = ReportedLoad(pong.load, now)
+    if pong.delay_ms:
+        target.expected = ExpectedDelay(route, pong.delay_ms / MS_PER_S, now)
+
+
 def heard_from(targets: TargetTable, host: Host) -> Statement | None:
     """Returns what the target's process of a host last stated, if any."""
     target = targets.evidence.get(host.host_id)
--- /dev/null
+++ b/tests/test_thin_evidence.py
@@ -0,0 +1,61 @@
+"""Tests of the choice of targets in a fleet where each daemon sends few calls.
+
+Pattern: an ingress daemon of a large fleet sends each target a call in ten
+seconds or less, so its own calls say little about the targets' load and speed.
+"""
+
+import pytest
+
+from tests.callmodel import (
+    Model,
+    Policy,
+    choose_at_random,
+    choose_by_own_calls,
+    choose_by_survey,
+)
+
+TARGETS = 24
+INGRESSES = 60
+SECONDS = 6
+
+
+def ends_of(policy: Policy, load: float, slow: int = 0) -> Model:
+    """Runs the model and returns it."""
+    model = Model.of_fleet(
+        policy, targets=TARGETS, ingresses=INGRESSES, slow=slow
+    )
+    model.run(load, SECONDS)
+    return model
+
+
+@pytest.mark.parametrize('slow', [0, 3])
+def test_a_survey_finds_targets_that_answer_in_time(slow: int) -> None:
+    load = 0.4
+    surveyed = ends_of(choose_by_survey, load, slow)
+    own = ends_of(choose_by_own_calls, load, slow)
+    random = ends_of(choose_at_random, load, slow)
+    assert surveyed.share('late') <= 0.75 * own.share('late')
+    assert surveyed.share('late') <= 0.75 * random.share('late')
+    assert not surveyed.ends['refused']
+
+
+# Calls were refused by full targets, one after another, while others had free
+# slots.
+def test_a_survey_finds_the_last_free_slots() -> None:
+    load = 0.9
+    surveyed = ends_of(choose_by_survey, load)
+    own = ends_of(choose_by_own_calls, load)
+    random = ends_of(choose_at_random, load)
+    assert surveyed.share('refused') <= own.share('refused') / 2
+    assert surveyed.share('in time') > own.share('in time')
+    assert surveyed.share('in time') > random.share('in time')
+    assert surveyed.refusals < own.refusals
+
+
+def test_a_survey_keeps_the_goodput_at_twice_the_capacity() -> None:
+    load = 2
+    surveyed = ends_of(choose_by_survey, load)
+    own = ends_of(choose_by_own_calls, load)
+    bound = surveyed.capacity * SECONDS
+    assert surveyed.ends['in time'] >= 0.9 * bound
+    assert surveyed.ends['in time'] >= 0.97 * own.ends['in time']
