--- a/egretlanding/admission.py
+++ b/egretlanding/admission.py
@@ -102,25 +102,6 @@
         work = queue.expected_work(self.times) + sum(running) / 2
         return work / self.slots.usable(is_long)
 
-    def expected_delay(self, route: str, now: float) -> float | None:
-        """Returns how soon a short call that arrives now would be answered.
-
-        Args:
-            route: Name of the call's route.
-            now: Monotonic time, seconds.
-
-        Returns:
-            The time, seconds; None for a route that had no call here, or if a
-            queued call would probably be refused.
-        """
-        if route not in self.times.routes or self._is_crowded(route):
-            return None
-        wait_s = self.predicted_wait(is_long=False)
-        if self.pace.rate_per_s is not None:
-            paced_s = self.pace.wait_s(len(self.short) + 1, now)
-            wait_s = max(wait_s, paced_s)
-        return wait_s + self.times.expected(route)
-
     def next_advance_at(self, now: float) -> float | None:
         """Returns when `advance` must run at the latest, seconds.
 
@@ -242,16 +223,6 @@
             )
         return None
 
-    def _is_crowded(self, route: str) -> bool:
-        if self.slots.may_start(is_long=False) and not self.short:
-            return False
-        queued_s = self.short.expected_work(self.times)
-        work_s = queued_s + self.times.expected(route)
-        return work_s > self._max_queued_work_s()
-
-    def _max_queued_work_s(self) -> float:
-        return MAX_QUEUED_WORK_PER_SLOT_S * self.slots.usable(is_long=False)
-
     def _queue(self, is_long: bool) -> CallQueue:
         return self.long if is_long else self.short
 
@@ -286,7 +257,7 @@
             yield self._drop(queued, Reason.SHORT_WAIT)
 
     def _drop_excess(self, now: float) -> Iterator[Refuse]:
-        max_work_s = self._max_queued_work_s()
+        max_work_s = max_queued_work_s(self.slots)
         while (
             self.short.time_sensitive
             and self.short.expected_work(self.times) > max_work_s
@@ -312,6 +283,43 @@
     admission.pace.take(now)
 
 
+def expected_delay(
+    admission: Admission, route: str, now: float
+) -> float | None:
+    """Returns how soon a short call that arrives now would be answered.
+
+    Args:
+        admission: The queues and slots of the target.
+        route: Name of the call's route.
+        now: Monotonic time, seconds.
+
+    Returns:
+        The time, seconds; None for a route that had no call here, or if the
+        call would probably be refused.
+    """
+    if route not in admission.times.routes or is_crowded(admission, route):
+        return None
+    wait_s = admission.predicted_wait(is_long=False)
+    if admission.pace.rate_per_s is not None:
+        paced_s = admission.pace.wait_s(len(admission.short) + 1, now)
+        wait_s = max(wait_s, paced_s)
+    return wait_s + admission.times.expected(route)
+
+
+def is_crowded(admission: Admission, route: str) -> bool:
+    """Returns whether one more short call would exceed the queued work."""
+    if admission.slots.may_start(is_long=False) and not admission.short:
+        return False
+    queued_s = admission.short.expected_work(admission.times)
+    work_s = queued_s + admission.times.expected(route)
+    return work_s > max_queued_work_s(admission.slots)
+
+
+def max_queued_work_s(slots: Slots) -> float:
+    """Returns the work up to which short calls are queued, seconds."""
+    return MAX_QUEUED_WORK_PER_SLOT_S * slots.usable(is_long=False)
+
+
 def latest_start(call: SlotRequest, times: ServiceTimes) -> float:
     """Returns when a call must start at the latest, seconds."""
     latest = times.latest_start(call.route, call.deadline)
--- a/egretlanding/attempts.py
+++ b/egretlanding/attempts.py
@@ -146,39 +146,15 @@
             self.match.policy,
             self.now,
         )
-        self.start_timers()
+        start_timers(self)
         self.make_attempt()
 
-    def start_timers(self) -> None:
-        """Starts the timers of the deadline and, if allowed, of a hedge."""
-        reactor = self.ingress.reactor
-        remaining = self.context.deadline - self.now
-        self.timers.append(
-            reactor.callLater(
-                remaining + REPLY_GRACE_S,
-                after_reads,
-                reactor,
-                self.handle_deadline,
-            ),
-        )
-        timer = self.ingress.service_states.hedge_timer(self.match.route_name)
-        delay = timer.delay(self.context, self.match.policy)
-        if delay is not None and delay < remaining and self.ingress.hedging:
-            self.timers.append(
-                reactor.callLater(delay, after_reads, reactor, self.hedge),
-            )
-
-    @property
-    def is_attempted(self) -> bool:
-        """Whether an attempt is open, or will be made in a moment."""
-        return bool(self.open_attempts) or self.is_surveying
-
     def make_attempt(self) -> None:
         """Sends the call to a target, after a survey if that is configured."""
         service_states = self.ingress.service_states
         sample = (
             self.service_state.balancer.survey_sample(
-                self.attempt_spec(0), self.now, service_states.rng
+                attempt_spec(self, 0), self.now, service_states.rng
             )
             if service_states.surveys and not self.owner
             else ()
@@ -201,22 +177,11 @@
         if not self.is_finished:
             self.send_to_choice()
 
-    def attempt_spec(self, number: int) -> AttemptSpec:
-        """Returns what an attempt requires of its target."""
-        return AttemptSpec(
-            attempt=number,
-            route=self.match.route_name,
-            deadline=self.context.deadline,
-            size=len(self.exchange.request.body),
-            idempotent=self.context.idempotent,
-            excluded=self.tried,
-        )
-
     def send_to_choice(self) -> None:
         """Sends the call to the owner of its key or to a chosen target."""
         number = self.ingress.next_attempt_number()
-        spec = self.attempt_spec(number)
-        choice = self.choose_target(spec)
+        spec = attempt_spec(self, number)
+        choice = choose_target(self, spec)
         if isinstance(choice, Refusal):
             self.answer_without_target(choice)
             return
@@ -224,33 +189,9 @@
             self.service_state.balancer.begin(choice, spec, self.now)
         self.send_attempt(number, choice.host)
 
-    def choose_target(self, spec: AttemptSpec) -> Choice | Refusal:
-        """Returns the target of an attempt, or why there is none."""
-        if self.owner:
-            return Choice(self.owner, Distance.REGION)
-        service_states = self.ingress.service_states
-        choice = service_states.choose(
-            self.service_state.balancer,
-            spec,
-            self.now,
-            service_states.rng,
-        )
-        if isinstance(choice, Refusal) and counts_as_retry(
-            self.failed_attempts
-        ):
-            # With no other target left, try one again that failed before.
-            unrestricted = attrs.evolve(spec, excluded=frozenset())
-            choice = service_states.choose(
-                self.service_state.balancer,
-                unrestricted,
-                self.now,
-                service_states.rng,
-            )
-        return choice
-
     def answer_without_target(self, refusal: Refusal) -> None:
         """Refuses a call that has no target, once no attempt is open."""
-        if self.is_attempted:
+        if is_attempted(self):
             return
         if self.failed_attempts:
             refusal = combine_failures(self.failed_attempts)
@@ -318,7 +259,7 @@
 
     def retry_or_answer(self) -> None:
         """Retries a failed call or answers it, unless an attempt is open."""
-        if self.is_attempted:
+        if is_attempted(self):
             return
         request = self.exchange.request
         if self.ingress.check_quarantine(self.match, request):
@@ -469,3 +410,63 @@
         and not call.key
         and not call.is_finished
     )
+
+
+def start_timers(call: ActiveCall) -> None:
+    """Starts the timers of the deadline and, if allowed, of a hedge."""
+    reactor = call.ingress.reactor
+    remaining = call.context.deadline - call.now
+    call.timers.append(
+        reactor.callLater(
+            remaining + REPLY_GRACE_S,
+            after_reads,
+            reactor,
+            call.handle_deadline,
+        ),
+    )
+    timer = call.ingress.service_states.hedge_timer(call.match.route_name)
+    delay = timer.delay(call.context, call.match.policy)
+    if delay is not None and delay < remaining and call.ingress.hedging:
+        call.timers.append(
+            reactor.callLater(delay, after_reads, reactor, call.hedge),
+        )
+
+
+def is_attempted(call: ActiveCall) -> bool:
+    """Returns whether an attempt is open, or will be made in a moment."""
+    return bool(call.open_attempts) or call.is_surveying
+
+
+def attempt_spec(call: ActiveCall, number: int) -> AttemptSpec:
+    """Returns what an attempt with a number requires of its target."""
+    return AttemptSpec(
+        attempt=number,
+        route=call.match.route_name,
+        deadline=call.context.deadline,
+        size=len(call.exchange.request.body),
+        idempotent=call.context.idempotent,
+        excluded=call.tried,
+    )
+
+
+def choose_target(call: ActiveCall, spec: AttemptSpec) -> Choice | Refusal:
+    """Returns the target of an attempt, or why there is none."""
+    if call.owner:
+        return Choice(call.owner, Distance.REGION)
+    service_states = call.ingress.service_states
+    choice = service_states.choose(
+        call.service_state.balancer,
+        spec,
+        call.now,
+        service_states.rng,
+    )
+    if isinstance(choice, Refusal) and counts_as_retry(call.failed_attempts):
+        # With no other target left, try one again that failed before.
+        unrestricted = attrs.evolve(spec, excluded=frozenset())
+        choice = service_states.choose(
+            call.service_state.balancer,
+            unrestricted,
+            call.now,
+            service_states.rng,
+        )
+    return choice
--- a/egretlanding/callparts.py
+++ b/egretlanding/callparts.py
@@ -1,12 +1,13 @@
 """Builds the components of the call path from a daemon's settings."""
 
 import random
+from functools import partial
 from typing import Any
 
 from egretlanding.admission import Admission
 from egretlanding.config import DaemonConfig
 from egretlanding.dialect import Dialect
-from egretlanding.egress import Egress
+from egretlanding.egress import Egress, answer_ping
 from egretlanding.frames import Hello
 from egretlanding.idempotency import KeyTable
 from egretlanding.objects import Service
@@ -63,7 +64,7 @@
         server.on_call,
         server.on_cancel,
         server.on_close,
-        on_ping=server.egress.answer_ping,
+        on_ping=partial(answer_ping, server.egress),
     )
 
 
--- a/egretlanding/egress.py
+++ b/egretlanding/egress.py
@@ -8,7 +8,12 @@
 
 import attrs
 
-from egretlanding.admission import Admission, Refuse, Start
+from egretlanding.admission import (
+    Admission,
+    Refuse,
+    Start,
+    expected_delay,
+)
 from egretlanding.callfailures import replies_to_failed_job
 from egretlanding.callheaders import (
     REPLAYED_HEADER,
@@ -139,17 +144,6 @@
             self.admit(job, ticket, on_reply)
         return ticket
 
-    def answer_ping(self, ping: Ping) -> Pong:
-        """Tells how soon a call that arrives now would be answered."""
-        if not ping.route:
-            return Pong(ping.number)
-        now = self.reactor.seconds()
-        delay_s = self.admission.expected_delay(ping.route, now)
-        if delay_s is None or not self.health.takes_calls:
-            return Pong(ping.number, len(self.table.jobs))
-        delay_ms = math.ceil(self.failures.until_success(delay_s) * MS_PER_S)
-        return Pong(ping.number, len(self.table.jobs), delay_ms)
-
     def run_keyed(self, job: Job, ticket: int, on_reply: OnReply) -> None:
         """Runs a call that has an idempotency key, at most once per key."""
         call = job.call
@@ -348,6 +342,24 @@
         self.quarantine.expire(self.reactor.seconds())
 
 
+def answer_ping(egress: Egress, ping: Ping) -> Pong:
+    """Tells how soon a call that arrives now would be answered.
+
+    Args:
+        egress: Runs the calls of the target.
+        ping: The question, or a heartbeat, to which nothing is told.
+    """
+    if not ping.route:
+        return Pong(ping.number)
+    load = len(egress.table.jobs)
+    now = egress.reactor.seconds()
+    delay_s = expected_delay(egress.admission, ping.route, now)
+    if delay_s is None or not egress.health.takes_calls:
+        return Pong(ping.number, load)
+    delay_ms = math.ceil(egress.failures.until_success(delay_s) * MS_PER_S)
+    return Pong(ping.number, load, delay_ms)
+
+
 def is_failure(outcome: TargetOutcome) -> bool:
     """Returns whether a call that ran was lost or answered with an error."""
     if outcome.cancelled:
--- a/egretlanding/ingress.py
+++ b/egretlanding/ingress.py
@@ -18,7 +18,7 @@
 from egretlanding.dialect import DEFAULT_DIALECT, Dialect
 from egretlanding.egress import Egress
 from egretlanding.events import Event, log_event
-from egretlanding.exceptions import CallHeaderError, KeyFormatError
+from egretlanding.exceptions import CallHeaderError
 from egretlanding.frames import (
     CallReply,
     CallRequest,
@@ -30,11 +30,10 @@
 from egretlanding.httpmessages import HttpRequest
 from egretlanding.httpserver import HttpExchange
 from egretlanding.jobs import MS_PER_S
-from egretlanding.keys import parse_key
 from egretlanding.lanes import BULK_BYTES, PendingCall, lane_for
 from egretlanding.objects import WorkClass
 from egretlanding.outcomes import Reason, Refusal
-from egretlanding.ownership import locate_owner
+from egretlanding.ownership import find_key_owner
 from egretlanding.peerlinks import PeerLinks
 from egretlanding.quarantine import request_signature
 from egretlanding.retries import KEY_HEADER, CallContext
@@ -246,12 +245,8 @@
         """
         if not key_text or match.idempotent:
             return None
-        try:
-            key = parse_key(key_text)
-        except KeyFormatError as error:
-            return Refusal.not_run(Reason.KEY_MALFORMED, str(error))
         hosts = view.hosts.of_service(match.service_name)
-        return locate_owner(key, match.service_name, hosts)
+        return find_key_owner(key_text, match.service_name, hosts)
 
     def send(
         self,
--- a/egretlanding/peerlinks.py
+++ b/egretlanding/peerlinks.py
@@ -133,7 +133,7 @@
         lane = self.lanes[host, lane_kind]
         lane.connecting = True
         timer = self.reactor.callLater(
-            PROBE_TIMEOUT_S, self.end_without_pong, connection
+            PROBE_TIMEOUT_S, end_without_pong, self.reactor, connection
         )
 
         def on_pong(arrived: bool) -> None:
@@ -149,16 +149,6 @@
         connection.pong.on_end = on_pong
         connection.send(Ping())
 
-    def end_without_pong(self, connection: PeerConnection) -> None:
-        """Closes a connection unless its pong waits to be read."""
-
-        def close() -> None:
-            if connection.pong.is_expected():
-                connection.abort()
-                connection.pong.end(arrived=False)
-
-        after_reads(self.reactor, close)
-
     def connect(self, host: Host, lane_kind: Lane) -> LaneConnection:
         """Begins to open a connection unless it is open or in backoff."""
         lane = self.lanes.setdefault((host, lane_kind), LaneConnection())
@@ -318,3 +308,19 @@
             lane.silent.close()
             if lane.connection:
                 lane.connection.abort()
+
+
+def end_without_pong(reactor: Any, connection: PeerConnection) -> None:
+    """Closes a connection unless its pong waits to be read.
+
+    Args:
+        reactor: The reactor.
+        connection: The connection, on which a ping was sent.
+    """
+
+    def close() -> None:
+        if connection.pong.is_expected():
+            connection.abort()
+            connection.pong.end(arrived=False)
+
+    after_reads(reactor, close)
--- a/egretlanding/peers.py
+++ b/egretlanding/peers.py
@@ -283,24 +283,9 @@
             case Ping():
                 self.send(self.context.on_ping(frame))
             case Pong():
-                self.handle_pong(frame)
+                handle_pong(self, frame)
             case Hello() | Readiness():
-                self.update_peer_state(frame)
-
-    def handle_pong(self, frame: Pong) -> None:
-        """Passes a reply to the callback of its question."""
-        self.pong.end(arrived=True)
-        on_pong = self.questions.pop(frame.number, None)
-        if on_pong:
-            on_pong(frame)
-
-    def update_peer_state(self, frame: Hello | Readiness) -> None:
-        """Records who the other daemon is and whether it accepts calls."""
-        if isinstance(frame, Hello):
-            self.peer = frame
-        self.ready = frame.ready
-        self.context.on_readiness(self, frame.ready)
-        self.greeting.end(arrived=True)
+                update_peer_state(self, frame)
 
 
 @attrs.define(eq=False)
@@ -412,3 +397,22 @@
             'the connection to the daemon beside the target was lost',
         ),
     )
+
+
+def handle_pong(connection: PeerConnection, frame: Pong) -> None:
+    """Passes a reply to the callback of its question."""
+    connection.pong.end(arrived=True)
+    on_pong = connection.questions.pop(frame.number, None)
+    if on_pong:
+        on_pong(frame)
+
+
+def update_peer_state(
+    connection: PeerConnection, frame: Hello | Readiness
+) -> None:
+    """Records who the other daemon is and whether it accepts calls."""
+    if isinstance(frame, Hello):
+        connection.peer = frame
+    connection.ready = frame.ready
+    connection.context.on_readiness(connection, frame.ready)
+    connection.greeting.end(arrived=True)
--- a/egretlanding/recordreplies.py
+++ b/egretlanding/recordreplies.py
@@ -135,13 +135,13 @@
     """
     head_bytes = MAX_RECORD_HEAD_BYTES * len(records)
     excess = head_bytes - MAX_UNPACKED_BYTES
-    excess += sum(len(record.content) for record in records)
+    excess += sum(map(content_length, records))
     emptied = set()
-    for record in sorted(records, key=content_length, reverse=True):
+    for longest in sorted(records, key=content_length, reverse=True):
         if excess <= 0:
             break
-        excess -= content_length(record)
-        emptied.add(record.key)
+        excess -= content_length(longest)
+        emptied.add(longest.key)
     if emptied:
         log_event(
             Event.RECORDS_SHORTENED,
--- a/egretlanding/servicestates.py
+++ b/egretlanding/servicestates.py
@@ -11,7 +11,7 @@
 from egretlanding.outcomes import Reason, Refusal
 from egretlanding.retries import HedgeTimer, RetryBudget
 from egretlanding.subsets import Locality
-from egretlanding.targets import TargetTable
+from egretlanding.targets import TargetTable, slots_of
 from egretlanding.tokens import TokenBucket
 from egretlanding.views import View
 
@@ -108,7 +108,7 @@
         now: Monotonic time, seconds.
     """
     loads = [
-        target.load(now) / targets.slots_of(target)
+        target.load(now) / slots_of(targets, target)
         for target in targets.usable_targets(now, excluded)
         if now - target.load_report.reported < MAX_REPORT_AGE_S
     ]
--- a/egretlanding/surveys.py
+++ b/egretlanding/surveys.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from egretlanding.egress import Egress
+from egretlanding.egress import Egress, answer_ping
 from egretlanding.evidence import TargetEvidence
 from egretlanding.frames import Ping, Pong
 from egretlanding.hosts import Host
@@ -101,7 +101,7 @@
             host = target.host
             on_pong = partial(self.record, survey, targets, host, route)
             if host.host_id == self.host_id:
-                on_pong(self.egress.answer_ping(Ping(route=route)))
+                on_pong(answer_ping(self.egress, Ping(route=route)))
             elif not self.links.ask(host, route, on_pong):
                 survey.skip()
         if survey.on_end:
--- a/egretlanding/targets.py
+++ b/egretlanding/targets.py
@@ -105,14 +105,10 @@
             (now - flight.started) / self.times.expected(flight.route)
             for flight in target.flights.values()
         ]
-        load = 1 + target.load(now) / self.slots_of(target)
+        load = 1 + target.load(now) / slots_of(self, target)
         share = target.share(self.service.cold_start_ms, now)
         return max(slowness, *in_flight, 0) * load / share
 
-    def slots_of(self, target: TargetEvidence) -> int:
-        """Returns how many calls a target runs at a time."""
-        return target.host.slots or self.service.slots
-
     def update_hosts(self, hosts: Iterable[Host], now: float) -> None:
         """Replaces the hosts by those of a new host list.
 
@@ -242,6 +238,11 @@
         return [*near[:MAX_NEAR_TARGETS], *remote[:MAX_REMOTE_TARGETS]]
 
 
+def slots_of(targets: TargetTable, target: TargetEvidence) -> int:
+    """Returns how many calls a target runs at a time."""
+    return target.host.slots or targets.service.slots
+
+
 def record_delay(
     targets: TargetTable, host_id: str, route: str, pong: Pong, now: float
 ) -> None:
