--- a/egretlanding/frames.py
+++ b/egretlanding/frames.py
@@ -267,6 +267,8 @@
         base: Revision of the receiver's record that `packed` is a difference
             to, 0 if it is none.
         echo: Stamp of the request.
+        outage_age_ms: Time since the sender last knew the store to fail, ms; -1
+            if that is long ago. Entries that lapsed then may come back.
     """
 
     revision: int
@@ -277,6 +279,7 @@
     topic: str = ''
     base: int = 0
     echo: int = 0
+    outage_age_ms: int = -1
 
 
 class Ping(Frame, frozen=True, tag='ping'):
--- a/egretlanding/recordfeed.py
+++ b/egretlanding/recordfeed.py
@@ -135,6 +135,7 @@
         restored_at: When the store was last found to have been restored from
             an older copy, seconds.
         failures: Requests that failed since the last successful one.
+        losses: Watches in a row whose history the store no longer had.
         reachable: Whether the last request to the store succeeded.
         relist: Whether the next read must list all records.
         may_be_late: Whether changes may have followed those that were read
@@ -163,6 +164,7 @@
     failed_at: float = float('-inf')
     restored_at: float = float('-inf')
     failures: int = 0
+    losses: int = 0
     reachable: bool = True
     relist: bool = True
     may_be_late: bool = False
@@ -221,10 +223,11 @@
                 await self.read()
             except HistoryLostError as error:
                 self.relist = True
+                self.losses += 1
                 self.record_success()
                 log_event(Event.HISTORY_LOST, str(error), Severity.WARNING)
                 # The list may not help, and the loss then comes at once again.
-                await self.pause(BATCH_PAUSE_S * self.rng.uniform(0.5, 1))
+                await self.pause(pause_after_loss_s(self))
             except PlatformError as error:
                 # A watch would get the same answer again, and pages are short.
                 unreadable = isinstance(error, UnreadableAnswerError)
@@ -259,6 +262,7 @@
         asked_at = self.reactor.seconds()
         changes = await self.store.watch(self.table.complete_revision, wait_s)
         self.record_success()
+        self.losses = 0
         if changes.era != era or self.table.era != era:
             # The store was restored, or another daemon told so meanwhile.
             self.relist = changes.era >= self.table.era
@@ -416,3 +420,28 @@
         transfer_s: Time that the answer took to arrive, seconds.
     """
     return bool(changed) and transfer_s > SLOW_TRANSFER_S
+
+
+def pause_after_loss_s(feed: RecordFeed) -> float:
+    """Returns the pause after a lost history, longer for each in a row."""
+    ceiling = BATCH_PAUSE_S * 2 ** min(feed.losses - 1, 4)
+    return min(MAX_BACKOFF_S, ceiling) * feed.rng.uniform(0.5, 1)
+
+
+def outage_age_ms(feed: RecordFeed, now: float) -> int:
+    """Returns the time since the store last failed, ms; -1 if long ago."""
+    if not feed.was_recently_unreachable(now):
+        return -1
+    return int((now - max(feed.failed_at, feed.restored_at)) * MS_PER_S)
+
+
+def record_outage(feed: RecordFeed, age_ms: int) -> None:
+    """Records a failure of the store that another daemon has seen.
+
+    Args:
+        feed: The feed that hears of it.
+        age_ms: Time since then, ms; -1 for none.
+    """
+    if age_ms >= 0:
+        failed_at = feed.reactor.seconds() - age_ms / MS_PER_S
+        feed.failed_at = max(feed.failed_at, failed_at)
--- a/egretlanding/recordrelay.py
+++ b/egretlanding/recordrelay.py
@@ -20,7 +20,12 @@
 from egretlanding.lanes import Lane
 from egretlanding.peerlinks import PeerLinks
 from egretlanding.peers import PeerConnection, RecordsFrame
-from egretlanding.recordfeed import STALE_S, RecordFeed
+from egretlanding.recordfeed import (
+    STALE_S,
+    RecordFeed,
+    outage_age_ms,
+    record_outage,
+)
 from egretlanding.recordreplies import RecordReplies, base_of, unpack
 from egretlanding.records import Record
 from egretlanding.recordtree import RecordTree, first_ranked
@@ -86,7 +91,8 @@
         listeners: The connections on which to tell changes, with the last
             question of each.
         behind_since: When this daemon first learned that it lacks records,
-            seconds; infinite while it lacks none.
+            seconds.
+        behind_position: The era and last change of its records at that time.
         better: Decides which other daemon reads the store instead.
         replies: Packs the records that other daemons lack.
         announced: What was announced last: the position, and when it was
@@ -110,6 +116,7 @@
     readers: tuple[Host, ...] = ()
     listeners: dict[PeerConnection, Question] = attrs.field(factory=dict)
     behind_since: float = float('inf')
+    behind_position: tuple[int, int] = (-1, -1)
     better: BetterReaders = attrs.field(init=False)
     replies: RecordReplies = attrs.field(factory=RecordReplies)
     announced: tuple[int, int, float] | None = None
@@ -270,8 +277,7 @@
             case RecordsState():
                 self.handle_state(connection, frame)
             case RecordsRequest():
-                table, state = self.feed.table, self.state_frame()
-                connection.send(self.replies.reply_to(frame, table, state))
+                send_records(self, connection, frame)
             case RecordsUpdate():
                 self.handle_records(connection, frame)
 
@@ -327,7 +333,10 @@
         if upstream.host_id in readers and peer in readers:
             return True
         now = float(self.reactor.seconds())
-        self.behind_since = min(self.behind_since, now)
+        position = (self.feed.table.era, self.feed.table.content_revision)
+        if position != self.behind_position:
+            self.behind_position = position
+            self.behind_since = now
         return now - self.behind_since >= UPSTREAM_WAIT_S
 
     def request_records(self, connection: PeerConnection) -> None:
@@ -381,7 +390,7 @@
                 error=repr(error),
             )
             return
-        self.behind_since = float('inf')
+        record_outage(self.feed, frame.outage_age_ms)
         age_s = oldest_s(frame, self.reactor.seconds())
         log_event(
             Event.RECORDS_TAKEN,
@@ -405,6 +414,16 @@
         )
 
 
+def send_records(
+    relay: RecordRelay, connection: PeerConnection, frame: RecordsRequest
+) -> None:
+    """Sends the records that another daemon lacks."""
+    state = relay.state_frame()
+    reply = relay.replies.reply_to(frame, relay.feed.table, state)
+    age_ms = outage_age_ms(relay.feed, relay.reactor.seconds())
+    connection.send(msgspec.structs.replace(reply, outage_age_ms=age_ms))
+
+
 def in_ms(seconds: float) -> int:
     """Returns a time in whole milliseconds."""
     return int(seconds * MS_PER_S)
--- a/tests/test_recordfeed.py
+++ b/tests/test_recordfeed.py
@@ -153,6 +153,18 @@
 
 # Failure: daemons followed nothing. A watch whose answer was too long was sent
 # again for ever, and got the same answer each time.
+# Failure: a store that has lost its history for good was listed ten times a
+# second.
+def test_a_history_that_stays_lost_is_listed_ever_more_rarely() -> None:
+    _, store, clock = start_feed()
+    lost = HistoryLostError('lost', 'none')
+    for _ in range(int(10 / STEP_S)):
+        if not store.watches[-1].called:
+            store.watches[-1].errback(lost)
+        clock.advance(STEP_S)
+    assert store.list_count <= 20
+
+
 def test_records_are_listed_after_an_unreadable_answer_to_a_watch() -> None:
     feed, store, clock = start_feed()
     store.watches[-1].errback(UnreadableAnswerError('too long', 'list'))
--- a/tests/test_recordrelay.py
+++ b/tests/test_recordrelay.py
@@ -17,7 +17,7 @@
     RecordsUpdate,
 )
 from egretlanding.hosts import Host
-from egretlanding.recordfeed import STALE_S, RecordFeed
+from egretlanding.recordfeed import OUTAGE_MEMORY_S, STALE_S, RecordFeed
 from egretlanding.recordrelay import (
     ANNOUNCE_INTERVAL_S,
     FIRST_WAIT_S,
@@ -423,3 +423,48 @@
     clock.advance(1.1 * REQUEST_TIMEOUT_S)
     relay.handle_state(second, RecordsState(6, 0, era=0))
     assert isinstance(second.sent[-1], RecordsRequest)
+
+
+def any_idle_relay() -> tuple[RecordRelay, Clock]:
+    """Returns the relay of a daemon that isn't a reader."""
+    host = first_ranked('north', HOSTS, len(HOSTS))[-1]
+    return build_relay(host.address, 'north')
+
+
+def requests_on(connection: Any) -> int:
+    """Returns the number of requests for records on a connection."""
+    return sum(isinstance(frame, RecordsRequest) for frame in connection.sent)
+
+
+# Failure: after a daemon had caught up by reading the store, it asked whoever
+# had later records at once, instead of its upstream.
+def test_a_daemon_that_has_caught_up_waits_for_its_upstream_again() -> None:
+    relay, clock = any_idle_relay()
+    relay.feed.apply_records([Record('a', 5, b'x')], 5, 0, whole=True)
+    other = connect_from('10.9.9.9')
+    relay.handle_state(other, RecordsState(6, 0, era=0, newest=6))
+    relay.feed.apply_records([Record('a', 6, b'x')], 6, 0, whole=False)
+    clock.advance(10)
+    relay.handle_state(other, RecordsState(7, 0, era=0, newest=7))
+    assert not requests_on(other)
+    clock.advance(1.1 * UPSTREAM_WAIT_S)
+    relay.handle_state(other, RecordsState(7, 0, era=0, newest=7))
+    assert requests_on(other) == 1
+
+
+# Failure: entries that lapsed in an outage of the store were dropped at once by
+# daemons that hadn't tried to read the store.
+def test_a_daemon_hears_of_an_outage_with_the_records() -> None:
+    reader, reader_clock = build_relay('10.0.0.9', 'north')
+    reader.feed.apply_records([Record('a', 5, b'x')], 5, 0, whole=True)
+    relay, clock = any_idle_relay()
+    request = RecordsRequest(0, 0)
+    relay.handle_records(connect_from('10.0.0.9'), reply_of(reader, request))
+    assert not relay.feed.was_recently_unreachable(clock.seconds())
+    reader.feed.failed_at = reader_clock.seconds()
+    reader_clock.advance(0.5)
+    reader.feed.apply_records([Record('a', 6, deleted=True)], 6, 0, whole=False)
+    relay.handle_records(connect_from('10.0.0.9'), reply_of(reader, request))
+    assert relay.feed.was_recently_unreachable(clock.seconds())
+    clock.advance(OUTAGE_MEMORY_S - 0.4)
+    assert not relay.feed.was_recently_unreachable(clock.seconds())
