Deliver the last answer of a connection whatever arrives behind it

Two of the four tests with real sockets failed before with ConnectionResetError.

After a closing response only the output ends. What arrives is dropped, for half a second after all was sent and at most 1 MiB. A connection that is closed without a response closes at once as before, since a request that crosses the close would count as read.

--- a/egretlanding/drains.py
+++ b/egretlanding/drains.py
@@ -91,6 +91,7 @@
             elif not service.http.connections:
                 break
             await deferLater(service.reactor, DRAIN_POLL_S)
+            service.http.end_lingering()
             now = service.reactor.seconds()
 
     async def finish_replies(self) -> None:
--- a/egretlanding/httpserver.py
+++ b/egretlanding/httpserver.py
@@ -1,5 +1,6 @@
 """The HTTP/1.1 server protocol for calls, based on the httptools parser."""
 
+import math
 import time
 from collections import Counter, deque
 from collections.abc import Callable
@@ -24,6 +25,11 @@
 from egretlanding.tcpwrites import unsent_bytes, write_now
 
 MAX_PIPELINED = 16
+# Time for which a connection reads on after its last response, seconds, and
+# most bytes that it reads. Closing it with unread bytes would reset it, and the
+# caller could lose the end of the response.
+LINGER_S = 0.5
+MAX_LINGER_BYTES = 1_048_576
 
 NOT_RUN_HEADERS = (
     ('content-type', 'text/plain'),
@@ -90,6 +96,9 @@
         pending: Requests without a sent response, oldest first.
         input_closed: Whether further bytes of the caller are ignored.
         closing: Whether the daemon has begun to close the connection.
+        lingering_since: When the last response was all sent, seconds; infinite
+            before.
+        lingering_bytes: Bytes read and dropped after the last response.
         size: The bytes of the request that is being received.
         limits: The limits that apply to the connection; they are replaced only
             when a request begins or the connection becomes idle.
@@ -106,6 +115,8 @@
         self.parser = httptools.HttpRequestParser(self)
         self.input_closed = False
         self.closing = False
+        self.lingering_since = math.inf
+        self.lingering_bytes = 0
         self.limits = factory.limits
         # Time since which the server waits for the caller: when the connection
         # became idle or a request began to arrive, seconds.
@@ -134,7 +145,9 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Parses received bytes; a malformed request closes the connection."""
-        if self.input_closed:
+        if self.closing:
+            self.drop(data)
+        if self.input_closed or self.closing:
             return
         self.size.begin_read(data)
         try:
@@ -152,6 +165,13 @@
         except httptools.HttpParserError:
             self.reject(HTTPStatus.BAD_REQUEST)
 
+    def drop(self, data: bytes) -> None:
+        """Drops bytes behind the last response; too many end the connection."""
+        self.lingering_bytes += len(data)
+        if self.lingering_bytes > MAX_LINGER_BYTES:
+            transport: Any = self.transport
+            transport.abortConnection()
+
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Reports to open requests that their caller disconnected."""
         self.input_closed = True
@@ -206,6 +226,8 @@
 
     def check_timeouts(self, now: float) -> None:
         """Closes the connection if its caller is idle or slow for too long."""
+        if self.closing:
+            self.end_lingering(now)
         if self.input_closed or self.pending:
             return
         if (
@@ -216,6 +238,15 @@
         elif not self.reading_request and self.is_idle_too_long(now):
             self.drain()
 
+    def end_lingering(self, now: float) -> None:
+        """Closes the connection some time after all responses were sent."""
+        if unsent_bytes(self.transport):
+            return
+        self.lingering_since = min(self.lingering_since, now)
+        if now - self.lingering_since >= LINGER_S:
+            transport: Any = self.transport
+            transport.loseConnection()
+
     def is_idle_too_long(self, now: float) -> bool:
         """Returns whether an idle connection has exceeded its idle timeout.
 
@@ -256,14 +287,22 @@
     def write(self, encoded: bytes, *, last: bool = False) -> None:
         """Writes to the caller, and closes the connection if `last` is set.
 
-        Nothing is written once the connection has begun to close.
+        Nothing is written once the connection has begun to close. After a
+        response, only the output ends at first; requests behind it are dropped.
+        A connection without a response closes at once, so that a request that
+        crosses the close counts as unread.
         """
         if self.closing:
             return
         transport: Any = self.transport
         write_now(transport, encoded)
-        if last:
-            self.closing = True
+        if not last:
+            return
+        self.closing = True
+        if encoded:
+            transport.resumeProducing()
+            transport.loseWriteConnection()
+        else:
             transport.loseConnection()
 
     def on_message_begin(self) -> None:
@@ -376,6 +415,13 @@
         for connection in tuple(self.connections):
             connection.check_timeouts(now)
 
+    def end_lingering(self) -> None:
+        """Closes connections some time after their last response was sent."""
+        now = self.clock()
+        for connection in tuple(self.connections):
+            if connection.closing:
+                connection.end_lingering(now)
+
     def drain(self) -> None:
         """Closes each connection on which no request arrives or is served."""
         for connection in tuple(self.connections):
@@ -386,6 +432,7 @@
         self.is_closed = True
         for connection in tuple(self.connections):
             connection.write(b'', last=True)
+            connection.transport.loseConnection()
 
     def unsent_bytes(self) -> int:
         """Returns the size of the responses that callers have yet to read."""
