Spread calls over similar targets, and try again those without calls lately

Delays within a fifth and 5 ms of the shortest count as similar, and one of them is chosen at random. A target that has answered no call of the route for 5 s counts as an average one, unless its running calls show it to be slower. A target that would probably refuse the call says so.

--- a/egretlanding/admission.py
+++ b/egretlanding/admission.py
@@ -10,9 +10,12 @@
 from egretlanding.objects import Service, WorkClass
 from egretlanding.outcomes import Reason, Refusal
 from egretlanding.pacing import Pace
-from egretlanding.servicetimes import ServiceTimes
+from egretlanding.servicetimes import MAX_ROUTES, ServiceTimes
 from egretlanding.slots import ClassifiedCall, SlotRequest, Slots
 
+# Time after its last call for which the expected time of a route counts, so
+# that a target that was slow gets calls again, seconds.
+KNOWN_FOR_S = 5
 # Maximum total expected service time of the queued short calls per usable slot,
 # seconds. Above it, the least urgent calls that have a `soft_deadline` are
 # refused while their callers can retry.
@@ -73,6 +76,7 @@
         short: Queue of short work.
         long: Queue of long work.
         draining: Whether new calls are refused because the host drains.
+        answered_at: When the last call of each route ended, seconds.
         pace: Spreads the starts of calls if the target limits their rate.
     """
 
@@ -82,6 +86,7 @@
     short: CallQueue = attrs.field(factory=CallQueue)
     long: CallQueue = attrs.field(factory=CallQueue)
     draining: bool = False
+    answered_at: dict[str, float] = attrs.field(factory=dict)
     pace: Pace = attrs.field(factory=Pace)
 
     @classmethod
@@ -180,6 +185,9 @@
         elapsed_s = now - held.started
         expected_s = self.times.expected(held.call.route)
         self.times.observe(held.call.route, elapsed_s)
+        if len(self.answered_at) >= MAX_ROUTES:
+            self.answered_at.clear()
+        self.answered_at[held.call.route] = now
         running = len(self.slots.running) + 1
         self.slots.limit.record(elapsed_s, expected_s, running, now)
 
@@ -294,10 +302,10 @@
         now: Monotonic time, seconds.
 
     Returns:
-        The time, seconds; None for a route that had no call here, or if the
-        call would probably be refused.
+        The time, seconds; None for a route that had no call here lately.
     """
-    if route not in admission.times.routes or is_crowded(admission, route):
+    answered_at = admission.answered_at.get(route, -math.inf)
+    if now - answered_at > KNOWN_FOR_S:
         return None
     wait_s = admission.predicted_wait(is_long=False)
     if admission.pace.rate_per_s is not None:
@@ -306,6 +314,12 @@
     return wait_s + admission.times.expected(route)
 
 
+def longest_running(admission: Admission, now: float) -> float:
+    """Returns for how long the oldest running call has run, seconds."""
+    started = (held.started for held in admission.slots.running.values())
+    return now - min(started, default=now)
+
+
 def is_crowded(admission: Admission, route: str) -> bool:
     """Returns whether one more short call would exceed the queued work."""
     if admission.slots.may_start(is_long=False) and not admission.short:
--- a/egretlanding/balancing.py
+++ b/egretlanding/balancing.py
@@ -25,8 +25,12 @@
 # Most targets that are asked for their delay before a call is sent.
 SURVEY_SIZE = 4
 # Of two surveyed targets, the one of the ingress daemon's failure domain is
-# chosen if its delay is at most this multiple of the other's.
+# preferred if its delay is at most this multiple of the other's.
 NEAR_DELAY_RATIO = 1.2
+# Delays within this multiple of the shortest one and this time, seconds, count
+# as similar, so that calls are spread over equal targets.
+SIMILAR_RATIO = 1.2
+SIMILAR_S = 0.005
 # Time for which unused bytes of the link budget are saved up, seconds.
 LINK_BURST_S = 30
 MIN_LINK_BURST_BYTES = 16_384
@@ -243,21 +247,21 @@
         group = self.targets.usable_targets(now, spec.excluded)
         probe = self._due_probe(group, spec, now)
         delays = [
-            (delay, target)
+            (delay * self._delay_factor(target), target)
             for target in self._usable_with_room(spec, now)
             if (delay := target.expected_delay(spec.route, now)) is not None
         ]
         if probe is not None or not delays:
             return self.choose_near_first(spec, now, rng)
-        _, soonest = min(
-            delays,
-            key=lambda delayed: (
-                delayed[0]
-                if delayed[1].distance is Distance.FAILURE_DOMAIN
-                else delayed[0] * NEAR_DELAY_RATIO
-            ),
-        )
-        return Choice(soonest.host, soonest.distance)
+        shortest = min(delay for delay, _ in delays)
+        longest = shortest * SIMILAR_RATIO + SIMILAR_S
+        similar = [target for delay, target in delays if delay <= longest]
+        chosen = rng.choice(similar)
+        return Choice(chosen.host, chosen.distance)
+
+    def _delay_factor(self, target: TargetEvidence) -> float:
+        is_near = target.distance is Distance.FAILURE_DOMAIN
+        return 1 if is_near else NEAR_DELAY_RATIO
 
     def begin(self, choice: Choice, spec: AttemptSpec, now: float) -> None:
         """Records that an attempt was sent.
--- a/egretlanding/egress.py
+++ b/egretlanding/egress.py
@@ -13,6 +13,8 @@
     Refuse,
     Start,
     expected_delay,
+    is_crowded,
+    longest_running,
 )
 from egretlanding.callfailures import replies_to_failed_job
 from egretlanding.callheaders import (
@@ -24,6 +26,7 @@
 from egretlanding.exceptions import KeyFormatError
 from egretlanding.failureshare import FailureShare
 from egretlanding.frames import (
+    REFUSES,
     CallReply,
     CallRequest,
     Ping,
@@ -352,12 +355,17 @@
     if not ping.route:
         return Pong(ping.number)
     load = len(egress.table.jobs)
+    if not egress.health.takes_calls or is_crowded(
+        egress.admission, ping.route
+    ):
+        return Pong(ping.number, load, REFUSES)
     now = egress.reactor.seconds()
     delay_s = expected_delay(egress.admission, ping.route, now)
-    if delay_s is None or not egress.health.takes_calls:
-        return Pong(ping.number, load)
+    is_bound = delay_s is None
+    if delay_s is None:
+        delay_s = longest_running(egress.admission, now)
     delay_ms = math.ceil(egress.failures.until_success(delay_s) * MS_PER_S)
-    return Pong(ping.number, load, delay_ms)
+    return Pong(ping.number, load, delay_ms, is_bound)
 
 
 def is_failure(outcome: TargetOutcome) -> bool:
--- a/egretlanding/frames.py
+++ b/egretlanding/frames.py
@@ -282,6 +282,10 @@
     outage_age_ms: int = -1
 
 
+# Stands for the delay of a call that would probably be refused.
+REFUSES = -1
+
+
 class Ping(Frame, frozen=True, tag='ping'):
     """Checks whether the other daemon is alive, and may ask for a delay.
 
@@ -301,12 +305,15 @@
         number: The number of the ping.
         load: Calls that the target runs and queues.
         delay_ms: Expected time until the answer to a call of the route that
-            arrives now, ms; 0 if unknown.
+            arrives now, ms; REFUSES if the call would probably be refused.
+        is_bound: Whether the delay is only a lower bound, since no such call
+            has ended lately.
     """
 
     number: int = 0
     load: int = 0
     delay_ms: int = 0
+    is_bound: bool = False
 
 
 AnyFrame = (
--- a/egretlanding/targets.py
+++ b/egretlanding/targets.py
@@ -11,7 +11,7 @@
     ReportedLoad,
     TargetEvidence,
 )
-from egretlanding.frames import Pong, Statement
+from egretlanding.frames import REFUSES, Pong, Statement
 from egretlanding.hosts import Host
 from egretlanding.objects import Service
 from egretlanding.servicetimes import ServiceTimes
@@ -259,8 +259,17 @@
     if target is None:
         return
     target.load_report = ReportedLoad(pong.load, now)
-    if pong.delay_ms:
-        target.expected = ExpectedDelay(route, pong.delay_ms / MS_PER_S, now)
+    if pong.delay_ms == REFUSES:
+        target.expected = None
+        return
+    delay_s = pong.delay_ms / MS_PER_S
+    if pong.is_bound and route not in targets.times.routes:
+        return
+    if pong.is_bound:
+        # Without calls lately the target counts as an average one.
+        load = 1 + pong.load / slots_of(targets, target)
+        delay_s = max(delay_s, targets.times.expected(route) * load)
+    target.expected = ExpectedDelay(route, delay_s, now)
 
 
 def heard_from(targets: TargetTable, host: Host) -> Statement | None:
