Offer no calls to targets that have said they would refuse them

While all targets are full each call was offered to one after another, and surveyed before each.

A target that says it would refuse a call gets none of its route for the same time as after a refusal, and three targets are asked instead of four.

--- a/egretlanding/balancing.py
+++ b/egretlanding/balancing.py
@@ -23,7 +23,7 @@
 # multiple of the second one's.
 TIE_RATIO = 1.1
 # Most targets that are asked for their delay before a call is sent.
-SURVEY_SIZE = 4
+SURVEY_SIZE = 3
 # Of two surveyed targets, the one of the ingress daemon's failure domain is
 # preferred if its delay is at most this multiple of the other's.
 NEAR_DELAY_RATIO = 1.2
--- a/egretlanding/targets.py
+++ b/egretlanding/targets.py
@@ -261,6 +261,7 @@
     target.load_report = ReportedLoad(pong.load, now)
     if pong.delay_ms == REFUSES:
         target.expected = None
+        targets.record_refusal(host_id, route, now)
         return
     delay_s = pong.delay_ms / MS_PER_S
     if pong.is_bound and route not in targets.times.routes:
--- a/tests/test_thin_evidence.py
+++ b/tests/test_thin_evidence.py
@@ -56,6 +56,9 @@
     load = 2
     surveyed = ends_of(choose_by_survey, load)
     own = ends_of(choose_by_own_calls, load)
+    # Few attempts are made at targets that refuse them.
+    assert surveyed.refusals <= surveyed.ends.total()
+    assert surveyed.refusals <= own.refusals / 2
     bound = surveyed.capacity * SECONDS
     assert surveyed.ends['in time'] >= 0.9 * bound
     assert surveyed.ends['in time'] >= 0.97 * own.ends['in time']
