Count failures of a target beside the delay that its daemon expects

Traced: - test_an_address_with_another_process_is_not_used answered 503: the target with another process rejected a call, was chosen again for its expected delay, and the second retry left the retry budget scarce.

--- a/egretlanding/balancing.py
+++ b/egretlanding/balancing.py
@@ -247,7 +247,7 @@
         group = self.targets.usable_targets(now, spec.excluded)
         probe = self._due_probe(group, spec, now)
         delays = [
-            (delay * self._delay_factor(target), target)
+            (delay * _delay_factor(target, now), target)
             for target in self._usable_with_room(spec, now)
             if (delay := target.expected_delay(spec.route, now)) is not None
         ]
@@ -259,10 +259,6 @@
         chosen = rng.choice(similar)
         return Choice(chosen.host, chosen.distance)
 
-    def _delay_factor(self, target: TargetEvidence) -> float:
-        is_near = target.distance is Distance.FAILURE_DOMAIN
-        return 1 if is_near else NEAR_DELAY_RATIO
-
     def begin(self, choice: Choice, spec: AttemptSpec, now: float) -> None:
         """Records that an attempt was sent.
 
@@ -372,6 +368,12 @@
         )
 
 
+def _delay_factor(target: TargetEvidence, now: float) -> float:
+    is_near = target.distance is Distance.FAILURE_DOMAIN
+    distance_factor = 1 if is_near else NEAR_DELAY_RATIO
+    return distance_factor * target.failure_factor(now)
+
+
 def _without_shunned(group: list[TargetEvidence]) -> list[TargetEvidence]:
     # If all targets are shunned they are used all the same.
     return [target for target in group if target.probation is None] or group
--- a/egretlanding/evidence.py
+++ b/egretlanding/evidence.py
@@ -16,6 +16,8 @@
 # Time constant with which the slowness returns to neutral without answers,
 # seconds.
 SLOWNESS_DECAY_S = 10
+# Relative latency that is recorded for a call that the target lost or rejected.
+FAILURE_SLOWNESS = 4
 # Time constant with which a load report loses its weight, seconds.
 LOAD_REPORT_DECAY_S = 2
 # Age from which an expected delay says nothing any more, seconds: a small part
@@ -108,6 +110,7 @@
         samples: Answers that `slowness` is based on.
         flights: Attempts in flight, by number of the attempt.
         load_report: Its last load report.
+        failed_at: When it last lost or rejected a call, seconds.
         expected: The delay that its daemon last expected, None if unknown.
         failed_connects: Failed attempts to connect, in a row.
         unreachable_until: Until when it counts as unreachable, seconds.
@@ -126,6 +129,7 @@
     samples: int = 0
     flights: dict[int, Flight] = attrs.field(factory=dict)
     load_report: ReportedLoad = ReportedLoad()
+    failed_at: float = -math.inf
     expected: ExpectedDelay | None = None
     failed_connects: int = 0
     unreachable_until: float = -math.inf
@@ -138,13 +142,10 @@
         decay = math.exp(min(0, self.updated - now) / SLOWNESS_DECAY_S)
         return 1 + (self.slowness - 1) * decay
 
-    def stall(self, now: float) -> float:
-        """Returns the age of the oldest attempt in flight, seconds."""
-        oldest = min(
-            (flight.started for flight in self.flights.values()),
-            default=now,
-        )
-        return now - oldest
+    def failure_factor(self, now: float) -> float:
+        """Returns by how much a failure of late makes the target slower."""
+        decay = math.exp(min(0, self.failed_at - now) / SLOWNESS_DECAY_S)
+        return 1 + (FAILURE_SLOWNESS - 1) * decay
 
     def load(self, now: float) -> float:
         """Returns the calls that the target runs and queues, estimated."""
--- a/egretlanding/targets.py
+++ b/egretlanding/targets.py
@@ -6,6 +6,7 @@
 import attrs
 
 from egretlanding.evidence import (
+    FAILURE_SLOWNESS,
     ExpectedDelay,
     Flight,
     ReportedLoad,
@@ -34,8 +35,6 @@
 MAX_OFFERS_PER_S = 400
 OFFERS_PER_CALL = 4
 MS_PER_S = 1_000
-# Relative latency that is recorded for a call that the target lost or rejected.
-FAILURE_SLOWNESS = 4
 
 
 @attrs.define
@@ -174,6 +173,7 @@
         """Records that a target lost or rejected a call that it received."""
         target = self.evidence.get(host_id)
         if target is not None:
+            target.failed_at = now
             self._learn(target, FAILURE_SLOWNESS, now)
 
     def record_load(self, host_id: str, calls: int, now: float) -> None:
--- a/tests/test_surveys.py
+++ b/tests/test_surveys.py
@@ -229,3 +229,15 @@
     for _ in range(100):
         failures.observe(failed=True)
     assert failures.until_success(1) > 9
+
+
+# Failure: a target that rejected each call, because another process had its
+# address, was chosen again and again for the delay that its daemon named.
+def test_a_target_that_rejected_a_call_is_chosen_less() -> None:
+    surveyed = Surveyed.begin()
+    targets = surveyed.balancer.targets
+    record_delay_ms(targets, 'a', 100)
+    record_delay_ms(targets, 'b', 100)
+    targets.record_failure('a', 0)
+    chosen = {surveyed.choose().host.host_id for _ in range(60)}
+    assert chosen == {'b'}
