--- a/egretlanding/httpserver.py
+++ b/egretlanding/httpserver.py
@@ -432,7 +432,8 @@
         self.is_closed = True
         for connection in tuple(self.connections):
             connection.write(b'', last=True)
-            connection.transport.loseConnection()
+            transport: Any = connection.transport
+            transport.loseConnection()
 
     def unsent_bytes(self) -> int:
         """Returns the size of the responses that callers have yet to read."""
