Let a full target queue calls whose callers can't send them again

Found by reading the change: a target that is full says that it would refuse a call, and gets none of its route for a while. But calls with less than 0.6 s left, such as those that a target makes while it runs another one, are never put off by the admission: they would have been refused unsent while all near targets were full. The question now says whether the call would keep its place. test_a_full_target_refuses_only_calls_that_can_come_again failed before.

--- a/egretlanding/attempts.py
+++ b/egretlanding/attempts.py
@@ -18,6 +18,7 @@
 from egretlanding.events import Event
 from egretlanding.frames import (
     CallReply,
+    Ping,
     Ran,
     refusal_reply,
 )
@@ -42,6 +43,7 @@
 from egretlanding.retryafter import FIRST_PAUSE_S
 from egretlanding.routing import Match
 from egretlanding.servicestates import ServiceState, has_spare_capacity
+from egretlanding.slots import MIN_TIME_TO_RETRY_S
 from egretlanding.subsets import Distance
 from egretlanding.targets import record_statement
 
@@ -166,7 +168,7 @@
         self.ingress.surveyor.ask(
             self.service_state.balancer.targets,
             sample,
-            self.match.route_name,
+            question_on(self),
             self.end_survey,
         )
 
@@ -432,6 +434,16 @@
         )
 
 
+def question_on(call: ActiveCall) -> Ping:
+    """Returns what targets are asked before a call is sent to one of them."""
+    left_s = call.context.deadline - call.now
+    is_time_sensitive = bool(call.match.policy.target_latency_ms)
+    return Ping(
+        route=call.match.route_name,
+        keeps_place=is_time_sensitive and left_s <= MIN_TIME_TO_RETRY_S,
+    )
+
+
 def is_attempted(call: ActiveCall) -> bool:
     """Returns whether an attempt is open, or will be made in a moment."""
     return bool(call.open_attempts) or call.is_surveying
--- a/egretlanding/egress.py
+++ b/egretlanding/egress.py
@@ -355,9 +355,8 @@
     if not ping.route:
         return Pong(ping.number)
     load = len(egress.table.jobs)
-    if not egress.health.takes_calls or is_crowded(
-        egress.admission, ping.route
-    ):
+    is_full = not ping.keeps_place and is_crowded(egress.admission, ping.route)
+    if is_full or not egress.health.takes_calls:
         return Pong(ping.number, load, REFUSES)
     now = egress.reactor.seconds()
     delay_s = expected_delay(egress.admission, ping.route, now)
--- a/egretlanding/frames.py
+++ b/egretlanding/frames.py
@@ -292,10 +292,13 @@
     Attributes:
         number: Number that the reply repeats, 0 if nothing is asked.
         route: Name of the route whose delay is asked for.
+        keeps_place: Whether a queued call would keep its place, since its
+            caller can't send it again.
     """
 
     number: int = 0
     route: str = ''
+    keeps_place: bool = False
 
 
 class Pong(Frame, frozen=True, tag='pong'):
--- a/egretlanding/peerlinks.py
+++ b/egretlanding/peerlinks.py
@@ -96,12 +96,12 @@
             detail = 'connecting to the daemon failed a moment ago'
             self.reactor.callLater(0, pending.fail, detail)
 
-    def ask(self, host: Host, route: str, on_pong: OnPong) -> bool:
+    def ask(self, host: Host, question: Ping, on_pong: OnPong) -> bool:
         """Asks how soon the target of a host could answer a call.
 
         Args:
             host: The host.
-            route: Name of the call's route.
+            question: The question, without a number.
             on_pong: Called with the reply, if one comes.
 
         Returns:
@@ -116,7 +116,7 @@
             lane.heard_at = self.reactor.seconds()
             on_pong(pong)
 
-        return lane.connection.ask(route, on_reply)
+        return lane.connection.ask(question, on_reply)
 
     def probe(
         self, host: Host, lane_kind: Lane, connection: PeerConnection
--- a/egretlanding/peers.py
+++ b/egretlanding/peers.py
@@ -190,11 +190,11 @@
         self.send(msgspec.structs.replace(request, call_id=call_id))
         return call_id
 
-    def ask(self, route: str, on_pong: OnPong) -> bool:
+    def ask(self, question: Ping, on_pong: OnPong) -> bool:
         """Asks how soon the target could answer a call of a route.
 
         Args:
-            route: Name of the route.
+            question: The question; its number is set here.
             on_pong: Called with the reply, if one comes.
 
         Returns:
@@ -204,7 +204,7 @@
             return False
         number = next(self.call_ids)
         self.questions[number] = on_pong
-        self.send(Ping(number, route))
+        self.send(msgspec.structs.replace(question, number=number))
         return True
 
     def cancel(self, call_id: int) -> None:
--- a/egretlanding/surveys.py
+++ b/egretlanding/surveys.py
@@ -84,7 +84,7 @@
         self,
         targets: TargetTable,
         sample: Sequence[TargetEvidence],
-        route: str,
+        question: Ping,
         on_end: Callable[[], None],
     ) -> None:
         """Asks some targets how soon they could answer a call.
@@ -92,17 +92,19 @@
         Args:
             targets: The targets of the service, which record the replies.
             sample: The targets to ask.
-            route: Name of the call's route.
+            question: What they are asked, without a number.
             on_end: Called once when the replies are there or late, possibly
                 before this returns.
         """
         survey = Survey(on_end, len(sample))
         for target in sample:
             host = target.host
-            on_pong = partial(self.record, survey, targets, host, route)
+            on_pong = partial(
+                self.record, survey, targets, host, question.route
+            )
             if host.host_id == self.host_id:
-                on_pong(answer_ping(self.egress, Ping(route=route)))
-            elif not self.links.ask(host, route, on_pong):
+                on_pong(answer_ping(self.egress, question))
+            elif not self.links.ask(host, question, on_pong):
                 survey.skip()
         if survey.on_end:
             survey.timer = self.reactor.callLater(SURVEY_TIMEOUT_S, survey.end)
--- a/tests/test_call_path.py
+++ b/tests/test_call_path.py
@@ -186,7 +186,7 @@
         self.requests.waiting.append(lambda: self.reply(pending))
 
     def ask(
-        self, _host: Any, _route: str, on_pong: Callable[[Pong], None]
+        self, _host: Any, _question: Any, on_pong: Callable[[Pong], None]
     ) -> bool:
         """Keeps a question until it is answered, or sends none."""
         if happens(self.rng, 20):
--- a/tests/test_surveys.py
+++ b/tests/test_surveys.py
@@ -11,9 +11,9 @@
 from egretlanding.egress import answer_ping
 from egretlanding.evidence import MAX_EXPECTED_AGE_S
 from egretlanding.failureshare import FailureShare
-from egretlanding.frames import REFUSES, Ping, Pong
+from egretlanding.frames import REFUSES, CallRequest, Ping, Pong
 from egretlanding.hosts import Host
-from egretlanding.objects import Service
+from egretlanding.objects import Service, WorkClass
 from egretlanding.outcomes import Reason, Refusal
 from egretlanding.platform.names import DIALECT
 from egretlanding.subsets import Distance, Locality
@@ -41,7 +41,7 @@
     asked: dict[str, Any] = attrs.field(factory=dict)
     unconnected: frozenset[str] = frozenset()
 
-    def ask(self, host: Host, _route: str, on_pong: Any) -> bool:
+    def ask(self, host: Host, _question: Ping, on_pong: Any) -> bool:
         """Keeps a question, if it can be sent."""
         if host.host_id in self.unconnected:
             return False
@@ -94,7 +94,7 @@
         surveyor = Surveyor(clock, links, OWN_HOST, egress)
         targets = surveyed.balancer.targets
         sample = [targets.evidence[name] for name in NAMES]
-        surveyor.ask(targets, sample, ROUTE, surveyed.record_end)
+        surveyor.ask(targets, sample, Ping(route=ROUTE), surveyed.record_end)
         return surveyed
 
     def record_end(self) -> None:
@@ -241,3 +241,21 @@
     targets.record_failure('a', 0)
     chosen = {surveyed.choose().host.host_id for _ in range(60)}
     assert chosen == {'b'}
+
+
+# Failure: the calls that a target makes while it runs another one were refused
+# at once while all targets were full, though they would have kept their place.
+@pytest.mark.parametrize('keeps_place', [True, False])
+def test_a_full_target_refuses_only_calls_that_can_come_again(
+    keeps_place: bool,
+) -> None:
+    egress, _pool, _clock = connect_egress(DIALECT)
+    egress.admission.slots.limit.fix(1)
+    egress.admission.times.observe(ROUTE, 0.2)
+    for number in (1, 2):
+        call = CallRequest(
+            number, 'GET', '/', [], b'', ROUTE, 3_000, 50, WorkClass.SHORT
+        )
+        egress.run(call, 0, lambda _reply: None)
+    pong = answer_ping(egress, Ping(3, ROUTE, keeps_place=keeps_place))
+    assert (pong.delay_ms == REFUSES) is not keeps_place
