--- a/egretlanding/fielddocs.py
+++ b/egretlanding/fielddocs.py
@@ -16,6 +16,7 @@
         'tuple[str, ...]': 'list of texts',
         'str': 'text',
         'int': 'integer',
+        'float': 'number',
         'bool': 'true or false',
         'WorkClass': 'text',
     },
--- a/egretlanding/fields.py
+++ b/egretlanding/fields.py
@@ -17,6 +17,7 @@
 
 TAG_PREFIX = 'tag:yaml.org,2002:'
 INTEGER_PATTERN = '-?(0|[1-9][0-9]{0,17})'
+NUMBER_PATTERN = rf'{INTEGER_PATTERN}(\.[0-9]{{1,18}})?'
 BOOLEANS = {'true': True, 'false': False}
 # Caches suggestions, since many objects may contain the same mistake and
 # each comparison with the known names is slow.
@@ -121,6 +122,16 @@
     return _type_finding(node, 'an integer', remedy)
 
 
+@reader(float)
+def read_number(node: yaml.Node) -> Result[float, Finding]:
+    """Reads a decimal number."""
+    is_number = _type_of(node) in {'int', 'float'}
+    if is_number and re.fullmatch(NUMBER_PATTERN, node.value):
+        return Ok(float(node.value))
+    remedy = 'write decimal digits without unit, quotes or leading zeros'
+    return _type_finding(node, 'a number', remedy)
+
+
 @reader(bool)
 def read_boolean(node: yaml.Node) -> Result[bool, Finding]:
     """Reads a boolean."""
--- a/egretlanding/sidecarconfig.py
+++ b/egretlanding/sidecarconfig.py
@@ -23,11 +23,12 @@
 USED_RETRY_SHARE = 0.6
 DOMAIN_REGION_PATTERN = '[a-z0-9-]+=[a-z0-9-]+'
 DOMAIN_REGION_FORM = 'failure-domain=region'
-RATIO_PATTERN = r'[01](\.\d{1,6})?'
+# A platform that computes a value writes up to 18 decimal places of it.
+RATIO_PATTERN = r'[01](\.\d{1,18})?'
 RATIO_FORM = 'a share from 0 to 1, such as 0.2'
-WIDTH_PATTERN = r'\d{1,7}(\.\d{1,3})?'
+WIDTH_PATTERN = r'\d{1,7}(\.\d{1,18})?'
 WIDTH_FORM = 'a number such as 1000 or 3.5'
-DURATION_PATTERN = r'\d{1,9}(\.\d{1,3})?(ms|s)'
+DURATION_PATTERN = r'\d{1,9}(\.\d{1,18})?(ms|s)'
 DURATION_FORM = 'a time such as 1500ms or 2.5s'
 
 
@@ -89,7 +90,7 @@
         ENDPOINT_PATTERN, ENDPOINT_FORM, default=()
     )
     retry_ratio: str = pattern_field(RATIO_PATTERN, RATIO_FORM, default='0.1')
-    retry_slack: int = bounded_field(0, 1_000_000, 'retries', default=0)
+    retry_slack: float = bounded_field(0, 1_000_000, 'retries', default=0)
     retry_window: str = pattern_field(
         DURATION_PATTERN, DURATION_FORM, default='10s'
     )
