--- a/egretlanding/faults.py
+++ b/egretlanding/faults.py
@@ -19,6 +19,10 @@
 
 ObjectKey = tuple[str, str]
 GroupOf = Callable[[Any], Hashable]
+# Returns the fields to look at of a kind's class.
+FieldsOf = Callable[[type], Iterable[Any]]
+# Tests a value, given the attrs field and the value.
+IsRight = Callable[[Any, Any], bool]
 # How to read a link of a spec, and the names of objects that are searched.
 LinkSearch = tuple[Callable[[Any], Any], frozenset[str]]
 
@@ -60,7 +64,7 @@
 
     def texts(self) -> tuple[str, ...]:
         """Returns the text, or the list of texts, as a tuple."""
-        return (self.value,) if isinstance(self.value, str) else self.value
+        return as_texts(self.value)
 
     def fault(self, problem: str, remedy: str) -> Fault:
         """Returns a fault in this field.
@@ -152,14 +156,26 @@
         sizes = collections.Counter(group for group, _member in members)
         return iter(order(one for group, one in members if sizes[group] > 1))
 
-    def fields(self, option: str) -> Iterator[FieldValue]:
-        """Yields the unchecked fields whose metadata has a key.
+    def wrong_fields(
+        self, fields_of: FieldsOf, is_right: IsRight
+    ) -> Iterator[FieldValue]:
+        """Yields the unchecked fields of which a test fails.
+
+        Most objects have the same few values, which are tested once.
 
         Args:
-            option: The key.
+            fields_of: Returns the fields to test of a kind's class.
+            is_right: Tests a value, given the attrs field and the value.
         """
-        fields_of = functools.partial(fields_with, option=option)
-        return self.field_values(fields_of, self.unchecked)
+        right: set[tuple[type, str, Any]] = set()
+        for one, field, content in self._contents(fields_of, self.unchecked):
+            known = (type(one.spec), field.name, content)
+            if known in right:
+                continue
+            if is_right(field, content):
+                right.add(known)
+            else:
+                yield FieldValue(one, field, content)
 
     def link_fields(self) -> Iterator[FieldValue]:
         """Yields the links of unchecked objects, and links to lost objects."""
@@ -197,7 +213,7 @@
 
     def field_values(
         self,
-        fields_of: Callable[[type], Iterable[Any]],
+        fields_of: FieldsOf,
         objects: Iterable[ConfigObject],
     ) -> Iterator[FieldValue]:
         """Yields selected fields that could be read, object by object.
@@ -207,12 +223,21 @@
             objects: Completely read objects; the partial ones of the set
                 are always included.
         """
-        for config_object in itertools.chain(objects, self.partial):
-            spec = config_object.spec
-            for field in fields_of(type(spec)):
-                content = getattr(spec, field.name)
+        return itertools.starmap(FieldValue, self._contents(fields_of, objects))
+
+    def _contents(
+        self, fields_of: FieldsOf, objects: Iterable[ConfigObject]
+    ) -> Iterator[tuple[ConfigObject, Any, Any]]:
+        for one in itertools.chain(objects, self.partial):
+            for field in fields_of(type(one.spec)):
+                content = getattr(one.spec, field.name)
                 if content is not None:
-                    yield FieldValue(config_object, field, content)
+                    yield one, field, content
+
+
+def as_texts(content: str | tuple[str, ...]) -> tuple[str, ...]:
+    """Returns a text, or a list of texts, as a tuple."""
+    return (content,) if isinstance(content, str) else content
 
 
 @functools.cache
--- a/egretlanding/fieldchecks.py
+++ b/egretlanding/fieldchecks.py
@@ -7,7 +7,14 @@
 
 import attrs
 
-from egretlanding.faults import Fault, FieldValue, ObjectSet, check
+from egretlanding.faults import (
+    Fault,
+    FieldValue,
+    ObjectSet,
+    as_texts,
+    check,
+    fields_with,
+)
 from egretlanding.schema import NAME_FORM, NAME_PATTERN
 from egretlanding.texts import quote
 
@@ -35,8 +42,7 @@
             'is out of range',
             'use {low} to {high} {unit}'.format_map(number.field.metadata),
         )
-        for number in objects.fields('low')
-        if not _within(number)
+        for number in objects.wrong_fields(_numbers, _is_within)
     )
 
 
@@ -48,9 +54,9 @@
             f'has invalid value {_shown_text(value, text)}',
             f'use {value.field.metadata["described"]}',
         )
-        for value in objects.fields('pattern')
+        for value in objects.wrong_fields(_patterned, _match)
         for text in value.texts()
-        if not re.fullmatch(value.field.metadata['pattern'], text)
+        if not _matches(value.field, text)
     )
 
 
@@ -62,7 +68,7 @@
             f'has unknown value {quote(text)}',
             f'use one of {", ".join(sorted(value.field.metadata["choices"]))}',
         )
-        for value in objects.fields('choices')
+        for value in objects.wrong_fields(_limited, _are_choices)
         for text in value.texts()
         if text not in value.field.metadata['choices']
     )
@@ -73,8 +79,7 @@
     """Finds lists that contain an item twice."""
     return (
         list_field.fault('contains an item twice', 'list each item once')
-        for list_field in _lists(objects)
-        if len(set(list_field.value)) < len(list_field.value)
+        for list_field in objects.wrong_fields(_list_fields, _has_no_repeats)
     )
 
 
@@ -83,22 +88,42 @@
     """Finds required lists that are empty."""
     return (
         list_field.fault('is empty', 'list at least one item')
-        for list_field in _lists(objects)
-        if not list_field.value and list_field.field.default is attrs.NOTHING
+        for list_field in objects.wrong_fields(_list_fields, _may_be_as_long)
     )
 
 
+_numbers = functools.partial(fields_with, option='low')
+_patterned = functools.partial(fields_with, option='pattern')
+_limited = functools.partial(fields_with, option='choices')
+
+
 def _shown_text(value: FieldValue, text: str) -> str:
     return '(not shown)' if value.field.metadata['private'] else quote(text)
 
 
-def _within(number: FieldValue) -> bool:
-    bounds = number.field.metadata
-    return bounds['low'] <= number.value <= bounds['high']
+def _is_within(field: Any, number: float) -> bool:
+    return bool(field.metadata['low'] <= number <= field.metadata['high'])
+
+
+def _matches(field: Any, text: str) -> bool:
+    return re.fullmatch(field.metadata['pattern'], text) is not None
+
+
+def _match(field: Any, content: str | tuple[str, ...]) -> bool:
+    return all(_matches(field, text) for text in as_texts(content))
+
+
+def _are_choices(field: Any, content: str | tuple[str, ...]) -> bool:
+    choices = field.metadata['choices']
+    return all(text in choices for text in as_texts(content))
+
+
+def _has_no_repeats(_field: Any, items: tuple[str, ...]) -> bool:
+    return len(set(items)) == len(items)
 
 
-def _lists(objects: ObjectSet) -> Iterator[FieldValue]:
-    return objects.field_values(_list_fields, objects.unchecked)
+def _may_be_as_long(field: Any, items: tuple[str, ...]) -> bool:
+    return bool(items) or field.default is not attrs.NOTHING
 
 
 @functools.cache
--- a/egretlanding/platform/__main__.py
+++ b/egretlanding/platform/__main__.py
@@ -4,6 +4,7 @@
 import os
 import sys
 import time
+import types
 from typing import Any
 
 from egretlanding.heldsignals import hold_signals
@@ -18,6 +19,9 @@
 # blocked before the first import; the libraries work without them.
 UNUSED = ('OpenSSL', 'ssl', '_hashlib')
 sys.modules.update(dict.fromkeys(UNUSED))  # type: ignore[arg-type]
+# A module that Twisted imports for names which it doesn't use here, and with it
+# modules for mail and for another HTTP client.
+sys.modules['http.cookiejar'] = types.ModuleType('http.cookiejar')
 
 from twisted.internet import reactor as default_reactor  # noqa: E402
 
--- a/egretlanding/recordtree.py
+++ b/egretlanding/recordtree.py
@@ -1,5 +1,6 @@
 """The tree along which records reach the daemons of a region."""
 
+import functools
 import itertools
 from collections.abc import Iterable
 
@@ -17,6 +18,8 @@
 # Each later group of stand-ins is larger by this factor.
 GROUP_GROWTH = 4
 MAX_GROUPS = 8
+# Rankings that are kept: those of a few regions, before and after a change.
+CACHED_RANKINGS = 8
 
 
 @attrs.frozen
@@ -104,5 +107,12 @@
         count: The most hosts to return.
     """
     by_address = {host.address: host for host in hosts if host.region == region}
-    order = rank_candidates(region, by_address)[:count]
+    order = ranked_addresses(region, frozenset(by_address))[:count]
     return tuple(by_address[address] for address in order)
+
+
+# Most changes of the list of hosts change neither their number nor addresses.
+@functools.lru_cache(maxsize=CACHED_RANKINGS)
+def ranked_addresses(region: str, addresses: frozenset[str]) -> tuple[str, ...]:
+    """Returns the addresses of the hosts of a region by rank."""
+    return tuple(rank_candidates(region, addresses))
--- a/egretlanding/roster.py
+++ b/egretlanding/roster.py
@@ -86,6 +86,7 @@
         peer_port: TCP port on which every daemon accepts calls from other
             daemons.
         targets: The targets by instance.
+        hosts: The hosts that they run on, by instance of the target.
         departures: The targets that were removed last, by instance.
         services: The services of the configuration in force, None before the
             first. An entry of any other service names no target.
@@ -94,6 +95,7 @@
 
     peer_port: int
     targets: dict[str, RosterTarget] = attrs.field(factory=dict)
+    hosts: dict[str, Host] = attrs.field(factory=dict)
     departures: dict[str, Departure] = attrs.field(factory=dict)
     services: frozenset[str] | None = None
     revision: int = 0
@@ -119,6 +121,7 @@
     def update(self, entry: TargetEntry, revision: int, era: int = 0) -> None:
         """Applies an entry that was written to the store."""
         self.targets[entry.instance] = RosterTarget(entry, revision, era)
+        self.hosts[entry.instance] = self._host(entry)
         self.departures.pop(entry.instance, None)
         self.revision += 1
 
@@ -154,6 +157,7 @@
     def drop(self, instance: str, era: int) -> None:
         """Takes a target off the roster and remembers its last entry."""
         entry = self.targets.pop(instance).entry
+        del self.hosts[instance]
         self.departures[instance] = Departure(entry, era)
         if len(self.departures) > MAX_DEPARTURES:
             del self.departures[next(iter(self.departures))]
@@ -185,11 +189,13 @@
 
     def host_list(self) -> HostList:
         """Returns the hosts, each with the newest target at its address."""
-        by_address: dict[str, list[RosterTarget]] = {}
+        newest: dict[str, RosterTarget] = {}
         for target in self._targets_in_service():
-            by_address.setdefault(target.entry.address, []).append(target)
-        newest = map(_newest, by_address.values())
-        hosts = (self._host(entry) for entry in newest if entry)
+            other = newest.setdefault(target.entry.address, target)
+            if _precedence(target) > _precedence(other):
+                newest[target.entry.address] = target
+        instances = (found.entry.instance for found in newest.values())
+        hosts = map(self.hosts.__getitem__, instances)
         return HostList(self.revision, {host.host_id: host for host in hosts})
 
     def _targets_in_service(self) -> Iterator[RosterTarget]:
@@ -218,17 +224,17 @@
 
 
 def _newest(targets: Iterable[RosterTarget]) -> TargetEntry | None:
+    newest = max(targets, key=_precedence, default=None)
+    return None if newest is None else newest.entry
+
+
+def _precedence(target: RosterTarget) -> tuple[bool, int, int, int]:
     # Processes follow one another at an address, so the one that started last
     # is the one that runs. A target whose entry exists comes before those
     # whose entries are gone.
-    newest = max(
-        targets,
-        key=lambda target: (
-            target.held_until is None,
-            target.entry.born_ms,
-            target.era,
-            target.revision,
-        ),
-        default=None,
+    return (
+        target.held_until is None,
+        target.entry.born_ms,
+        target.era,
+        target.revision,
     )
-    return None if newest is None else newest.entry
