--- a/tests/test_mass_restart.py
+++ b/tests/test_mass_restart.py
@@ -8,7 +8,6 @@
 import pytest
 
 from egretlanding import recordtree
-from egretlanding.recordtree import RecordTree
 from egretlanding.roster import Roster, TargetEntry
 
 HOSTS = 200
@@ -64,12 +63,14 @@
     for number in range(HOSTS):
         roster.update(entry_of(number, sequence=2), HOSTS + number)
         hosts = roster.host_list().hosts
-        tree = RecordTree.of_host('10.0.0.4', 'north', hosts.values())
+        tree = recordtree.RecordTree.of_host(
+            '10.0.0.4', 'north', hosts.values()
+        )
         assert tree.order == tuple(hosts[one.address] for one in tree.order)
     assert ranked == ['north']
     listed = attrs.evolve(entry_of(HOSTS), address='10.0.1.1')
     roster.update(listed, 2 * HOSTS)
-    tree = RecordTree.of_host(
+    tree = recordtree.RecordTree.of_host(
         '10.0.0.4', 'north', roster.host_list().hosts.values()
     )
     assert ranked == ['north', 'north']
