Forget a slow call sooner where calls are short

Cause: of equal targets one whose call happened to take long got none for half a minute, since the evidence of a daemon's own calls returned to neutral with 10 s whatever a call takes, and nothing but a call shows that the target is not slow. Now it returns with thirty times what the call took, 10 s at most. The model's test failed first (no call in 6 s).

--- a/egretlanding/evidence.py
+++ b/egretlanding/evidence.py
@@ -13,9 +13,13 @@
 RISE_GAIN = 0.3
 # Time constant with which faster answers reduce the slowness, seconds.
 FALL_TIME_S = 2
-# Time constant with which the slowness returns to neutral without answers,
-# seconds.
+# Time constant with which the slowness returns to neutral without answers, as a
+# multiple of the time that the last call took: only calls show that a target is
+# not slow, and those to a slow one should spend little of their callers' time.
+SLOWNESS_DECAY_CALLS = 30
+# The same at most, and after a failure, and at least, seconds.
 SLOWNESS_DECAY_S = 10
+MIN_SLOWNESS_DECAY_S = 0.1
 # Relative latency that is recorded for a call that the target lost or rejected.
 FAILURE_SLOWNESS = 4
 # Time constant with which a load report loses its weight, seconds.
@@ -107,6 +111,7 @@
         slowness: Its latency relative to the usual one of the same routes
             over all targets; 1 is neutral. It rises fast and falls slowly.
         updated: When `slowness` last changed, seconds.
+        decay_s: Time constant with which it returns to neutral, seconds.
         samples: Answers that `slowness` is based on.
         flights: Attempts in flight, by number of the attempt.
         load_report: Its last load report.
@@ -126,6 +131,7 @@
     ramp_started: float
     slowness: float = 1
     updated: float = -math.inf
+    decay_s: float = SLOWNESS_DECAY_S
     samples: int = 0
     flights: dict[int, Flight] = attrs.field(factory=dict)
     load_report: ReportedLoad = ReportedLoad()
@@ -139,7 +145,7 @@
 
     def current_slowness(self, now: float) -> float:
         """Returns the slowness, which decays to neutral without answers."""
-        decay = math.exp(min(0, self.updated - now) / SLOWNESS_DECAY_S)
+        decay = math.exp(min(0, self.updated - now) / self.decay_s)
         return 1 + (self.slowness - 1) * decay
 
     def failure_factor(self, now: float) -> float:
@@ -227,12 +233,15 @@
             self.full_until.clear()
         self.full_until[route] = until
 
-    def record_latency(self, ratio: float, now: float) -> None:
+    def record_latency(
+        self, ratio: float, now: float, took_s: float = SLOWNESS_DECAY_S
+    ) -> None:
         """Records the latency of an answer.
 
         Args:
             ratio: Its latency relative to the usual one of its route.
             now: Monotonic time, seconds.
+            took_s: The latency, seconds.
         """
         current = self.current_slowness(now)
         # Slow answers count at once. Recovery depends on the time that passes,
@@ -245,6 +254,8 @@
         )
         self.slowness = current + gain * (ratio - current)
         self.updated = now
+        decay_s = max(MIN_SLOWNESS_DECAY_S, SLOWNESS_DECAY_CALLS * took_s)
+        self.decay_s = min(SLOWNESS_DECAY_S, decay_s)
         self.samples += 1
         self.failed_connects = 0
 
--- a/egretlanding/targets.py
+++ b/egretlanding/targets.py
@@ -7,6 +7,7 @@
 
 from egretlanding.evidence import (
     FAILURE_SLOWNESS,
+    SLOWNESS_DECAY_S,
     ExpectedDelay,
     Flight,
     ReportedLoad,
@@ -133,7 +134,7 @@
         elapsed = now - flight.started
         self.times.observe(flight.route, elapsed)
         ratio = elapsed / self.times.expected(flight.route)
-        self._learn(self.evidence[host_id], ratio, now)
+        self._learn(self.evidence[host_id], ratio, now, elapsed)
 
     def record_unanswered(self, host_id: str, attempt: int, now: float) -> None:
         """Records the end of an attempt without an answer.
@@ -146,9 +147,10 @@
         if flight is None:
             return
         target = self.evidence[host_id]
-        ratio = (now - flight.started) / self.times.expected(flight.route)
+        elapsed = now - flight.started
+        ratio = elapsed / self.times.expected(flight.route)
         if ratio > target.current_slowness(now):
-            self._learn(target, ratio, now)
+            self._learn(target, ratio, now, elapsed)
 
     def record_unreachable(self, host_id: str, now: float) -> None:
         """Records a failed attempt to connect to a host."""
@@ -174,7 +176,7 @@
         target = self.evidence.get(host_id)
         if target is not None:
             target.failed_at = now
-            self._learn(target, FAILURE_SLOWNESS, now)
+            self._learn(target, FAILURE_SLOWNESS, now, SLOWNESS_DECAY_S)
 
     def record_load(self, host_id: str, calls: int, now: float) -> None:
         """Records a load report of a target.
@@ -201,8 +203,10 @@
             return None
         return flight
 
-    def _learn(self, target: TargetEvidence, ratio: float, now: float) -> None:
-        target.record_latency(ratio, now)
+    def _learn(
+        self, target: TargetEvidence, ratio: float, now: float, took_s: float
+    ) -> None:
+        target.record_latency(ratio, now, took_s)
         if target.slowness < REVIEW_SLOWNESS and target.probation is None:
             return
         peers = self._peers(target, now)
--- a/tests/callmodel.py
+++ b/tests/callmodel.py
@@ -317,9 +317,9 @@
             seconds: Time for which calls arrive, seconds.
         """
         for number in range(round(seconds / pause_s)):
-            at = number * pause_s
-            call = Call(self, self.balancers[0], work_s, at)
-            self.after(at, call.attempt)
+            pause = number * pause_s
+            call = Call(self, self.balancers[0], work_s, self.now + pause)
+            self.after(pause, call.attempt)
         self.finish()
 
     def finish(self) -> None:
--- a/tests/test_thin_evidence.py
+++ b/tests/test_thin_evidence.py
@@ -23,6 +23,7 @@
 USUAL_S = 0.01
 OUTLIER_S = 0.06
 PAUSE_S = 0.02
+RECOVERY_S = 6
 
 
 def ends_of(policy: Policy, load: float, slow: int = 0) -> Model:
@@ -84,3 +85,20 @@
     model.send_steadily(USUAL_S, PAUSE_S, 100 * PAUSE_S)
     assert model.share('in time') == 1
     assert targets[0].work_s >= 3 * USUAL_S
+
+
+# Failure: the same with the evidence of the ingress daemon's own calls, for half
+# a minute.
+def test_a_target_that_was_slow_for_a_moment_soon_gets_calls_again() -> None:
+    model = Model.of_fleet(choose_by_own_calls, targets=5, ingresses=1)
+    first, *others = model.targets.values()
+    first.speed = USUAL_S / OUTLIER_S
+    for target in others:
+        target.speed = 1
+    model.send_steadily(USUAL_S, PAUSE_S, 0.5)
+    assert first.work_s >= OUTLIER_S
+    first.speed = 1
+    slow_s = first.work_s
+    model.send_steadily(USUAL_S, PAUSE_S, RECOVERY_S)
+    assert model.share('in time') == 1
+    assert first.work_s - slow_s >= 5 * USUAL_S
