--- a/egretlanding/httpserver.py
+++ b/egretlanding/httpserver.py
@@ -85,6 +85,19 @@
             self.respond(FAILED_RESPONSE)
 
 
+@attrs.define
+class Lingering:
+    """A connection that reads on after its last response.
+
+    Attributes:
+        since: When that response was all sent, seconds; infinite before.
+        dropped_bytes: Bytes read and dropped after it.
+    """
+
+    since: float = math.inf
+    dropped_bytes: int = 0
+
+
 Handler = Callable[[HttpExchange], None]
 
 
@@ -93,12 +106,13 @@
 
     Attributes:
         server: The factory, with the handler and the open connections.
-        pending: Requests without a sent response, oldest first.
+        pending: Requests that were passed on and whose response is not sent,
+            oldest first.
+        waiting: Requests behind them that are not passed on yet.
+        is_starting: Whether requests that waited are being passed on.
         input_closed: Whether further bytes of the caller are ignored.
         closing: Whether the daemon has begun to close the connection.
-        lingering_since: When the last response was all sent, seconds; infinite
-            before.
-        lingering_bytes: Bytes read and dropped after the last response.
+        lingering: What came after the last response.
         size: The bytes of the request that is being received.
         limits: The limits that apply to the connection; they are replaced only
             when a request begins or the connection becomes idle.
@@ -112,11 +126,12 @@
         """
         self.server = factory
         self.pending: deque[HttpExchange] = deque()
+        self.waiting: deque[HttpExchange] = deque()
+        self.is_starting = False
         self.parser = httptools.HttpRequestParser(self)
         self.input_closed = False
         self.closing = False
-        self.lingering_since = math.inf
-        self.lingering_bytes = 0
+        self.lingering = Lingering()
         self.limits = factory.limits
         # Time since which the server waits for the caller: when the connection
         # became idle or a request began to arrive, seconds.
@@ -167,8 +182,8 @@
 
     def drop(self, data: bytes) -> None:
         """Drops bytes behind the last response; too many end the connection."""
-        self.lingering_bytes += len(data)
-        if self.lingering_bytes > MAX_LINGER_BYTES:
+        self.lingering.dropped_bytes += len(data)
+        if self.lingering.dropped_bytes > MAX_LINGER_BYTES:
             transport: Any = self.transport
             transport.abortConnection()
 
@@ -180,6 +195,7 @@
             exchange for exchange in self.pending if not exchange.response
         ]
         self.pending.clear()
+        self.waiting.clear()
         self.report_lost_answers(len(abandoned))
         for exchange in abandoned:
             if exchange.on_disconnect:
@@ -214,10 +230,11 @@
         exchange = HttpExchange(
             HttpRequest('', '', [], b'', keep_alive=False), self
         )
-        self.pending.append(exchange)
-        exchange.respond(
-            HttpResponse(status, list(NOT_RUN_HEADERS), MALFORMED_REQUEST_TEXT)
+        exchange.response = HttpResponse(
+            status, list(NOT_RUN_HEADERS), MALFORMED_REQUEST_TEXT
         )
+        self.waiting.append(exchange)
+        self.start_waiting()
 
     def drain(self) -> None:
         """Closes the connection unless a request arrives or is served."""
@@ -242,8 +259,8 @@
         """Closes the connection some time after all responses were sent."""
         if unsent_bytes(self.transport):
             return
-        self.lingering_since = min(self.lingering_since, now)
-        if now - self.lingering_since >= LINGER_S:
+        self.lingering.since = min(self.lingering.since, now)
+        if now - self.lingering.since >= LINGER_S:
             transport: Any = self.transport
             transport.loseConnection()
 
@@ -263,12 +280,14 @@
             if response is None:
                 break
             exchange = self.pending.popleft()
-            last = self.server.is_draining and not self.pending
+            is_idle = not self.pending and not self.waiting
+            last = self.server.is_draining and is_idle
             keep_alive = exchange.request.keep_alive and not last
             encoded = encode_response(response, keep_alive=keep_alive)
             self.write(encoded, last=not keep_alive)
             if not keep_alive:
                 return
+        self.start_waiting()
         if not self.pending:
             # The idle connection keeps the limits that are in force now, since
             # the caller may rely on this idle timeout.
@@ -276,10 +295,40 @@
             self.waiting_since = self.server.clock()
         self.apply_backpressure()
 
+    def start_waiting(self) -> None:
+        """Passes on requests while few enough are pending.
+
+        One packet may hold many requests, and the caller of a slow one must not
+        occupy more of the daemon than others.
+        """
+        if self.is_starting:
+            return
+        self.is_starting = True
+        while (
+            self.waiting
+            and not self.closing
+            and len(self.pending) < MAX_PIPELINED
+        ):
+            self.start(self.waiting.popleft())
+        self.is_starting = False
+
+    def start(self, exchange: HttpExchange) -> None:
+        """Passes a request to the handler, unless it is refused already."""
+        self.pending.append(exchange)
+        self.apply_backpressure()
+        if exchange.response:
+            self.flush()
+            return
+        try:
+            self.server.handler(exchange)
+        except Exception as error:
+            log_unexpected('handler of requests', error)
+            exchange.fail()
+
     def apply_backpressure(self) -> None:
         """Pauses reading while too many pipelined requests are pending."""
         transport: Any = self.transport
-        if len(self.pending) >= MAX_PIPELINED:
+        if self.waiting or len(self.pending) >= MAX_PIPELINED:
             transport.pauseProducing()
         elif transport.connected:
             transport.resumeProducing()
@@ -339,7 +388,7 @@
         self.body += body
 
     def on_message_complete(self) -> None:
-        """Passes the complete request to the handler, if it can be answered."""
+        """Passes the complete request on, if it can be answered."""
         if self.closing:
             return
         request = HttpRequest(
@@ -354,14 +403,8 @@
             self.parser.should_keep_alive(),
         )
         self.reset()
-        exchange = HttpExchange(request, self)
-        self.pending.append(exchange)
-        self.apply_backpressure()
-        try:
-            self.server.handler(exchange)
-        except Exception as error:
-            log_unexpected('handler of requests', error)
-            exchange.fail()
+        self.waiting.append(HttpExchange(request, self))
+        self.start_waiting()
 
 
 def encode_response(response: HttpResponse, *, keep_alive: bool) -> bytes:
--- a/tests/test_thin_evidence.py
+++ b/tests/test_thin_evidence.py
@@ -87,7 +87,7 @@
     assert targets[0].work_s >= 3 * USUAL_S
 
 
-# Failure: the same with the evidence of the ingress daemon's own calls, for half
+# Failure: the same with the evidence of a daemon's own calls, for half
 # a minute.
 def test_a_target_that_was_slow_for_a_moment_soon_gets_calls_again() -> None:
     model = Model.of_fleet(choose_by_own_calls, targets=5, ingresses=1)
