Read the address of a target's entry once

A change of 12 entries with 195 hosts takes less again, see below; entries change far more often than the addresses in them.

--- a/egretlanding/entrychecks.py
+++ b/egretlanding/entrychecks.py
@@ -1,5 +1,6 @@
 """Checks whether the entry of a target names one that can be used."""
 
+import functools
 import ipaddress
 import re
 from collections.abc import Iterator
@@ -9,6 +10,7 @@
 ADDRESS_FORM = 'an IPv4 address of a host and a port from 1 to 65535'
 PORT_PATTERN = '[0-9]{1,5}'
 MAX_PORT = 65_535
+CACHED_ENDPOINTS = 2_048
 INSTANCE_PATTERN = '[A-Za-z0-9._-]{1,128}'
 MAX_SERVICE_CHARS = 128
 # The same bound as for the slots that a service declares.
@@ -21,6 +23,8 @@
 MAX_START_AHEAD_MS = 86_400_000
 
 
+# Entries change far more often than the addresses in them.
+@functools.lru_cache(maxsize=CACHED_ENDPOINTS)
 def parse_endpoint(text: str) -> tuple[str, int]:
     """Returns the IPv4 address and the TCP port of a target.
 
