--- a/egretlanding/evidence.py
+++ b/egretlanding/evidence.py
@@ -17,8 +17,9 @@
 # multiple of the time that the last call took: only calls show that a target is
 # not slow, and those to a slow one should spend little of their callers' time.
 SLOWNESS_DECAY_CALLS = 30
-# The same at most, and after a failure, and at least, seconds.
+# The longest time constant, which also applies after a failure, seconds.
 SLOWNESS_DECAY_S = 10
+# The shortest one, seconds.
 MIN_SLOWNESS_DECAY_S = 0.1
 # Relative latency that is recorded for a call that the target lost or rejected.
 FAILURE_SLOWNESS = 4
