Take the surveys of targets out again

With them go the fields of pings, the share of failures, the expected delays, and the refactoring that they had needed; attempts, balancing, admission, egress, call parts and ownership are as on again.

--- a/egretlanding/admission.py
+++ b/egretlanding/admission.py
@@ -10,15 +10,9 @@
 from egretlanding.objects import Service, WorkClass
 from egretlanding.outcomes import Reason, Refusal
 from egretlanding.pacing import Pace
-from egretlanding.servicetimes import MAX_ROUTES, ServiceTimes
+from egretlanding.servicetimes import ServiceTimes
 from egretlanding.slots import ClassifiedCall, SlotRequest, Slots
 
-# Time after its last call for which the expected time of a route counts, as a
-# multiple of that time, so that a target that was slow gets calls again but
-# spends little of its callers' time on them.
-KNOWN_FOR_CALLS = 10
-# The same at most, seconds.
-MAX_KNOWN_FOR_S = 5
 # Maximum total expected service time of the queued short calls per usable slot,
 # seconds. Above it, the least urgent calls that have a `soft_deadline` are
 # refused while their callers can retry.
@@ -79,7 +73,6 @@
         short: Queue of short work.
         long: Queue of long work.
         draining: Whether new calls are refused because the host drains.
-        answered_at: When the last call of each route ended, seconds.
         pace: Spreads the starts of calls if the target limits their rate.
     """
 
@@ -89,7 +82,6 @@
     short: CallQueue = attrs.field(factory=CallQueue)
     long: CallQueue = attrs.field(factory=CallQueue)
     draining: bool = False
-    answered_at: dict[str, float] = attrs.field(factory=dict)
     pace: Pace = attrs.field(factory=Pace)
 
     @classmethod
@@ -188,9 +180,6 @@
         elapsed_s = now - held.started
         expected_s = self.times.expected(held.call.route)
         self.times.observe(held.call.route, elapsed_s)
-        if len(self.answered_at) >= MAX_ROUTES:
-            self.answered_at.clear()
-        self.answered_at[held.call.route] = now
         running = len(self.slots.running) + 1
         self.slots.limit.record(elapsed_s, expected_s, running, now)
 
@@ -268,7 +257,9 @@
             yield self._drop(queued, Reason.SHORT_WAIT)
 
     def _drop_excess(self, now: float) -> Iterator[Refuse]:
-        max_work_s = max_queued_work_s(self.slots)
+        max_work_s = MAX_QUEUED_WORK_PER_SLOT_S * self.slots.usable(
+            is_long=False,
+        )
         while (
             self.short.time_sensitive
             and self.short.expected_work(self.times) > max_work_s
@@ -294,51 +285,6 @@
     admission.pace.take(now)
 
 
-def expected_delay(
-    admission: Admission, route: str, now: float
-) -> float | None:
-    """Returns how soon a short call that arrives now would be answered.
-
-    Args:
-        admission: The queues and slots of the target.
-        route: Name of the call's route.
-        now: Monotonic time, seconds.
-
-    Returns:
-        The time, seconds; None for a route that had no call here lately.
-    """
-    answered_at = admission.answered_at.get(route, -math.inf)
-    expected_s = admission.times.expected(route)
-    known_for_s = min(MAX_KNOWN_FOR_S, KNOWN_FOR_CALLS * expected_s)
-    if now - answered_at > known_for_s:
-        return None
-    wait_s = admission.predicted_wait(is_long=False)
-    if admission.pace.rate_per_s is not None:
-        paced_s = admission.pace.wait_s(len(admission.short) + 1, now)
-        wait_s = max(wait_s, paced_s)
-    return wait_s + expected_s
-
-
-def longest_running(admission: Admission, now: float) -> float:
-    """Returns for how long the oldest running call has run, seconds."""
-    started = (held.started for held in admission.slots.running.values())
-    return now - min(started, default=now)
-
-
-def is_crowded(admission: Admission, route: str) -> bool:
-    """Returns whether one more short call would exceed the queued work."""
-    if admission.slots.may_start(is_long=False) and not admission.short:
-        return False
-    queued_s = admission.short.expected_work(admission.times)
-    work_s = queued_s + admission.times.expected(route)
-    return work_s > max_queued_work_s(admission.slots)
-
-
-def max_queued_work_s(slots: Slots) -> float:
-    """Returns the work up to which short calls are queued, seconds."""
-    return MAX_QUEUED_WORK_PER_SLOT_S * slots.usable(is_long=False)
-
-
 def latest_start(call: SlotRequest, times: ServiceTimes) -> float:
     """Returns when a call must start at the latest, seconds."""
     latest = times.latest_start(call.route, call.deadline)
--- a/egretlanding/attempts.py
+++ b/egretlanding/attempts.py
@@ -18,7 +18,6 @@
 from egretlanding.events import Event
 from egretlanding.frames import (
     CallReply,
-    Ping,
     Ran,
     refusal_reply,
 )
@@ -43,7 +42,6 @@
 from egretlanding.retryafter import FIRST_PAUSE_S
 from egretlanding.routing import Match
 from egretlanding.servicestates import ServiceState, has_spare_capacity
-from egretlanding.slots import MIN_TIME_TO_RETRY_S
 from egretlanding.subsets import Distance
 from egretlanding.targets import record_statement
 
@@ -99,8 +97,6 @@
         tried: Ids of the hosts that an attempt was sent to.
         timers: Timers of the deadline and the hedge.
         is_finished: Whether the caller was answered or has disconnected.
-        is_surveying: Whether targets are being asked for their delays, after
-            which an attempt is made.
         arrived: When it arrived, monotonic seconds.
         fallback: An error answer of a target. The caller gets it if no
             later attempt is answered.
@@ -120,7 +116,6 @@
     tried: frozenset[str] = frozenset()
     timers: list[Any] = attrs.field(factory=list)
     is_finished: bool = False
-    is_surveying: bool = False
     arrived: float = 0
     fallback: CallReply | None = None
     retry_after_s: float = FIRST_PAUSE_S
@@ -148,42 +143,40 @@
             self.match.policy,
             self.now,
         )
-        start_timers(self)
+        self.start_timers()
         self.make_attempt()
 
-    def make_attempt(self) -> None:
-        """Sends the call to a target, after a survey if that is configured."""
-        service_states = self.ingress.service_states
-        sample = (
-            self.service_state.balancer.survey_sample(
-                attempt_spec(self, 0), self.now, service_states.rng
-            )
-            if service_states.surveys and not self.owner
-            else ()
-        )
-        if not sample:
-            self.send_to_choice()
-            return
-        self.is_surveying = True
-        self.ingress.surveyor.ask(
-            self.service_state.balancer.targets,
-            sample,
-            question_on(self),
-            self.end_survey,
+    def start_timers(self) -> None:
+        """Starts the timers of the deadline and, if allowed, of a hedge."""
+        reactor = self.ingress.reactor
+        remaining = self.context.deadline - self.now
+        self.timers.append(
+            reactor.callLater(
+                remaining + REPLY_GRACE_S,
+                after_reads,
+                reactor,
+                self.handle_deadline,
+            ),
         )
+        timer = self.ingress.service_states.hedge_timer(self.match.route_name)
+        delay = timer.delay(self.context, self.match.policy)
+        if delay is not None and delay < remaining and self.ingress.hedging:
+            self.timers.append(
+                reactor.callLater(delay, after_reads, reactor, self.hedge),
+            )
 
-    @answers_failed_call
-    def end_survey(self) -> None:
-        """Makes the attempt that a survey has prepared."""
-        self.is_surveying = False
-        if not self.is_finished:
-            self.send_to_choice()
-
-    def send_to_choice(self) -> None:
+    def make_attempt(self) -> None:
         """Sends the call to the owner of its key or to a chosen target."""
         number = self.ingress.next_attempt_number()
-        spec = attempt_spec(self, number)
-        choice = choose_target(self, spec)
+        spec = AttemptSpec(
+            attempt=number,
+            route=self.match.route_name,
+            deadline=self.context.deadline,
+            size=len(self.exchange.request.body),
+            idempotent=self.context.idempotent,
+            excluded=self.tried,
+        )
+        choice = self.choose_target(spec)
         if isinstance(choice, Refusal):
             self.answer_without_target(choice)
             return
@@ -191,9 +184,33 @@
             self.service_state.balancer.begin(choice, spec, self.now)
         self.send_attempt(number, choice.host)
 
+    def choose_target(self, spec: AttemptSpec) -> Choice | Refusal:
+        """Returns the target of an attempt, or why there is none."""
+        if self.owner:
+            return Choice(self.owner, Distance.REGION)
+        service_states = self.ingress.service_states
+        choice = service_states.choose(
+            self.service_state.balancer,
+            spec,
+            self.now,
+            service_states.rng,
+        )
+        if isinstance(choice, Refusal) and counts_as_retry(
+            self.failed_attempts
+        ):
+            # With no other target left, try one again that failed before.
+            unrestricted = attrs.evolve(spec, excluded=frozenset())
+            choice = service_states.choose(
+                self.service_state.balancer,
+                unrestricted,
+                self.now,
+                service_states.rng,
+            )
+        return choice
+
     def answer_without_target(self, refusal: Refusal) -> None:
         """Refuses a call that has no target, once no attempt is open."""
-        if is_attempted(self):
+        if self.open_attempts:
             return
         if self.failed_attempts:
             refusal = combine_failures(self.failed_attempts)
@@ -261,7 +278,7 @@
 
     def retry_or_answer(self) -> None:
         """Retries a failed call or answers it, unless an attempt is open."""
-        if is_attempted(self):
+        if self.open_attempts:
             return
         request = self.exchange.request
         if self.ingress.check_quarantine(self.match, request):
@@ -308,7 +325,6 @@
         )
         if (
             len(self.open_attempts) != 1
-            or self.is_surveying
             or attempts >= self.match.policy.max_attempts
         ):
             return
@@ -341,11 +357,11 @@
             for attempt in self.open_attempts.values()
         ]
         self.cancel_open_attempts()
-        failures = [*self.failed_attempts, *unanswered]
-        refusal = Refusal.not_run(Reason.DEADLINE, 'no target chosen in time')
-        if failures:
-            refusal = combine_failures(failures)
-        self.answer(refusal_reply(0, refusal))
+        self.answer(
+            refusal_reply(
+                0, combine_failures([*self.failed_attempts, *unanswered])
+            ),
+        )
 
     def abandon(self) -> None:
         """Cancels a call whose caller has disconnected."""
@@ -412,73 +428,3 @@
         and not call.key
         and not call.is_finished
     )
-
-
-def start_timers(call: ActiveCall) -> None:
-    """Starts the timers of the deadline and, if allowed, of a hedge."""
-    reactor = call.ingress.reactor
-    remaining = call.context.deadline - call.now
-    call.timers.append(
-        reactor.callLater(
-            remaining + REPLY_GRACE_S,
-            after_reads,
-            reactor,
-            call.handle_deadline,
-        ),
-    )
-    timer = call.ingress.service_states.hedge_timer(call.match.route_name)
-    delay = timer.delay(call.context, call.match.policy)
-    if delay is not None and delay < remaining and call.ingress.hedging:
-        call.timers.append(
-            reactor.callLater(delay, after_reads, reactor, call.hedge),
-        )
-
-
-def question_on(call: ActiveCall) -> Ping:
-    """Returns what targets are asked before a call is sent to one of them."""
-    left_s = call.context.deadline - call.now
-    is_time_sensitive = bool(call.match.policy.target_latency_ms)
-    return Ping(
-        route=call.match.route_name,
-        keeps_place=is_time_sensitive and left_s <= MIN_TIME_TO_RETRY_S,
-    )
-
-
-def is_attempted(call: ActiveCall) -> bool:
-    """Returns whether an attempt is open, or will be made in a moment."""
-    return bool(call.open_attempts) or call.is_surveying
-
-
-def attempt_spec(call: ActiveCall, number: int) -> AttemptSpec:
-    """Returns what an attempt with a number requires of its target."""
-    return AttemptSpec(
-        attempt=number,
-        route=call.match.route_name,
-        deadline=call.context.deadline,
-        size=len(call.exchange.request.body),
-        idempotent=call.context.idempotent,
-        excluded=call.tried,
-    )
-
-
-def choose_target(call: ActiveCall, spec: AttemptSpec) -> Choice | Refusal:
-    """Returns the target of an attempt, or why there is none."""
-    if call.owner:
-        return Choice(call.owner, Distance.REGION)
-    service_states = call.ingress.service_states
-    choice = service_states.choose(
-        call.service_state.balancer,
-        spec,
-        call.now,
-        service_states.rng,
-    )
-    if isinstance(choice, Refusal) and counts_as_retry(call.failed_attempts):
-        # With no other target left, try one again that failed before.
-        unrestricted = attrs.evolve(spec, excluded=frozenset())
-        choice = service_states.choose(
-            call.service_state.balancer,
-            unrestricted,
-            call.now,
-            service_states.rng,
-        )
-    return choice
--- a/egretlanding/balancing.py
+++ b/egretlanding/balancing.py
@@ -22,15 +22,6 @@
 # Of two sampled targets, the first is chosen if its score is at most this
 # multiple of the second one's.
 TIE_RATIO = 1.1
-# Most targets that are asked for their delay before a call is sent.
-SURVEY_SIZE = 3
-# Of two surveyed targets, the one of the ingress daemon's failure domain is
-# preferred if its delay is at most this multiple of the other's.
-NEAR_DELAY_RATIO = 1.2
-# Delays within this multiple of the shortest one and this time, seconds, count
-# as similar, so that calls are spread over equal targets.
-SIMILAR_RATIO = 1.2
-SIMILAR_S = 0.005
 # Time for which unused bytes of the link budget are saved up, seconds.
 LINK_BURST_S = 30
 MIN_LINK_BURST_BYTES = 16_384
@@ -190,7 +181,10 @@
         probe = self._due_probe(group, spec, now)
         if probe is not None:
             return _choice(probe, is_probe=True)
-        usable = self._usable_with_room(spec, now)
+        with_room = [
+            target for target in group if not target.is_full(spec.route, now)
+        ]
+        usable = _without_shunned(with_room)
         near = self._choose_near(usable, now, rng)
         if near is not None:
             return _choice(near)
@@ -205,60 +199,6 @@
             )
         return _choice(remote)
 
-    def survey_sample(
-        self, spec: AttemptSpec, now: float, rng: random.Random
-    ) -> list[TargetEvidence]:
-        """Returns the targets to ask for their delay before an attempt.
-
-        Args:
-            spec: The attempt.
-            now: Monotonic time, seconds.
-            rng: Source of the random choices.
-
-        Returns:
-            Targets of the same region; none if there is nothing to choose.
-        """
-        near = [
-            target
-            for target in self._usable_with_room(spec, now)
-            if target.distance is not Distance.REMOTE
-        ]
-        sample = self._sample(near, SURVEY_SIZE, now, rng)
-        return sample if len(sample) > 1 else []
-
-    def choose_soonest(
-        self,
-        spec: AttemptSpec,
-        now: float,
-        rng: random.Random,
-    ) -> Choice | Refusal:
-        """Chooses the target that expects to answer first.
-
-        Without a fresh survey it chooses as `choose_near_first` does.
-
-        Args:
-            spec: The attempt.
-            now: Monotonic time, seconds.
-            rng: Source of the random choices.
-
-        Returns:
-            The target, or the reason why there is none.
-        """
-        group = self.targets.usable_targets(now, spec.excluded)
-        probe = self._due_probe(group, spec, now)
-        delays = [
-            (delay * _delay_factor(target, now), target)
-            for target in self._usable_with_room(spec, now)
-            if (delay := target.expected_delay(spec.route, now)) is not None
-        ]
-        if probe is not None or not delays:
-            return self.choose_near_first(spec, now, rng)
-        shortest = min(delay for delay, _ in delays)
-        longest = shortest * SIMILAR_RATIO + SIMILAR_S
-        similar = [target for delay, target in delays if delay <= longest]
-        chosen = rng.choice(similar)
-        return Choice(chosen.host, chosen.distance)
-
     def begin(self, choice: Choice, spec: AttemptSpec, now: float) -> None:
         """Records that an attempt was sent.
 
@@ -272,15 +212,6 @@
         if choice.distance is Distance.REMOTE:
             self.link.charge(spec.size, now)
 
-    def _usable_with_room(
-        self, spec: AttemptSpec, now: float
-    ) -> list[TargetEvidence]:
-        group = self.targets.usable_targets(now, spec.excluded)
-        with_room = [
-            target for target in group if not target.is_full(spec.route, now)
-        ]
-        return _without_shunned(with_room)
-
     def _due_probe(
         self,
         group: list[TargetEvidence],
@@ -339,39 +270,21 @@
         now: float,
         rng: random.Random,
     ) -> ScoredTarget | None:
-        at_distance = [
-            target for target in group if target.distance is distance
-        ]
-        sampled = self._sample(at_distance, 2, now, rng)
-        scored = [self._scored(target, now) for target in sampled]
-        if len(scored) < 2:
-            return next(iter(scored), None)
-        first, second = scored
-        return second if first.score > TIE_RATIO * second.score else first
-
-    def _sample(
-        self,
-        group: list[TargetEvidence],
-        size: int,
-        now: float,
-        rng: random.Random,
-    ) -> list[TargetEvidence]:
-        # Weighted sampling without replacement: those with the greatest
-        # u^(1/share), where u is random in [0, 1).
+        # Weighted sampling of two targets without replacement: those with the
+        # greatest u^(1/share), where u is random in [0, 1).
         cold_start_ms = self.targets.service.cold_start_ms
-        return heapq.nlargest(
-            size,
-            group,
+        sampled = heapq.nlargest(
+            2,
+            (target for target in group if target.distance is distance),
             key=lambda target: (
                 rng.random() ** (1 / target.share(cold_start_ms, now))
             ),
         )
-
-
-def _delay_factor(target: TargetEvidence, now: float) -> float:
-    is_near = target.distance is Distance.FAILURE_DOMAIN
-    distance_factor = 1 if is_near else NEAR_DELAY_RATIO
-    return distance_factor * target.failure_factor(now)
+        scored = [self._scored(target, now) for target in sampled]
+        if len(scored) < 2:
+            return next(iter(scored), None)
+        first, second = scored
+        return second if first.score > TIE_RATIO * second.score else first
 
 
 def _without_shunned(group: list[TargetEvidence]) -> list[TargetEvidence]:
--- a/egretlanding/callparts.py
+++ b/egretlanding/callparts.py
@@ -1,13 +1,12 @@
 """Builds the components of the call path from a daemon's settings."""
 
 import random
-from functools import partial
 from typing import Any
 
 from egretlanding.admission import Admission
 from egretlanding.config import DaemonConfig
 from egretlanding.dialect import Dialect
-from egretlanding.egress import Egress, answer_ping
+from egretlanding.egress import Egress
 from egretlanding.frames import Hello
 from egretlanding.idempotency import KeyTable
 from egretlanding.objects import Service
@@ -20,8 +19,6 @@
 from egretlanding.targethealth import HEALTH_CHECKS
 from egretlanding.targetpool import TargetPool
 
-# The value of the setting `balancing` with which targets are surveyed.
-SURVEYING = 'survey'
 # Provides the limits for the local target until a release is in force.
 DEFAULT_SERVICE = Service(regions=())
 
@@ -64,7 +61,6 @@
         server.on_call,
         server.on_cancel,
         server.on_close,
-        on_ping=partial(answer_ping, server.egress),
     )
 
 
@@ -75,5 +71,4 @@
         locality,
         CHOOSERS[config.balancing],
         random.Random(config.host_id),
-        surveys=config.balancing == SURVEYING,
     )
--- a/egretlanding/egress.py
+++ b/egretlanding/egress.py
@@ -1,21 +1,12 @@
 """Runs calls at the target beside the daemon."""
 
 import itertools
-import math
 import time
-from http import HTTPStatus
 from typing import Any
 
 import attrs
 
-from egretlanding.admission import (
-    Admission,
-    Refuse,
-    Start,
-    expected_delay,
-    is_crowded,
-    longest_running,
-)
+from egretlanding.admission import Admission, Refuse, Start
 from egretlanding.callfailures import replies_to_failed_job
 from egretlanding.callheaders import (
     REPLAYED_HEADER,
@@ -24,15 +15,7 @@
 from egretlanding.dialect import DEFAULT_DIALECT, Dialect
 from egretlanding.events import Event, Severity, log_event
 from egretlanding.exceptions import KeyFormatError
-from egretlanding.failureshare import FailureShare
-from egretlanding.frames import (
-    REFUSES,
-    CallReply,
-    CallRequest,
-    Ping,
-    Pong,
-    refusal_reply,
-)
+from egretlanding.frames import CallReply, CallRequest, refusal_reply
 from egretlanding.histograms import Histogram
 from egretlanding.httpheaders import header_values
 from egretlanding.httpmessages import HttpResponse
@@ -85,7 +68,6 @@
         dialect: The header names that the target uses.
         queue_times: Histogram of how long calls waited for a slot.
         run_times: Histogram of how long the target took.
-        failures: The share of the latest calls that failed.
     """
 
     reactor: Any
@@ -103,7 +85,6 @@
     dialect: Dialect = DEFAULT_DIALECT
     queue_times: Histogram = attrs.field(factory=Histogram)
     run_times: Histogram = attrs.field(factory=Histogram)
-    failures: FailureShare = attrs.field(factory=FailureShare)
 
     def moment(self) -> ClockReading:
         """Returns the current time on the monotonic and the wall clock."""
@@ -224,7 +205,6 @@
             self.admission.record_shed(job.job_id, now)
         else:
             self.admission.release(job.job_id, now)
-            self.failures.observe(failed=is_failure(outcome))
         if outcome.cancelled:
             self.table.remove(job)
         elif outcome.response is None:
@@ -345,36 +325,6 @@
         self.quarantine.expire(self.reactor.seconds())
 
 
-def answer_ping(egress: Egress, ping: Ping) -> Pong:
-    """Tells how soon a call that arrives now would be answered.
-
-    Args:
-        egress: Runs the calls of the target.
-        ping: The question, or a heartbeat, to which nothing is told.
-    """
-    if not ping.route:
-        return Pong(ping.number)
-    load = len(egress.table.jobs)
-    is_full = not ping.keeps_place and is_crowded(egress.admission, ping.route)
-    if is_full or not egress.health.takes_calls:
-        return Pong(ping.number, load, REFUSES)
-    now = egress.reactor.seconds()
-    delay_s = expected_delay(egress.admission, ping.route, now)
-    is_bound = delay_s is None
-    if delay_s is None:
-        delay_s = longest_running(egress.admission, now)
-    delay_ms = math.ceil(egress.failures.until_success(delay_s) * MS_PER_S)
-    return Pong(ping.number, load, delay_ms, is_bound)
-
-
-def is_failure(outcome: TargetOutcome) -> bool:
-    """Returns whether a call that ran was lost or answered with an error."""
-    if outcome.cancelled:
-        return False
-    status = outcome.response.status if outcome.response else None
-    return status is None or status >= HTTPStatus.INTERNAL_SERVER_ERROR
-
-
 def hear_statement(
     egress: Egress, job: Job, response: HttpResponse | None
 ) -> None:
--- a/egretlanding/evidence.py
+++ b/egretlanding/evidence.py
@@ -21,13 +21,8 @@
 SLOWNESS_DECAY_S = 10
 # The shortest one, seconds.
 MIN_SLOWNESS_DECAY_S = 0.1
-# Relative latency that is recorded for a call that the target lost or rejected.
-FAILURE_SLOWNESS = 4
 # Time constant with which a load report loses its weight, seconds.
 LOAD_REPORT_DECAY_S = 2
-# Age from which an expected delay says nothing any more, seconds: a small part
-# of the time that most calls take.
-MAX_EXPECTED_AGE_S = 0.05
 # Share of calls that a target gets at the beginning of its cold start.
 MIN_COLD_SHARE = 0.1
 # Time for which a target counts as unreachable after the first failed
@@ -70,21 +65,6 @@
         )
 
 
-@attrs.frozen
-class ExpectedDelay:
-    """How soon a target could answer a call, as its daemon expects.
-
-    Attributes:
-        route: Name of the call's route.
-        delay_s: Time until the answer, seconds.
-        heard_at: When the daemon said so, seconds.
-    """
-
-    route: str
-    delay_s: float
-    heard_at: float
-
-
 @attrs.define
 class Probation:
     """The state of a shunned target, which gets only probe calls.
@@ -116,8 +96,6 @@
         samples: Answers that `slowness` is based on.
         flights: Attempts in flight, by number of the attempt.
         load_report: Its last load report.
-        failed_at: When it last lost or rejected a call, seconds.
-        expected: The delay that its daemon last expected, None if unknown.
         failed_connects: Failed attempts to connect, in a row.
         unreachable_until: Until when it counts as unreachable, seconds.
         probation: Set while the target is shunned for being slow.
@@ -136,8 +114,6 @@
     samples: int = 0
     flights: dict[int, Flight] = attrs.field(factory=dict)
     load_report: ReportedLoad = ReportedLoad()
-    failed_at: float = -math.inf
-    expected: ExpectedDelay | None = None
     failed_connects: int = 0
     unreachable_until: float = -math.inf
     probation: Probation | None = None
@@ -149,31 +125,10 @@
         decay = math.exp(min(0, self.updated - now) / self.decay_s)
         return 1 + (self.slowness - 1) * decay
 
-    def failure_factor(self, now: float) -> float:
-        """Returns by how much a failure of late makes the target slower."""
-        decay = math.exp(min(0, self.failed_at - now) / SLOWNESS_DECAY_S)
-        return 1 + (FAILURE_SLOWNESS - 1) * decay
-
     def load(self, now: float) -> float:
         """Returns the calls that the target runs and queues, estimated."""
         return max(len(self.flights), self.load_report.current(now))
 
-    def expected_delay(self, route: str, now: float) -> float | None:
-        """Returns the delay that its daemon expects, seconds.
-
-        Args:
-            route: Name of the call's route.
-            now: Monotonic time, seconds.
-
-        Returns:
-            The delay, or None if it was not told lately.
-        """
-        expected = self.expected
-        if expected is None or expected.route != route:
-            return None
-        is_fresh = now - expected.heard_at <= MAX_EXPECTED_AGE_S
-        return expected.delay_s if is_fresh else None
-
     def share(self, cold_start_ms: int, now: float) -> float:
         """Returns the target's share of calls, which ramps up to 1.
 
--- a/egretlanding/frames.py
+++ b/egretlanding/frames.py
@@ -282,41 +282,12 @@
     outage_age_ms: int = -1
 
 
-# Stands for the delay of a call that would probably be refused.
-REFUSES = -1
-
-
 class Ping(Frame, frozen=True, tag='ping'):
-    """Checks whether the other daemon is alive, and may ask for a delay.
-
-    Attributes:
-        number: Number that the reply repeats, 0 if nothing is asked.
-        route: Name of the route whose delay is asked for.
-        keeps_place: Whether a queued call would keep its place, since its
-            caller can't send it again.
-    """
-
-    number: int = 0
-    route: str = ''
-    keeps_place: bool = False
+    """Checks whether the other daemon is alive."""
 
 
 class Pong(Frame, frozen=True, tag='pong'):
-    """Replies to a ping.
-
-    Attributes:
-        number: The number of the ping.
-        load: Calls that the target runs and queues.
-        delay_ms: Expected time until the answer to a call of the route that
-            arrives now, ms; REFUSES if the call would probably be refused.
-        is_bound: Whether the delay is only a lower bound, since no such call
-            has ended lately.
-    """
-
-    number: int = 0
-    load: int = 0
-    delay_ms: int = 0
-    is_bound: bool = False
+    """Replies to a ping."""
 
 
 AnyFrame = (
--- a/egretlanding/ingress.py
+++ b/egretlanding/ingress.py
@@ -18,7 +18,7 @@
 from egretlanding.dialect import DEFAULT_DIALECT, Dialect
 from egretlanding.egress import Egress
 from egretlanding.events import Event, log_event
-from egretlanding.exceptions import CallHeaderError
+from egretlanding.exceptions import CallHeaderError, KeyFormatError
 from egretlanding.frames import (
     CallReply,
     CallRequest,
@@ -30,17 +30,17 @@
 from egretlanding.httpmessages import HttpRequest
 from egretlanding.httpserver import HttpExchange
 from egretlanding.jobs import MS_PER_S
+from egretlanding.keys import parse_key
 from egretlanding.lanes import BULK_BYTES, PendingCall, lane_for
 from egretlanding.objects import WorkClass
 from egretlanding.outcomes import Reason, Refusal
-from egretlanding.ownership import find_key_owner
+from egretlanding.ownership import locate_owner
 from egretlanding.peerlinks import PeerLinks
 from egretlanding.quarantine import request_signature
 from egretlanding.retries import KEY_HEADER, CallContext
 from egretlanding.retryafter import FIRST_PAUSE_S, RetryAfterEstimator
 from egretlanding.routing import Match
 from egretlanding.servicestates import ServiceStates
-from egretlanding.surveys import Surveyor
 from egretlanding.views import View
 
 # Bounds the memory that is used to remember routes with large answers.
@@ -94,7 +94,6 @@
             monotonic seconds.
         release_age_s: Returns the time since the configuration was last known
             to be the newest, seconds.
-        surveyor: Asks targets how soon they could answer.
     """
 
     reactor: Any
@@ -119,12 +118,6 @@
     retry_pauses: RetryAfterEstimator = attrs.field(factory=RetryAfterEstimator)
     stops_at: float = math.inf
     release_age_s: Callable[[], float] = always_confirmed
-    surveyor: Surveyor = attrs.field(init=False)
-
-    def __attrs_post_init__(self) -> None:
-        self.surveyor = Surveyor(
-            self.reactor, self.links, self.host_id, self.egress
-        )
 
     def next_attempt_number(self) -> int:
         """Returns an unused attempt number."""
@@ -245,8 +238,12 @@
         """
         if not key_text or match.idempotent:
             return None
+        try:
+            key = parse_key(key_text)
+        except KeyFormatError as error:
+            return Refusal.not_run(Reason.KEY_MALFORMED, str(error))
         hosts = view.hosts.of_service(match.service_name)
-        return find_key_owner(key_text, match.service_name, hosts)
+        return locate_owner(key, match.service_name, hosts)
 
     def send(
         self,
--- a/egretlanding/lanes.py
+++ b/egretlanding/lanes.py
@@ -82,7 +82,6 @@
         failures: Consecutive failed attempts to connect.
         backoff_until: Time before which no attempt is made, seconds.
         last_used: Time at which the lane was last used, seconds.
-        heard_at: When the other daemon last answered a question, seconds.
         silent: Earlier connections, on which the daemon fell silent and calls
             are in flight.
     """
@@ -93,7 +92,6 @@
     failures: int = 0
     backoff_until: float = 0
     last_used: float = 0
-    heard_at: float = 0
     silent: SilentConnections = attrs.field(factory=SilentConnections)
 
     def is_open(self) -> bool:
@@ -116,10 +114,6 @@
         unused_s = now - self.last_used
         return is_idle and not self.connecting and unused_s > REST_AFTER_S
 
-    def needs_probe(self, now: float) -> bool:
-        """Returns whether a call must wait for a sign of life."""
-        return self.rests(now) and now - self.heard_at > REST_AFTER_S
-
     def set_aside(self, connection: PeerConnection) -> None:
         """Leaves a silent connection to its calls in flight."""
         self.connection = None
--- a/egretlanding/ownership.py
+++ b/egretlanding/ownership.py
@@ -35,10 +35,9 @@
 
 import attrs
 
-from egretlanding.exceptions import KeyFormatError
 from egretlanding.hostreports import HostReport, HostReports
 from egretlanding.hosts import Host
-from egretlanding.keys import CallerKey, IssuedKey, Key, parse_key
+from egretlanding.keys import CallerKey, IssuedKey, Key
 from egretlanding.outcomes import Reason, Refusal
 from egretlanding.rendezvous import weight
 
@@ -325,25 +324,6 @@
     )
 
 
-def find_key_owner(
-    key_text: str,
-    service: str,
-    hosts: tuple[Host, ...],
-) -> Host | Refusal:
-    """Finds the owner of a key as a caller sent it, or refuses the key.
-
-    Args:
-        key_text: The key.
-        service: The service that the call's route names.
-        hosts: The service's hosts in the platform's list.
-    """
-    try:
-        key = parse_key(key_text)
-    except KeyFormatError as error:
-        return Refusal.not_run(Reason.KEY_MALFORMED, str(error))
-    return locate_owner(key, service, hosts)
-
-
 def locate_owner(
     key: Key,
     service: str,
--- a/egretlanding/peerlinks.py
+++ b/egretlanding/peerlinks.py
@@ -8,7 +8,7 @@
 from twisted.python.failure import Failure
 
 from egretlanding.events import Event, Severity, log_event
-from egretlanding.frames import Ping, Pong
+from egretlanding.frames import Ping
 from egretlanding.hosts import Host
 from egretlanding.lanes import (
     IDLE_LIMIT_S,
@@ -17,7 +17,6 @@
     PendingCall,
 )
 from egretlanding.peers import (
-    OnPong,
     PeerConnection,
     PeerContext,
     PeerFactory,
@@ -83,7 +82,7 @@
         """
         lane = self.connect(host, lane_kind)
         now = self.reactor.seconds()
-        if lane.connection and lane.is_open() and lane.needs_probe(now):
+        if lane.connection and lane.is_open() and lane.rests(now):
             self.probe(host, lane_kind, lane.connection)
         lane.last_used = now
         if lane.connecting:
@@ -96,28 +95,6 @@
             detail = 'connecting to the daemon failed a moment ago'
             self.reactor.callLater(0, pending.fail, detail)
 
-    def ask(self, host: Host, question: Ping, on_pong: OnPong) -> bool:
-        """Asks how soon the target of a host could answer a call.
-
-        Args:
-            host: The host.
-            question: The question, without a number.
-            on_pong: Called with the reply, if one comes.
-
-        Returns:
-            Whether the question was sent. Otherwise a connection is opened,
-            for the next one.
-        """
-        lane = self.connect(host, Lane.SHORT)
-        if lane.connecting or not (lane.connection and lane.is_open()):
-            return False
-
-        def on_reply(pong: Pong) -> None:
-            lane.heard_at = self.reactor.seconds()
-            on_pong(pong)
-
-        return lane.connection.ask(question, on_reply)
-
     def probe(
         self, host: Host, lane_kind: Lane, connection: PeerConnection
     ) -> None:
--- a/egretlanding/peers.py
+++ b/egretlanding/peers.py
@@ -41,8 +41,6 @@
 # Space that a frame keeps for what a call contains besides its body, bytes.
 MAX_CALL_HEAD_BYTES = 262_144
 MAX_CALL_BODY_BYTES = MAX_FRAME_BYTES - MAX_CALL_HEAD_BYTES
-# Most questions without a reply on one connection.
-MAX_QUESTIONS = 64
 
 # Called with the reply to a call, or with a generated one if the connection
 # was lost.
@@ -53,8 +51,6 @@
 RecordsFrame = RecordsState | RecordsRequest | RecordsUpdate
 OnRecords = Callable[['PeerConnection', RecordsFrame], None]
 OnConnection = Callable[['PeerConnection'], None]
-OnPing = Callable[[Ping], Pong]
-OnPong = Callable[[Pong], None]
 # Called once with whether a frame arrived before the connection ended.
 OnArrival = Callable[[bool], None]
 
@@ -96,7 +92,6 @@
         aborted: Whether this daemon has closed the connection at once.
         greeting: Reports the hello, or the end of a connection without one.
         pong: Reports the answer to a ping, or the end of the connection.
-        questions: Callbacks for the replies to questions, by number.
         bytes_received: Number of bytes received so far.
         bytes_at_last_check: Value of `bytes_received` at the last heartbeat,
             -1 if the next one must not count as silent.
@@ -122,7 +117,6 @@
         self.aborted = False
         self.greeting = ExpectedFrame()
         self.pong = ExpectedFrame()
-        self.questions: dict[int, OnPong] = {}
         self.bytes_received = 0
         self.bytes_at_last_check = -1
         self.silent_intervals = 0
@@ -154,7 +148,6 @@
             )
         for call_id, on_reply in pending_replies.items():
             on_reply(lost_reply(call_id))
-        self.questions.clear()
         self.greeting.end(arrived=False)
         self.pong.end(arrived=False)
         self.context.on_close(self)
@@ -190,23 +183,6 @@
         self.send(msgspec.structs.replace(request, call_id=call_id))
         return call_id
 
-    def ask(self, question: Ping, on_pong: OnPong) -> bool:
-        """Asks how soon the target could answer a call of a route.
-
-        Args:
-            question: The question; its number is set here.
-            on_pong: Called with the reply, if one comes.
-
-        Returns:
-            Whether the question was sent.
-        """
-        if len(self.questions) >= MAX_QUESTIONS or not self.is_open():
-            return False
-        number = next(self.call_ids)
-        self.questions[number] = on_pong
-        self.send(msgspec.structs.replace(question, number=number))
-        return True
-
     def cancel(self, call_id: int) -> None:
         """Abandons a call; its reply, if one comes, is dropped."""
         if self.pending_replies.pop(call_id, None):
@@ -281,11 +257,19 @@
             case RecordsState() | RecordsRequest() | RecordsUpdate():
                 self.context.on_records(self, frame)
             case Ping():
-                self.send(self.context.on_ping(frame))
+                self.send(Pong())
             case Pong():
-                handle_pong(self, frame)
+                self.pong.end(arrived=True)
             case Hello() | Readiness():
-                update_peer_state(self, frame)
+                self.update_peer_state(frame)
+
+    def update_peer_state(self, frame: Hello | Readiness) -> None:
+        """Records who the other daemon is and whether it accepts calls."""
+        if isinstance(frame, Hello):
+            self.peer = frame
+        self.ready = frame.ready
+        self.context.on_readiness(self, frame.ready)
+        self.greeting.end(arrived=True)
 
 
 @attrs.define(eq=False)
@@ -303,7 +287,6 @@
         on_hosts_state: Called with the revision of the host list that another
             daemon holds.
         on_records: Called with each frame about the store's records.
-        on_ping: Called with each ping; returns the reply.
         connections: The connections that are open, in both directions.
     """
 
@@ -315,7 +298,6 @@
     on_suspicion: Callable[[Suspicion], None] = lambda _frame: None
     on_hosts_state: OnHostsState = lambda _connection, _frame: None
     on_records: OnRecords = lambda _connection, _frame: None
-    on_ping: OnPing = lambda ping: Pong(ping.number)
     connections: set[PeerConnection] = attrs.field(factory=set)
 
     def announce(self, ready: bool) -> None:
@@ -397,22 +379,3 @@
             'the connection to the daemon beside the target was lost',
         ),
     )
-
-
-def handle_pong(connection: PeerConnection, frame: Pong) -> None:
-    """Passes a reply to the callback of its question."""
-    connection.pong.end(arrived=True)
-    on_pong = connection.questions.pop(frame.number, None)
-    if on_pong:
-        on_pong(frame)
-
-
-def update_peer_state(
-    connection: PeerConnection, frame: Hello | Readiness
-) -> None:
-    """Records who the other daemon is and whether it accepts calls."""
-    if isinstance(frame, Hello):
-        connection.peer = frame
-    connection.ready = frame.ready
-    connection.context.on_readiness(connection, frame.ready)
-    connection.greeting.end(arrived=True)
--- a/egretlanding/servicestates.py
+++ b/egretlanding/servicestates.py
@@ -66,17 +66,6 @@
     return balancer.choose_near_first(spec, now, rng)
 
 
-@register_chooser('survey')
-def choose_soonest(
-    balancer: Balancer,
-    spec: AttemptSpec,
-    now: float,
-    rng: random.Random,
-) -> Choice | Refusal:
-    """Chooses the surveyed target that expects to answer first."""
-    return balancer.choose_soonest(spec, now, rng)
-
-
 @register_chooser('random')
 def choose_at_random(
     balancer: Balancer,
@@ -150,7 +139,6 @@
         new_budget: Builds the retry budget of a service.
         daemon_count: Number of daemons that share the slack of the retry
             budgets, 0 if it is not shared.
-        surveys: Whether targets are asked for their delays before a choice.
     """
 
     locality: Locality
@@ -163,7 +151,6 @@
     unready: dict[str, float] = attrs.field(factory=dict)
     new_budget: Callable[[float], RetryBudget] = RetryBudget.with_initial_tokens
     daemon_count: int = 0
-    surveys: bool = False
 
     def service(self, name: str, now: float) -> ServiceState:
         """Returns the state of a service of the configuration in force."""
--- a/egretlanding/sidecarconfig.py
+++ b/egretlanding/sidecarconfig.py
@@ -62,9 +62,8 @@
         retry_window: Window in which retries are counted.
         cold_start_ms: Time over which a new target's share ramps up, ms.
         queue_limit: Number of calls that may be queued for the target.
-        balancing: How targets are chosen: "survey" asks a few of them how soon
-            they could answer, "near" relies on the daemon's own calls;
-            "random" is a baseline for measurements only.
+        balancing: How targets are chosen; "random" is a baseline for
+            measurements only.
         target_check: How the daemon checks whether the target accepts calls:
             "report" asks the target, "connect" opens a connection after a
             call was lost.
@@ -96,9 +95,7 @@
     )
     cold_start_ms: int = bounded_field(0, 600_000, 'ms', default=3_000)
     queue_limit: int = bounded_field(0, 10_000, 'calls', default=64)
-    balancing: str = choice_field(
-        ('survey', 'near', 'p2c', 'random'), default='near'
-    )
+    balancing: str = choice_field(('near', 'p2c', 'random'), default='near')
     target_check: str = choice_field(('report', 'connect'), default='connect')
     grace: str = pattern_field(DURATION_PATTERN, DURATION_FORM, default='6s')
     link_mbps: str = pattern_field(WIDTH_PATTERN, WIDTH_FORM, default='0')
--- a/egretlanding/targets.py
+++ b/egretlanding/targets.py
@@ -6,14 +6,12 @@
 import attrs
 
 from egretlanding.evidence import (
-    FAILURE_SLOWNESS,
     SLOWNESS_DECAY_S,
-    ExpectedDelay,
     Flight,
     ReportedLoad,
     TargetEvidence,
 )
-from egretlanding.frames import REFUSES, Pong, Statement
+from egretlanding.frames import Statement
 from egretlanding.hosts import Host
 from egretlanding.objects import Service
 from egretlanding.servicetimes import ServiceTimes
@@ -35,7 +33,8 @@
 # than it could be given: at most this many, or this multiple of what it takes.
 MAX_OFFERS_PER_S = 400
 OFFERS_PER_CALL = 4
-MS_PER_S = 1_000
+# Relative latency that is recorded for a call that the target lost or rejected.
+FAILURE_SLOWNESS = 4
 
 
 @attrs.define
@@ -175,7 +174,6 @@
         """Records that a target lost or rejected a call that it received."""
         target = self.evidence.get(host_id)
         if target is not None:
-            target.failed_at = now
             self._learn(target, FAILURE_SLOWNESS, now, SLOWNESS_DECAY_S)
 
     def record_load(self, host_id: str, calls: int, now: float) -> None:
@@ -247,36 +245,6 @@
     return target.host.slots or targets.service.slots
 
 
-def record_delay(
-    targets: TargetTable, host_id: str, route: str, pong: Pong, now: float
-) -> None:
-    """Records how soon the daemon of a target expects to answer a call.
-
-    Args:
-        targets: The targets of the service.
-        host_id: Id of the target's host.
-        route: Name of the call's route.
-        pong: What the daemon says.
-        now: Monotonic time, seconds.
-    """
-    target = targets.evidence.get(host_id)
-    if target is None:
-        return
-    target.load_report = ReportedLoad(pong.load, now)
-    if pong.delay_ms == REFUSES:
-        target.expected = None
-        targets.record_refusal(host_id, route, now)
-        return
-    delay_s = pong.delay_ms / MS_PER_S
-    if pong.is_bound and route not in targets.times.routes:
-        return
-    if pong.is_bound:
-        # Without calls lately the target counts as an average one.
-        load = 1 + pong.load / slots_of(targets, target)
-        delay_s = max(delay_s, targets.times.expected(route) * load)
-    target.expected = ExpectedDelay(route, delay_s, now)
-
-
 def heard_from(targets: TargetTable, host: Host) -> Statement | None:
     """Returns what the target's process of a host last stated, if any."""
     target = targets.evidence.get(host.host_id)
