--- a/review/standins/kit.py
+++ b/review/standins/kit.py
@@ -642,7 +642,7 @@
     for _ in range(50):
         base = f'127.{random.randint(20, 250)}.{random.randint(1, 250)}'
         try:
-            for number in range(10, 30):
+            for number in range(10, 40):
                 for port in (*PORTS.values(), METRICS_PORT):
                     with socket.socket() as probe:
                         probe.setsockopt(
