Tell late answers without a body from the expected one

Cause: the request id was compared where an answer with a body ends, and not where one without a body ends, at its head.

Evidence: test_no_form_of_a_late_answer_reaches_the_next_request draws method, status, framing and splits. It failed on the code before, as did eight of the cases of test_an_answer_that_only_seems_to_have_a_body_is_the_last (the head of an answer to HEAD, or of a 304, may announce a body that isn't sent, and a late copy of it hid the beginning of the next answer).

Change: the id is compared once, at the end of the head, before it is decided how the answer ends. A connection isn't used again after a head that announces a body which isn't sent. A late answer whose end is uncertain closes its connection at once.

--- a/egretlanding/httpclient.py
+++ b/egretlanding/httpclient.py
@@ -11,6 +11,7 @@
 
 from egretlanding.frames import MAX_FRAME_BYTES, Headers
 from egretlanding.httpheaders import (
+    announces_body,
     drop_hop_headers,
     has_explicit_length,
     has_safe_framing,
@@ -221,12 +222,22 @@
         )
 
     def on_headers_complete(self) -> None:
-        """Checks the framing; a response without a body is complete here."""
+        """Checks the framing; a response without a body is complete here.
+
+        Raises:
+            ValueError: It isn't certain where the response ends.
+        """
         status = self.parser.get_status_code()
         if status < HTTPStatus.OK or self.complete_response is not None:
             return
         self.max_bytes = self.max_body_bytes * FRAMING_FACTOR
-        if self.is_head or status in BODILESS:
+        if self.answers_other_request():
+            if not has_certain_end(status, self.headers):
+                raise ValueError('the end of a late response is ambiguous')
+        elif self.is_head or status in BODILESS:
+            # A late copy of a head that announces a body would hide the
+            # beginning of the next response.
+            self.usable = self.usable and not announces_body(self.headers)
             self.store_response(drop_hop_headers(self.headers))
         elif not has_explicit_length(self.headers):
             if not has_safe_framing(self.headers):
@@ -288,6 +299,18 @@
             on_response(response)
 
 
+def has_certain_end(status: int, headers: Headers) -> bool:
+    """Returns whether a response ends where its head says, whatever it answers.
+
+    Args:
+        status: Its status.
+        headers: Its headers.
+    """
+    if status in BODILESS:
+        return not announces_body(headers)
+    return has_explicit_length(headers)
+
+
 def exceeds_bounds(client: HttpClient) -> bool:
     """Returns whether the last answer was longer than it may be."""
     too_many = client.received_bytes > client.max_bytes
--- a/egretlanding/httpheaders.py
+++ b/egretlanding/httpheaders.py
@@ -57,6 +57,17 @@
     return bool(framed) and has_safe_framing(headers)
 
 
+def announces_body(headers: Headers) -> bool:
+    """Returns whether bytes of a body follow, unless the message has none.
+
+    The head of an answer to HEAD, or of one with the status 304, may announce a
+    body that isn't sent.
+    """
+    if header_values(headers, ENCODING):
+        return True
+    return any(text.strip('0') for text in header_values(headers, LENGTH))
+
+
 def keep_alive_timeout(keep_alive_values: list[str], default: float) -> float:
     """Returns the timeout of a keep-alive header, seconds.
 
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -2,8 +2,9 @@
 
 import tracemalloc
 
+import attrs
 import pytest
-from hypothesis import given
+from hypothesis import assume, given
 from hypothesis import strategies as st
 from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.python.failure import Failure
@@ -120,6 +121,120 @@
     assert not client.usable
 
 
+FRAMINGS = {
+    'a length': (b'content-length: 4\r\n', b'body'),
+    'an empty body': (b'content-length: 0\r\n', b''),
+    'chunks': (
+        b'transfer-encoding: chunked\r\n',
+        b'4\r\nbody\r\n0\r\n\r\n',
+    ),
+    'no length': (b'', b''),
+}
+
+
+@attrs.frozen
+class Exchange:
+    """A request and the answer of its target.
+
+    Attributes:
+        request_id: Id of the request, which the answer repeats.
+        status: Status of the answer.
+        is_head: Whether it is a HEAD request.
+        framing: A key of `FRAMINGS`.
+    """
+
+    request_id: str
+    status: int
+    is_head: bool
+    framing: str
+
+    @property
+    def has_body(self) -> bool:
+        """Whether the body that the framing announces follows the head."""
+        return not self.is_head and self.status not in {204, 304}
+
+    @property
+    def ends_by_itself(self) -> bool:
+        """Whether the end of the answer shows without a close."""
+        return not self.has_body or self.framing != 'no length'
+
+    def encode(self) -> bytes:
+        """Returns the bytes of the answer."""
+        headers, body = FRAMINGS[self.framing]
+        head = b'HTTP/1.1 %d x\r\nrequest-id: %s\r\n%s\r\n' % (
+            self.status,
+            self.request_id.encode(),
+            headers,
+        )
+        return head + (body if self.has_body else b'')
+
+    def send(self, client: HttpClient) -> list[HttpResponse | None]:
+        """Sends the request; returns a list that gets what is reported."""
+        reported: list[HttpResponse | None] = []
+        echo = ('request-id', self.request_id)
+        client.send(b'', reported.append, is_head=self.is_head, echo=echo)
+        return reported
+
+
+def exchanges(request_id: str) -> st.SearchStrategy[Exchange]:
+    """Returns requests with any method, and answers of any form."""
+    return st.builds(
+        Exchange,
+        st.just(request_id),
+        st.sampled_from([200, 201, 204, 304, 404, 500, 503]),
+        st.booleans(),
+        st.sampled_from(sorted(FRAMINGS)),
+    ).filter(lambda exchange: exchange.ends_by_itself)
+
+
+# Failure: a late second copy of an answer without a body, or to HEAD, was
+# taken for the answer to the next request on the connection.
+@given(
+    st.lists(exchanges('old'), min_size=1, max_size=3),
+    exchanges('mine'),
+    st.lists(st.integers(0, 500), max_size=4),
+)
+def test_no_form_of_a_late_answer_reaches_the_next_request(
+    earlier: list[Exchange], expected: Exchange, cuts: list[int]
+) -> None:
+    client = HttpClient(lambda _client: None)
+    attach(client)
+    for number, exchange in enumerate(earlier):
+        first = attrs.evolve(exchange, request_id=f'old{number}')
+        assume(client.usable)
+        assert len(first.send(client)) == 0
+        client.dataReceived(first.encode())
+    assume(client.usable)
+    reported = expected.send(client)
+    feed(client, first.encode() + expected.encode(), cuts)
+    assert [response and response.status for response in reported] == [
+        expected.status
+    ]
+    assert ('request-id', 'mine') in reported[0].headers
+    assert not client.usable
+
+
+# Failure: the head of a late answer whose body never follows hid the beginning
+# of the next answer.
+@pytest.mark.parametrize('framing', FRAMINGS)
+@pytest.mark.parametrize(
+    ('status', 'is_head'),
+    [(200, True), (404, True), (204, False), (304, False)],
+)
+def test_an_answer_that_only_seems_to_have_a_body_is_the_last(
+    status: int, is_head: bool, framing: str
+) -> None:
+    client = HttpClient(lambda _client: None)
+    attach(client)
+    exchange = Exchange('mine', status, is_head, framing)
+    reported = exchange.send(client)
+    client.dataReceived(exchange.encode())
+    assert [response and response.status for response in reported] == [status]
+    seems_empty = framing == 'an empty body'
+    seems_empty |= framing == 'no length' and not is_head
+    assert client.usable == seems_empty
+
+
 # Failure: the body of a late answer counted against the expected answer.
 def test_a_late_answer_leaves_the_whole_size_limit_to_the_expected_one() -> (
     None
