--- a/egretlanding/httpclient.py
+++ b/egretlanding/httpclient.py
@@ -232,16 +232,14 @@
             return
         self.max_bytes = self.max_body_bytes * FRAMING_FACTOR
         if self.answers_other_request():
-            if not has_certain_end(status, self.headers):
-                raise ValueError('the end of a late response is ambiguous')
+            check_end(status, self.headers)
         elif self.is_head or status in BODILESS:
             # A late copy of a head that announces a body would hide the
             # beginning of the next response.
             self.usable = self.usable and not announces_body(self.headers)
             self.store_response(drop_hop_headers(self.headers))
         elif not has_explicit_length(self.headers):
-            if not has_safe_framing(self.headers):
-                raise ValueError('the end of the response is ambiguous')
+            check_framing(self.headers)
             self.ends_with_connection = True
 
     def on_body(self, body: bytes) -> None:
@@ -299,16 +297,33 @@
             on_response(response)
 
 
-def has_certain_end(status: int, headers: Headers) -> bool:
-    """Returns whether a response ends where its head says, whatever it answers.
+def check_framing(headers: Headers) -> None:
+    """Checks that all parsers agree on where a response ends.
+
+    Raises:
+        ValueError: They may not.
+    """
+    if not has_safe_framing(headers):
+        raise ValueError('the end of the response is ambiguous')
+
+
+def check_end(status: int, headers: Headers) -> None:
+    """Checks that a late response ends where its head says.
 
     Args:
         status: Its status.
         headers: Its headers.
+
+    Raises:
+        ValueError: It may end elsewhere, and hide the expected response.
     """
-    if status in BODILESS:
-        return not announces_body(headers)
-    return has_explicit_length(headers)
+    is_certain = (
+        not announces_body(headers)
+        if status in BODILESS
+        else has_explicit_length(headers)
+    )
+    if not is_certain:
+        raise ValueError('the end of a late response is uncertain')
 
 
 def exceeds_bounds(client: HttpClient) -> bool:
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -166,7 +166,7 @@
             self.request_id.encode(),
             headers,
         )
-        return head + (body if self.has_body else b'')
+        return b'%s%s' % (head, body) if self.has_body else head
 
     def send(self, client: HttpClient) -> list[HttpResponse | None]:
         """Sends the request; returns a list that gets what is reported."""
