Put each configuration in force that the platform has accepted

Cause: the daemon ran the product's own rules on names, forms and bounds, which are for declarations written for the product, over a configuration that somebody else had accepted.

Change: the checks that tell whether calls can be served are registered as consistency checks, and a daemon on the platform runs these alone. Weights may be decimal numbers.

--- a/egretlanding/check.py
+++ b/egretlanding/check.py
@@ -4,7 +4,13 @@
 from collections.abc import Iterable
 
 from egretlanding import fieldchecks, setchecks
-from egretlanding.faults import CHECKS, Fault, ObjectSet
+from egretlanding.faults import (
+    CHECKS,
+    CONSISTENCY_CHECKS,
+    Check,
+    Fault,
+    ObjectSet,
+)
 from egretlanding.objects import ConfigObject
 
 # Importing these modules registers their checks.
@@ -29,8 +35,33 @@
         All faults, ordered by check and object; empty if there are none.
     """
     object_set = ObjectSet.from_objects(objects, partial, checked)
+    return run_checks(CHECKS.values(), object_set)
+
+
+def find_inconsistencies(
+    objects: Iterable[ConfigObject],
+    checked: Iterable[ConfigObject] = (),
+) -> tuple[Fault, ...]:
+    """Finds only what keeps calls from being served by a set of objects.
+
+    This is for a configuration that somebody else has checked and accepted.
+    The product's rules on names, forms and bounds don't apply to it.
+
+    Args:
+        objects: The objects.
+        checked: All objects of an earlier set in which nothing was found.
+
+    Returns:
+        All faults, ordered by check and object; empty if there are none.
+    """
+    object_set = ObjectSet.from_objects(objects, checked=checked)
+    return run_checks(CONSISTENCY_CHECKS.values(), object_set)
+
+
+def run_checks(
+    checks: Iterable[Check], objects: ObjectSet
+) -> tuple[Fault, ...]:
+    """Returns the faults that checks find in a set, in their order."""
     return tuple(
-        itertools.chain.from_iterable(
-            function(object_set) for function in CHECKS.values()
-        ),
+        itertools.chain.from_iterable(function(objects) for function in checks)
     )
--- a/egretlanding/faults.py
+++ b/egretlanding/faults.py
@@ -251,6 +251,25 @@
 Check = Callable[[ObjectSet], Iterator[Fault]]
 
 CHECKS: dict[str, Check] = {}
+# Those that tell whether calls can be served by a set of objects at all.
+CONSISTENCY_CHECKS: dict[str, Check] = {}
+
+
+def consistency_check(name: str) -> Callable[[Check], Check]:
+    """Registers a check that also holds for sets accepted by others.
+
+    Args:
+        name: The subject of the check, as `egretlanding debug` lists it.
+
+    Returns:
+        A decorator that records the check and returns it unchanged.
+    """
+
+    def register(function: Check) -> Check:
+        CONSISTENCY_CHECKS[name] = function
+        return check(name)(function)
+
+    return register
 
 
 def check(name: str) -> Callable[[Check], Check]:
--- a/egretlanding/platform/records.py
+++ b/egretlanding/platform/records.py
@@ -2,7 +2,7 @@
 
 import itertools
 import time
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 
 import attrs
 import msgspec
@@ -35,6 +35,8 @@
 IDEMPOTENT_KIND = 'safe'
 DRAINING_STATE = 'draining'
 KNOWN_STATES = frozenset(('ready', DRAINING_STATE))
+# The whole that the services of a route share, parts.
+WEIGHT_PARTS = 1_000_000
 # Values that are nested too deep exhaust the decoder's stack.
 DECODE_ERRORS = (msgspec.MsgspecError, ValueError, TypeError, RecursionError)
 # Most bytes of an entry; targets write a few hundred.
@@ -48,11 +50,11 @@
 
     Attributes:
         service: Name of the service.
-        weight: Its share, relative to the others.
+        weight: Its share, relative to the others; not always whole.
     """
 
     service: str
-    weight: int
+    weight: float
 
 
 class RouteBody(msgspec.Struct, rename='kebab'):
@@ -336,12 +338,11 @@
         repeatable = body.route_kind == IDEMPOTENT_KIND
         rule = IdempotencyRule(route=name, idempotent=repeatable)
         yield ConfigObject('IdempotencyRule', name, rule)
-        for number, part in enumerate(parts):
-            branch = Branch(
-                route=name,
-                service=part.service,
-                weight=part.weight,
-            )
+        weights = whole_weights(parts)
+        for number, (part, weight) in enumerate(
+            zip(parts, weights, strict=True)
+        ):
+            branch = Branch(route=name, service=part.service, weight=weight)
             yield ConfigObject('Branch', f'{name}-{number}', branch)
 
     def service_of(self, body: ServiceBody) -> Service:
@@ -374,6 +375,13 @@
     )
 
 
+def whole_weights(parts: Iterable[WeightedService]) -> list[int]:
+    """Returns whole weights in the proportions of those written."""
+    weights = [part.weight for part in parts]
+    total = sum(weights) or 1
+    return [round(weight / total * WEIGHT_PARTS) for weight in weights]
+
+
 def name_policy(policy: Policy) -> str:
     """Returns the name of a policy; equal policies get the same name."""
     values = (
--- a/egretlanding/setchecks.py
+++ b/egretlanding/setchecks.py
@@ -9,6 +9,7 @@
     ObjectKey,
     ObjectSet,
     check,
+    consistency_check,
     order,
 )
 from egretlanding.objects import ConfigObject, IdempotencyRule, Policy, Route
@@ -21,7 +22,7 @@
 ALL_METHODS = (*sorted(HTTP_METHODS), ANY_METHOD)
 
 
-@check('links')
+@consistency_check('links')
 def check_links(objects: ObjectSet) -> Iterator[Fault]:
     """Finds links to objects that don't exist."""
     return (
@@ -35,7 +36,7 @@
     )
 
 
-@check('cycles')
+@consistency_check('cycles')
 def check_cycles(objects: ObjectSet) -> Iterator[Fault]:
     """Finds policies that extend one another in a cycle."""
     policies = {
@@ -70,7 +71,7 @@
                 )
 
 
-@check('routes')
+@consistency_check('routes')
 def check_routes(objects: ObjectSet) -> Iterator[Fault]:
     """Finds routes that match the same calls as another route."""
     first_names: dict[tuple[str, str, str], str] = {}
@@ -105,7 +106,7 @@
             yield Fault(route, 'path_prefix', problem, 'use another prefix')
 
 
-@check('idempotency')
+@consistency_check('idempotency')
 def check_rules(objects: ObjectSet) -> Iterator[Fault]:
     """Finds idempotency rules that contradict one another."""
     first_rules: dict[tuple[str, str], ConfigObject] = {}
--- a/egretlanding/sidecar.py
+++ b/egretlanding/sidecar.py
@@ -12,7 +12,7 @@
 from twisted.internet.task import LoopingCall
 
 from egretlanding.calls import CallService
-from egretlanding.check import find_faults
+from egretlanding.check import find_inconsistencies
 from egretlanding.containment import contained, logs_failure
 from egretlanding.durations import milliseconds
 from egretlanding.egress import apply_listing
@@ -220,14 +220,17 @@
         self.refresh()
 
     def apply_publication(self, record: Record, era: int) -> None:
-        """Puts a configuration in force if it is later and has no faults.
+        """Puts a configuration in force if it is later and consistent.
+
+        The store has accepted it, so it need not keep to the product's rules
+        on names, forms and bounds.
 
         Args:
             record: The record that holds it.
             era: The era of the store in which it was read.
 
         Raises:
-            PlatformError: It can't be decoded or has a fault.
+            PlatformError: It can't be decoded or contradicts itself.
         """
         if record.deleted:
             return
@@ -244,7 +247,7 @@
             )
             return
         checked_objects = self.publication.objects if self.publication else ()
-        faults = find_faults(candidate.objects, checked=checked_objects)
+        faults = find_inconsistencies(candidate.objects, checked_objects)
         if faults:
             raise PlatformError(
                 f'configuration {candidate.number} has a fault ({faults[0]})',
--- a/egretlanding/sidecarconfig.py
+++ b/egretlanding/sidecarconfig.py
@@ -1,5 +1,7 @@
 """The settings of a daemon that reads a store of records."""
 
+from typing import Any
+
 import attrs
 
 from egretlanding.config import (
@@ -9,7 +11,6 @@
     HOST_ID_PATTERN,
     Settings,
     ip_address,
-    required_name,
     tcp_port,
 )
 from egretlanding.durations import milliseconds
@@ -21,7 +22,10 @@
 # Share of the allowed retries that daemons use. The rest is kept for the calls
 # that a target makes while it runs a retried call: they count as retries too.
 USED_RETRY_SHARE = 0.6
-DOMAIN_REGION_PATTERN = '[a-z0-9-]+=[a-z0-9-]+'
+# The platform chooses the names of regions, failure domains and services.
+GIVEN_NAME = r'[^\s=]{1,128}'
+GIVEN_NAME_FORM = 'at most 128 characters without blanks and equal signs'
+DOMAIN_REGION_PATTERN = f'{GIVEN_NAME}={GIVEN_NAME}'
 DOMAIN_REGION_FORM = 'failure-domain=region'
 # A platform that computes a value writes up to 18 decimal places of it.
 RATIO_PATTERN = r'[01](\.\d{1,18})?'
@@ -32,6 +36,11 @@
 DURATION_FORM = 'a time such as 1500ms or 2.5s'
 
 
+def given_name() -> Any:
+    """Declares a required field for a name that the platform chooses."""
+    return pattern_field(GIVEN_NAME, GIVEN_NAME_FORM)
+
+
 def port_of(text: str) -> int:
     """Returns the port of an endpoint, given as address:port."""
     return int(text.rpartition(':')[2])
@@ -78,12 +87,12 @@
     readiness: str = pattern_field(ENDPOINT_PATTERN, ENDPOINT_FORM)
     metrics_port: int = tcp_port()
     target: str = pattern_field(ENDPOINT_PATTERN, ENDPOINT_FORM)
-    region: str = required_name()
-    failure_domain: str = required_name()
+    region: str = given_name()
+    failure_domain: str = given_name()
     regions: tuple[str, ...] = pattern_field(
         DOMAIN_REGION_PATTERN, DOMAIN_REGION_FORM
     )
-    service: str = required_name()
+    service: str = given_name()
     store: str = pattern_field(ENDPOINT_PATTERN, ENDPOINT_FORM)
     seeds: tuple[str, ...] = pattern_field(
         ENDPOINT_PATTERN, ENDPOINT_FORM, default=()
--- a/tests/test_sidecarconfig.py
+++ b/tests/test_sidecarconfig.py
@@ -44,3 +44,21 @@
 ) -> None:
     with pytest.raises(SettingsError, match='retry_slack'):
         read_with(tmp_path, retry_slack=value)
+
+
+# Failure: no daemon started where the platform's names broke the product's own
+# rules on names.
+@pytest.mark.parametrize('name', ['Casa_Nord', 'a.b', 'x' * 80])
+def test_the_platform_chooses_the_names_of_places_and_services(
+    tmp_path: Path, name: str
+) -> None:
+    regions = [f'{name}={name}']
+    config = read_with(
+        tmp_path,
+        region=name,
+        failure_domain=name,
+        service=name,
+        regions=regions,
+    )
+    assert config.region_of == {name: name}
+    assert config.service == name
