Tell a store that turns some daemons away from an outage

Cause: a target whose entry is deleted is held for 2.5 s if the store had failed recently, since the entry may have lapsed in an outage. One's own failed requests, or those of any daemon on the way of the records, counted as an outage, though the store served everybody else.

The property test draws failures and confirmations in any order.

Change: an outage is a time of more than 1.75 s in which nobody is known to have been served, and with a failure in it; each daemon judges it by its own knowledge. The grace time begins with the store's return instead of the deletion, so it is shorter. OUTAGE_MEMORY_S and the time of a restored store are replaced by the end of the outage.

Tests that changed: two of test_recordfeed.py and one of test_recordrelay.py asserted that one failed request of one daemon is an outage, which is the fault. What stands for them asks for an outage after a time without any answer, and for none otherwise. test_roster.py gives the end of the outage instead of a flag, with the same bounds, and a further test of the bound.

--- a/egretlanding/frames.py
+++ b/egretlanding/frames.py
@@ -214,6 +214,8 @@
         echo: Stamp of the receiver's last question, 0 if there was none.
         held_ms: Time since that question arrived, ms. With `echo` it tells the
             receiver how old the frame can be at most.
+        failure_age_ms: Time since the store last failed a daemon that the
+            sender knows of, ms; -1 if it never did.
     """
 
     revision: int
@@ -230,6 +232,7 @@
     stamp: int = 0
     echo: int = 0
     held_ms: int = 0
+    failure_age_ms: int = -1
 
 
 class RecordsRequest(Frame, frozen=True, tag='records-wanted'):
@@ -267,8 +270,8 @@
         base: Revision of the receiver's record that `packed` is a difference
             to, 0 if it is none.
         echo: Stamp of the request.
-        outage_age_ms: Time since the sender last knew the store to fail, ms; -1
-            if that is long ago. Entries that lapsed then may come back.
+        failure_age_ms: Time since the store last failed a daemon that the
+            sender knows of, ms; -1 if it never did.
     """
 
     revision: int
@@ -279,7 +282,7 @@
     topic: str = ''
     base: int = 0
     echo: int = 0
-    outage_age_ms: int = -1
+    failure_age_ms: int = -1
 
 
 class Ping(Frame, frozen=True, tag='ping'):
--- a/egretlanding/recordfeed.py
+++ b/egretlanding/recordfeed.py
@@ -1,5 +1,6 @@
 """Reads records from the store and keeps them current by watching it."""
 
+import math
 import random
 from collections.abc import Callable, Iterable
 from typing import Any, Protocol
@@ -36,9 +37,9 @@
 # Longest time between checks of whether this daemon should read the store.
 IDLE_POLL_S = 0.25
 MS_PER_S = 1_000
-# Time after a failed request in which the store counts as recently unreachable:
-# the longest pause between requests and some time for the next answer.
-OUTAGE_MEMORY_S = 1.8
+# Shortest time without a confirmation that counts as an outage of the store. An
+# entry lapses after several missed heartbeats, so none does in a shorter one.
+MIN_OUTAGE_S = 1.75
 
 
 @attrs.frozen
@@ -131,9 +132,11 @@
             reader with a narrower link asked for it, seconds.
         on_confirm: Callbacks for a confirmation that advanced.
         confirmed_at: When the table last matched the store, seconds.
-        failed_at: When a request to the store last failed, seconds.
-        restored_at: When the store was last found to have been restored from
-            an older copy, seconds.
+        failed_at: When a request to the store last failed, of this daemon or
+            of one that told so, seconds. The store may have served others.
+        outage_ended_at: When the store last failed before it answered again
+            after an outage, or was found to have been restored from an older
+            copy, seconds.
         failures: Requests that failed since the last successful one.
         losses: Watches in a row whose history the store no longer had.
         reachable: Whether the last request to the store succeeded.
@@ -162,7 +165,7 @@
     on_confirm: list[Callable[[], None]] = attrs.field(factory=list)
     confirmed_at: float = float('-inf')
     failed_at: float = float('-inf')
-    restored_at: float = float('-inf')
+    outage_ended_at: float = float('-inf')
     failures: int = 0
     losses: int = 0
     reachable: bool = True
@@ -177,11 +180,6 @@
         """Returns the time since the table last matched the store, seconds."""
         return now - self.confirmed_at
 
-    def was_recently_unreachable(self, now: float) -> bool:
-        """Returns whether the store failed or was restored recently."""
-        failed_at = max(self.failed_at, self.restored_at)
-        return now - failed_at < OUTAGE_MEMORY_S
-
     def should_read_store(self, now: float) -> bool:
         """Returns whether this daemon should read the store itself."""
         if self.reads_for_others(now):
@@ -324,7 +322,7 @@
         """Replaces the table, and returns the records that changed."""
         table = self.table
         if table.complete_revision and era > table.era:
-            self.restored_at = self.reactor.seconds()
+            self.outage_ended_at = self.reactor.seconds()
             log_event(
                 Event.STORE_RESTORED,
                 'the store was restored from an older copy',
@@ -339,12 +337,19 @@
     def confirm(self, age_s: float) -> None:
         """Records that the table matched the store some time ago.
 
+        The store was away only if nobody is known to have been served for a
+        while. If it turns some daemons away, the others confirm the records.
+        A daemon that starts can't tell, and takes a failure for an outage.
+
         Args:
             age_s: Time since then, seconds.
         """
         now = self.reactor.seconds()
         before = self.confirmed_at
         self.confirmed_at = max(before, now - age_s)
+        unconfirmed_s = self.confirmed_at - before
+        if unconfirmed_s > MIN_OUTAGE_S and self.failed_at > before:
+            self.outage_ended_at = self.failed_at
         if self.confirmed_at >= before + CONFIRM_STEP_S:
             for callback in self.on_confirm:
                 callback()
@@ -428,14 +433,13 @@
     return min(MAX_BACKOFF_S, ceiling) * feed.rng.uniform(0.5, 1)
 
 
-def outage_age_ms(feed: RecordFeed, now: float) -> int:
-    """Returns the time since the store last failed, ms; -1 if long ago."""
-    if not feed.was_recently_unreachable(now):
-        return -1
-    return int((now - max(feed.failed_at, feed.restored_at)) * MS_PER_S)
+def failure_age_ms(feed: RecordFeed, now: float) -> int:
+    """Returns the time since the store last failed, ms; -1 if it never did."""
+    age_s = now - feed.failed_at
+    return -1 if math.isinf(age_s) else int(age_s * MS_PER_S)
 
 
-def record_outage(feed: RecordFeed, age_ms: int) -> None:
+def hear_failure(feed: RecordFeed, age_ms: int) -> None:
     """Records a failure of the store that another daemon has seen.
 
     Args:
--- a/egretlanding/recordrelay.py
+++ b/egretlanding/recordrelay.py
@@ -23,8 +23,8 @@
 from egretlanding.recordfeed import (
     STALE_S,
     RecordFeed,
-    outage_age_ms,
-    record_outage,
+    failure_age_ms,
+    hear_failure,
 )
 from egretlanding.recordreplies import RecordReplies, base_of, unpack
 from egretlanding.records import Record
@@ -155,6 +155,7 @@
             appoints,
             self.feed.reads_for_others(now) and self.feed.reachable,
             in_ms(now) if asks else 0,
+            failure_age_ms=failure_age_ms(self.feed, now),
         )
 
     def update_hosts(self, hosts: Iterable[Host], region: str) -> None:
@@ -295,6 +296,7 @@
             self.better.record_question(peer, frame, self.tree, now)
             connection.send(question.answered_by(self.state_frame(), now))
         self.better.record_state(peer, frame, now)
+        hear_failure(self.feed, frame.failure_age_ms)
         table = self.feed.table
         if self.is_later(frame):
             if self.may_request_from(connection):
@@ -390,7 +392,7 @@
                 error=repr(error),
             )
             return
-        record_outage(self.feed, frame.outage_age_ms)
+        hear_failure(self.feed, frame.failure_age_ms)
         age_s = oldest_s(frame, self.reactor.seconds())
         log_event(
             Event.RECORDS_TAKEN,
@@ -420,8 +422,8 @@
     """Sends the records that another daemon lacks."""
     state = relay.state_frame()
     reply = relay.replies.reply_to(frame, relay.feed.table, state)
-    age_ms = outage_age_ms(relay.feed, relay.reactor.seconds())
-    connection.send(msgspec.structs.replace(reply, outage_age_ms=age_ms))
+    age_ms = failure_age_ms(relay.feed, relay.reactor.seconds())
+    connection.send(msgspec.structs.replace(reply, failure_age_ms=age_ms))
 
 
 def in_ms(seconds: float) -> int:
--- a/egretlanding/roster.py
+++ b/egretlanding/roster.py
@@ -1,5 +1,6 @@
 """The roster of targets, from the entries that they keep in the store."""
 
+import math
 from collections.abc import Iterable, Iterator
 
 import attrs
@@ -7,7 +8,7 @@
 from egretlanding.hosts import Host, HostList, HostState
 
 # Time that a target has to write its entry again if the entry lapsed during an
-# outage of the store, counted from the deletion of the entry, seconds.
+# outage of the store, counted from the end of the outage, seconds.
 RENEWAL_GRACE_S = 2.5
 MAX_DEPARTURES = 4_096
 
@@ -130,8 +131,7 @@
         instance: str,
         now: float,
         era: int = 0,
-        *,
-        store_was_unreachable: bool,
+        outage_ended_at: float = -math.inf,
     ) -> None:
         """Applies the deletion of an entry.
 
@@ -139,16 +139,17 @@
             instance: Name of the target's process.
             now: Monotonic time, seconds.
             era: The era of the store in which it was deleted.
-            store_was_unreachable: Whether the store was unreachable recently,
-                so that the entry may have lapsed although the target runs and
-                will write it again. Unless the target is draining, it then
-                stays on the roster for `RENEWAL_GRACE_S`.
+            outage_ended_at: When the store last returned, monotonic seconds.
+                An entry that lapsed in the outage is written again if its
+                target runs, so that one that isn't draining stays on the
+                roster for `RENEWAL_GRACE_S` from then on.
         """
         target = self.targets.get(instance)
         if target is None or target.held_until is not None:
             return
-        if store_was_unreachable and not target.entry.draining:
-            target.held_until = now + RENEWAL_GRACE_S
+        held_until = outage_ended_at + RENEWAL_GRACE_S
+        if now < held_until and not target.entry.draining:
+            target.held_until = held_until
             target.era = era
             return
         self.drop(instance, era)
--- a/egretlanding/sidecar.py
+++ b/egretlanding/sidecar.py
@@ -288,7 +288,6 @@
                 instance,
                 self.reactor.seconds(),
                 self.news.entries.table.era,
-                store_was_unreachable=False,
             )
             raise
         if self.roster.is_outdated(entry, self.news.entries.table.era):
@@ -435,19 +434,17 @@
 def remove_target(sidecar: Sidecar, instance: str, revision: int) -> None:
     """Updates the roster when the entry of a target was deleted."""
     now = sidecar.reactor.seconds()
-    store_was_unreachable = sidecar.news.entries.was_recently_unreachable(now)
+    entries = sidecar.news.entries
     sidecar.roster.remove(
-        instance,
-        now,
-        sidecar.news.entries.table.era,
-        store_was_unreachable=store_was_unreachable,
+        instance, now, entries.table.era, entries.outage_ended_at
     )
     log_event(
         Event.TARGET_GONE,
         'the entry of a target was deleted',
         instance=instance,
         revision=revision,
-        store_was_away=store_was_unreachable,
+        held=instance in sidecar.roster.targets,
+        outage_ended_ago_ms=logged_ms(now - entries.outage_ended_at),
     )
 
 
@@ -463,8 +460,12 @@
 
 def configuration_age_ms(sidecar: Sidecar) -> int:
     """Returns the age of the configuration that is held, ms."""
-    age_s = sidecar.news.configuration.age(sidecar.reactor.seconds())
-    return int(min(age_s, MAX_LOGGED_AGE_S) * MS_PER_S)
+    return logged_ms(sidecar.news.configuration.age(sidecar.reactor.seconds()))
+
+
+def logged_ms(seconds: float) -> int:
+    """Returns a time that may be infinite in whole milliseconds."""
+    return int(min(seconds, MAX_LOGGED_AGE_S) * MS_PER_S)
 
 
 def retire_local_target(sidecar: Sidecar) -> None:
--- a/tests/test_mass_restart.py
+++ b/tests/test_mass_restart.py
@@ -39,7 +39,7 @@
     after = roster.host_list().hosts
     changed = [name for name in before if before[name] is not after[name]]
     assert changed == [entry_of(7).address]
-    roster.remove('i-8', 0, store_was_unreachable=False)
+    roster.remove('i-8', 0)
     assert set(before) - set(roster.host_list().hosts) == {'10.0.0.8'}
     assert set(roster.hosts) == set(roster.targets)
 
--- a/tests/test_recordfeed.py
+++ b/tests/test_recordfeed.py
@@ -1,9 +1,12 @@
 """Tests of how the feed reads the store and of the age of records."""
 
+import math
 import random
 from typing import Any
 
 import attrs
+from hypothesis import given
+from hypothesis import strategies as st
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
@@ -14,11 +17,13 @@
 )
 from egretlanding.recordfeed import (
     MAX_WATCH_S,
+    MIN_OUTAGE_S,
     MIN_WATCH_FRACTION,
     STALE_S,
     Changes,
     Page,
     RecordFeed,
+    hear_failure,
 )
 from egretlanding.records import Record
 
@@ -86,7 +91,7 @@
     store.watches[-1].callback(Changes((), 1))
     clock.advance(STEP_S)
     assert feed.age(clock.seconds()) <= 2 * STEP_S
-    assert not feed.was_recently_unreachable(clock.seconds())
+    assert feed.outage_ended_at == -math.inf
 
 
 # Failure: CONFIG and DENIED on the grown sites. Daemons took old records for
@@ -127,17 +132,63 @@
 def test_a_failed_watch_is_retried_and_marks_the_store_unreachable() -> None:
     feed, store, clock = start_feed()
     store.watches[-1].errback(PlatformError('unreachable', 'wait'))
-    assert feed.was_recently_unreachable(clock.seconds())
+    assert feed.failed_at == clock.seconds()
     assert not feed.reachable
     advance_clock(clock, 1)
     assert len(store.watches) > 1
 
 
-def test_the_store_counts_as_unreachable_only_shortly_after_a_failure() -> None:
+def test_an_outage_ends_with_the_last_failure_before_an_answer() -> None:
     feed, store, clock = start_feed()
-    store.watches[-1].errback(PlatformError('unreachable', 'wait'))
-    advance_clock(clock, 1.9)
-    assert not feed.was_recently_unreachable(clock.seconds())
+    ends_at = clock.seconds() + MIN_OUTAGE_S
+    while clock.seconds() < ends_at:
+        if not store.watches[-1].called:
+            store.watches[-1].errback(PlatformError('unreachable', 'wait'))
+            failed_at = clock.seconds()
+        clock.advance(STEP_S)
+    assert feed.outage_ended_at == -math.inf
+    advance_clock(clock, 1)
+    store.watches[-1].callback(changes_at(2))
+    clock.advance(STEP_S)
+    assert feed.outage_ended_at == failed_at
+
+
+# Failure: a daemon that the store turned away took this for an outage, though
+# others were served, and told it to all that got records from it.
+@given(
+    st.lists(
+        st.tuples(
+            st.floats(0, 2 * MIN_OUTAGE_S),
+            st.sampled_from(['fails', 'others fail', 'confirmed']),
+        ),
+        max_size=30,
+    )
+)
+def test_only_a_time_without_any_answer_is_an_outage(
+    steps: list[tuple[float, str]],
+) -> None:
+    clock: Any = Clock()
+    any_store: Any = FakeStore()
+    feed = RecordFeed(clock, any_store, random.Random(1))
+    feed.confirm(0)
+    confirmed_at = clock.seconds()
+    failed_at = -math.inf
+    expected = -math.inf
+    for pause_s, event in steps:
+        clock.advance(pause_s)
+        now = clock.seconds()
+        if event == 'confirmed':
+            if now - confirmed_at > MIN_OUTAGE_S and failed_at > confirmed_at:
+                expected = failed_at
+            confirmed_at = now
+            feed.confirm(0)
+        elif event == 'fails':
+            failed_at = now
+            feed.record_failure(PlatformError('turned away', 'wait'))
+        else:
+            failed_at = now
+            hear_failure(feed, 0)
+        assert feed.outage_ended_at == expected
 
 
 # Failure: a daemon whose history was lost again after each list asked the store
--- a/tests/test_recordrelay.py
+++ b/tests/test_recordrelay.py
@@ -1,5 +1,6 @@
 """Tests of the choice of readers and the distribution of records."""
 
+import math
 import random
 from collections import Counter
 from types import SimpleNamespace
@@ -10,6 +11,7 @@
 import pytest
 from twisted.internet.task import Clock
 
+from egretlanding.exceptions import PlatformError
 from egretlanding.frames import (
     Hello,
     RecordsRequest,
@@ -17,7 +19,7 @@
     RecordsUpdate,
 )
 from egretlanding.hosts import Host
-from egretlanding.recordfeed import OUTAGE_MEMORY_S, STALE_S, RecordFeed
+from egretlanding.recordfeed import MIN_OUTAGE_S, STALE_S, RecordFeed
 from egretlanding.recordrelay import (
     ANNOUNCE_INTERVAL_S,
     FIRST_WAIT_S,
@@ -454,17 +456,50 @@
 
 # Failure: entries that lapsed in an outage of the store were dropped at once by
 # daemons that hadn't tried to read the store.
-def test_a_daemon_hears_of_an_outage_with_the_records() -> None:
+@pytest.mark.parametrize('by_state', [False, True])
+def test_a_daemon_hears_of_an_outage_with_the_records(by_state: bool) -> None:
     reader, reader_clock = build_relay('10.0.0.9', 'north')
     reader.feed.apply_records([Record('a', 5, b'x')], 5, 0, whole=True)
     relay, clock = any_idle_relay()
-    request = RecordsRequest(0, 0)
-    relay.handle_records(connect_from('10.0.0.9'), reply_of(reader, request))
-    assert not relay.feed.was_recently_unreachable(clock.seconds())
+    connection = connect_from('10.0.0.9')
+
+    def exchange() -> None:
+        asked_at = now_ms(clock)
+        if by_state:
+            state = reader.state_frame()
+            relay.handle_state(
+                connection, msgspec.structs.replace(state, echo=asked_at)
+            )
+        request = RecordsRequest(0, 0, stamp=asked_at)
+        relay.handle_records(connection, reply_of(reader, request))
+
+    exchange()
+    assert relay.feed.outage_ended_at == -math.inf
+    clock.advance(MIN_OUTAGE_S)
+    reader_clock.advance(MIN_OUTAGE_S)
     reader.feed.failed_at = reader_clock.seconds()
     reader_clock.advance(0.5)
+    clock.advance(0.5)
     reader.feed.apply_records([Record('a', 6, deleted=True)], 6, 0, whole=False)
-    relay.handle_records(connect_from('10.0.0.9'), reply_of(reader, request))
-    assert relay.feed.was_recently_unreachable(clock.seconds())
-    clock.advance(OUTAGE_MEMORY_S - 0.4)
-    assert not relay.feed.was_recently_unreachable(clock.seconds())
+    exchange()
+    assert relay.feed.outage_ended_at == pytest.approx(clock.seconds() - 0.5)
+
+
+# Failure: daemons that the store turned away told those below them of an
+# outage, so that all kept sending calls to targets whose entries were gone.
+def test_a_reader_that_is_turned_away_tells_of_no_outage() -> None:
+    reader, reader_clock = build_relay('10.0.0.9', 'north')
+    relay, clock = any_idle_relay()
+    connection = connect_from('10.0.0.9')
+    for revision in range(5, 25):
+        # Another daemon is served, and tells this reader.
+        reader.feed.apply_records(
+            [Record('a', revision, b'x')], revision, 0, whole=True
+        )
+        request = RecordsRequest(0, 0, stamp=now_ms(clock))
+        relay.handle_records(connection, reply_of(reader, request))
+        reader.feed.record_failure(PlatformError('turned away', 'wait'))
+        clock.advance(0.5)
+        reader_clock.advance(0.5)
+    assert reader.feed.outage_ended_at == -math.inf
+    assert relay.feed.outage_ended_at == -math.inf
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -26,13 +26,13 @@
 
 def test_a_target_without_an_entry_is_removed_at_once() -> None:
     roster = make_roster(ENTRY)
-    roster.remove('i-1', 10, store_was_unreachable=False)
+    roster.remove('i-1', 10)
     assert not roster.host_list().hosts
 
 
 def test_a_target_whose_entry_lapsed_in_an_outage_stays() -> None:
     roster = make_roster(ENTRY)
-    roster.remove('i-1', 10, store_was_unreachable=True)
+    roster.remove('i-1', 10, outage_ended_at=10)
     assert roster.host_list().hosts
     roster.update(ENTRY, 9)
     assert not roster.expire(10 + 2 * RENEWAL_GRACE_S)
@@ -41,16 +41,27 @@
 
 def test_an_entry_that_does_not_come_back_is_gone() -> None:
     roster = make_roster(ENTRY)
-    roster.remove('i-1', 10, store_was_unreachable=True)
+    roster.remove('i-1', 10, outage_ended_at=10)
     assert not roster.expire(10 + RENEWAL_GRACE_S - 0.1)
     assert roster.expire(10 + RENEWAL_GRACE_S) == ['i-1']
     assert not roster.host_list().hosts
 
 
+# Failure: a target that left after the store's return was held for as long as
+# if its entry had lapsed before, so that calls reached it late.
+def test_the_time_to_write_an_entry_again_begins_with_the_return() -> None:
+    roster = make_roster(ENTRY)
+    roster.remove('i-1', 9 + RENEWAL_GRACE_S, outage_ended_at=10)
+    assert roster.expire(10 + RENEWAL_GRACE_S) == ['i-1']
+    later = make_roster(ENTRY)
+    later.remove('i-1', 10 + RENEWAL_GRACE_S, outage_ended_at=10)
+    assert not later.host_list().hosts
+
+
 def test_a_draining_target_is_removed_in_an_outage_too() -> None:
     roster = make_roster(attrs.evolve(ENTRY, draining=True))
     assert roster.host_list().hosts['10.0.0.1'].state is HostState.LEAVING
-    roster.remove('i-1', 10, store_was_unreachable=True)
+    roster.remove('i-1', 10, outage_ended_at=10)
     assert not roster.host_list().hosts
 
 
@@ -64,7 +75,7 @@
 
 def test_a_target_with_an_entry_precedes_one_without() -> None:
     roster = make_roster(attrs.evolve(ENTRY, born_ms=9))
-    roster.remove('i-1', 10, store_was_unreachable=True)
+    roster.remove('i-1', 10, outage_ended_at=10)
     roster.update(attrs.evolve(ENTRY, instance='i-2', born_ms=1), 5)
     assert roster.host_list().hosts['10.0.0.1'].instance == 'i-2'
 
@@ -88,7 +99,7 @@
     last = attrs.evolve(ENTRY, born_ms=50, sequence=3)
     roster = Roster(7_000)
     roster.update(last, 9, era=1)
-    roster.remove('i-1', 10, 1, store_was_unreachable=False)
+    roster.remove('i-1', 10, 1)
     assert roster.is_outdated(last, era=2)
     assert not roster.is_outdated(last, era=1)
     assert not roster.is_outdated(attrs.evolve(last, sequence=4), era=2)
@@ -100,7 +111,7 @@
     entry = attrs.evolve(ENTRY, born_ms=50, sequence=3)
     roster = Roster(7_000)
     roster.update(entry, 9, era=1)
-    roster.remove('i-1', 10, 2, store_was_unreachable=True)
+    roster.remove('i-1', 10, 2, outage_ended_at=10)
     assert not roster.is_outdated(entry, era=2)
     assert roster.expire(10 + RENEWAL_GRACE_S) == ['i-1']
     assert not roster.is_outdated(entry, era=2)
