Tell daemons that connect which requests crash targets

Cause: the evidence was sent to connected daemons at the moment of a crash only. A daemon that started since was told nothing.

--- a/egretlanding/calls.py
+++ b/egretlanding/calls.py
@@ -190,6 +190,7 @@
         self.links.on_unreachable = self.reachability.handle_unreachable
         self.links.context.on_hosts_state = self.service_peers.handle_report
         self.links.context.on_suspicion = self.suspicions.handle_suspicion
+        self.links.context.on_hello = self.suspicions.hand_over
         self.egress.target.on_crash = self.suspicions.broadcast
         self.pause_monitor.on_pause_ended.append(self.reset_after_pause)
 
--- a/egretlanding/peers.py
+++ b/egretlanding/peers.py
@@ -267,6 +267,7 @@
         """Records who the other daemon is and whether it accepts calls."""
         if isinstance(frame, Hello):
             self.peer = frame
+            self.context.on_hello(self)
         self.ready = frame.ready
         self.context.on_readiness(self, frame.ready)
         self.greeting.end(arrived=True)
@@ -281,6 +282,8 @@
         on_call: Called with each call that arrives.
         on_cancel: Called when the other daemon abandons a call.
         on_close: Called when a connection was closed.
+        on_hello: Called when the other daemon has introduced itself, before
+            calls are sent on the connection.
         on_readiness: Called when the other daemon reports whether it accepts
             calls.
         on_suspicion: Called with a suspicion from another daemon.
@@ -294,6 +297,7 @@
     on_call: OnCall
     on_cancel: Callable[[PeerConnection, int], None]
     on_close: OnConnection
+    on_hello: OnConnection = lambda _connection: None
     on_readiness: OnReadiness = lambda _connection, _ready: None
     on_suspicion: Callable[[Suspicion], None] = lambda _frame: None
     on_hosts_state: OnHostsState = lambda _connection, _frame: None
