Bound the memory of all answers that arrive together

Reported by other operators: a target sends bytes without end, and the process that called it runs out of memory with the requests of others.

Found: each answer was bounded (2 MiB of body), their sum was not.

Change: the bodies of all answers together have at most 32 MiB; beyond that the longest is cut and counts as lost, event 413.

--- a/egretlanding/events.py
+++ b/egretlanding/events.py
@@ -64,6 +64,7 @@
     RUN_REFUSED = 410
     RUN_LOST = 411
     RUN_CANCELLED = 412
+    ANSWER_CUT = 413
 
 
 class Severity(enum.Enum):
--- a/egretlanding/httpclient.py
+++ b/egretlanding/httpclient.py
@@ -9,7 +9,8 @@
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
-from egretlanding.frames import MAX_FRAME_BYTES, Headers
+from egretlanding.answerbuffers import MAX_BODY_BYTES, AnswerBuffers
+from egretlanding.frames import Headers
 from egretlanding.httpheaders import (
     announces_body,
     drop_hop_headers,
@@ -22,9 +23,8 @@
 from egretlanding.tcpwrites import enable_keepalive, write_now
 
 # Bounds on what a target sends for one request: the bytes up to the end of the
-# answer's head, the decoded body, and all bytes with their framing.
+# answer's head, and all bytes with their framing.
 MAX_HEAD_BYTES = 65_536
-MAX_BODY_BYTES = MAX_FRAME_BYTES // 2
 # The framing may be as long as the body.
 FRAMING_FACTOR = 2
 MAX_ANSWER_BYTES = MAX_BODY_BYTES * FRAMING_FACTOR
@@ -88,22 +88,22 @@
         received_bytes: Bytes received since the request was sent.
         max_bytes: Bound on `received_bytes`, which rises once the head of the
             answer is complete.
-        max_body_bytes: Bound on the decoded body of an answer.
+        buffers: Bounds the bodies of answers, this one and all together.
     """
 
     def __init__(
         self,
         on_close: Callable[['HttpClient'], None],
-        max_body_bytes: int = MAX_BODY_BYTES,
+        buffers: AnswerBuffers | None = None,
     ) -> None:
         """Prepares the parser.
 
         Args:
             on_close: Called once when the connection was closed.
-            max_body_bytes: Bound on the decoded body of an answer.
+            buffers: Bounds the bodies of answers; None for bounds of its own.
         """
         self.on_close = on_close
-        self.max_body_bytes = max_body_bytes
+        self.buffers = buffers or AnswerBuffers()
         self.on_response: OnResponse | None = None
         self.usable = True
         self.is_head = False
@@ -164,6 +164,12 @@
         transport: Any = self.transport
         transport.abortConnection()
 
+    def cut(self) -> None:
+        """Gives up the answer that is arriving, and frees its memory."""
+        self.max_bytes = 0
+        self.body.clear()
+        self.close()
+
     def dataReceived(self, data: bytes) -> None:
         """Parses received bytes; a malformed response closes the connection."""
         if self.on_response is None:
@@ -230,8 +236,8 @@
         status = self.parser.get_status_code()
         if status < HTTPStatus.OK or self.complete_response is not None:
             return
-        self.max_bytes = self.max_body_bytes * FRAMING_FACTOR
-        if self.answers_other_request():
+        self.max_bytes = self.buffers.max_body_bytes * FRAMING_FACTOR
+        if is_of_other_request(self.headers, self.echo):
             check_end(status, self.headers)
         elif self.is_head or status in BODILESS:
             # A late copy of a head that announces a body would hide the
@@ -243,9 +249,10 @@
             self.ends_with_connection = True
 
     def on_body(self, body: bytes) -> None:
-        """Collects a piece of the body, up to the size limit."""
+        """Collects a piece of the body, up to the size limits."""
         self.body += body
-        if len(self.body) > self.max_body_bytes:
+        self.buffers.update(self)
+        if exceeds_bounds(self):
             raise AnswerSizeError('the body exceeds the size limit')
 
     def on_message_complete(self) -> None:
@@ -255,7 +262,7 @@
         if self.parser.get_status_code() < HTTPStatus.OK:
             self.headers = []
             return
-        if self.answers_other_request():
+        if is_of_other_request(self.headers, self.echo):
             # A late response to an earlier request; the expected one follows.
             self.headers = []
             self.body.clear()
@@ -266,15 +273,6 @@
             [pair for pair in headers if pair[0] != 'content-length']
         )
 
-    def answers_other_request(self) -> bool:
-        """Returns whether a response belongs to another request."""
-        if self.echo is None:
-            return False
-        name, expected = self.echo
-        return any(
-            key == name and value != expected for key, value in self.headers
-        )
-
     def store_response(self, headers: Headers) -> None:
         """Stores the complete response and reads the keep-alive headers."""
         keep_alive_values = header_values(self.headers, 'keep-alive')
@@ -293,10 +291,24 @@
         """Reports the end of the request in flight, once."""
         on_response = self.on_response
         self.on_response = None
+        self.buffers.remove(self)
         if on_response:
             on_response(response)
 
 
+def is_of_other_request(headers: Headers, echo: tuple[str, str] | None) -> bool:
+    """Returns whether a response belongs to another request.
+
+    Args:
+        headers: The headers of the response.
+        echo: Header name and value that it must repeat if it has that header.
+    """
+    if echo is None:
+        return False
+    name, expected = echo
+    return any(key == name and value != expected for key, value in headers)
+
+
 def check_framing(headers: Headers) -> None:
     """Checks that all parsers agree on where a response ends.
 
@@ -327,6 +339,6 @@
 
 
 def exceeds_bounds(client: HttpClient) -> bool:
-    """Returns whether the last answer was longer than it may be."""
+    """Returns whether the last answer was longer than it may be, or cut."""
     too_many = client.received_bytes > client.max_bytes
-    return too_many or len(client.body) > client.max_body_bytes
+    return too_many or len(client.body) > client.buffers.max_body_bytes
--- a/egretlanding/platform/store.py
+++ b/egretlanding/platform/store.py
@@ -8,6 +8,7 @@
 import msgspec
 from twisted.internet.defer import Deferred
 
+from egretlanding.answerbuffers import AnswerBuffers
 from egretlanding.events import Event, Severity, log_event
 from egretlanding.exceptions import (
     HistoryLostError,
@@ -139,7 +140,7 @@
             port,
             MAX_CONNECTIONS,
             connect_timeout_s=CONNECT_TIMEOUT_S,
-            max_body_bytes=MAX_ANSWER_BYTES,
+            buffers=AnswerBuffers(MAX_ANSWER_BYTES),
         )
         return cls(pool)
 
--- a/egretlanding/targetpool.py
+++ b/egretlanding/targetpool.py
@@ -10,9 +10,9 @@
 from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
 from twisted.python.failure import Failure
 
+from egretlanding.answerbuffers import AnswerBuffers
 from egretlanding.frames import Headers
 from egretlanding.httpclient import (
-    MAX_BODY_BYTES,
     HttpClient,
     encode_request,
     exceeds_bounds,
@@ -116,7 +116,7 @@
         connect_timeout_s: Timeout for opening a connection, seconds.
         reuse_limit_s: Idle time after which a connection isn't used again,
             seconds.
-        max_body_bytes: Bound on the body of an answer.
+        buffers: Bounds the bodies of the answers that are arriving.
     """
 
     reactor: Any
@@ -129,7 +129,7 @@
     fastest_connect_s: float = math.inf
     connect_timeout_s: float = CONNECT_TIMEOUT_S
     reuse_limit_s: float = REUSE_LIMIT_S
-    max_body_bytes: int = MAX_BODY_BYTES
+    buffers: AnswerBuffers = attrs.field(factory=AnswerBuffers)
 
     def run(
         self,
@@ -213,7 +213,7 @@
         )
         started = self.reactor.seconds()
         connected = connectProtocol(
-            endpoint, HttpClient(self.on_connection_closed, self.max_body_bytes)
+            endpoint, HttpClient(self.on_connection_closed, self.buffers)
         )
         connected.addCallbacks(
             self.record_connect_time,
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -4,7 +4,9 @@
 import socket
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
 from http.server import BaseHTTPRequestHandler
 from pathlib import Path
 
@@ -22,6 +24,8 @@
 
 # Memory that a daemon may take, bytes.
 MAX_MEMORY_BYTES = 200_000_000
+# Memory that a daemon may take for all answers of its target together, bytes.
+MAX_ANSWERS_BYTES = 100_000_000
 # Time from the end of a call to the close of its connection, seconds.
 CLOSE_TIMEOUT_S = 1
 DEADLINE_MS = 1_000
@@ -184,3 +188,50 @@
         caller.sendall(b'%s%s' % (begin, b'x' * 5_000))
         assert caller.recv(65_536).startswith(b'HTTP/1.1 431')
     assert call(fleet, '/a/x')[0] == 200
+
+
+def set_slots(fleet: PlatformFleet, member: Member, slots: int) -> None:
+    """Lists the target of a member with a number of slots."""
+    entry = member.store_record()
+    listed = {**entry, 'info': {**entry['info'], 'slots': slots}}
+    fleet.store.write(f'servers/{member.instance}', listed)
+
+
+# Failure: each answer without end was bounded, but not all of them together, so
+# that a target with many slots took its daemon over the memory of the host.
+@pytest.mark.parametrize('name', BEGINNINGS)
+@pytest.mark.parametrize('slots', [6, 90])
+def test_many_answers_without_end_leave_memory_and_other_calls(
+    tmp_path: Path, name: str, slots: int
+) -> None:
+    with platform_fleet(tmp_path, ['orders', 'stock']) as fleet:
+        endless, good = fleet.members
+        stock = {**ORDERS_ROUTE, 'prefix': '/stock/', 'service': 'stock'}
+        fleet.configure(2, once=ONCE_ROUTE, stock=stock)
+        set_slots(fleet, endless, slots)
+        time.sleep(1)
+        target = make_endless(endless, name, slow=False)
+        before = memory_peak(endless)
+        headers = {'Host': 'one.example', 'Deadline_Ms': '4000'}
+
+        def call_once(number: int) -> int:
+            return endless.send_request(
+                '/once/x', Request_Id=f'once-{number}', **headers
+            )[0]
+
+        with ThreadPoolExecutor(slots) as pool:
+            calls = [pool.submit(call_once, number) for number in range(slots)]
+            others = [
+                endless.send_request('/stock/x', Request_Id='s', **headers)
+                for _ in range(20)
+            ]
+            statuses = Counter(waiting.result() for waiting in calls)
+        assert [answer[:2] for answer in others] == [
+            (200, good.address.encode())
+        ] * 20
+        # What is refused as not run has not run.
+        assert statuses == Counter(
+            {502: target.answers, 503: slots - target.answers}
+        )
+        grown = memory_peak(endless) - before
+        assert grown < MAX_ANSWERS_BYTES, f'grew by {grown:,} bytes'
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -9,9 +9,9 @@
 from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.python.failure import Failure
 
+from egretlanding.answerbuffers import MAX_BODY_BYTES, AnswerBuffers
 from egretlanding.httpclient import (
     MAX_ANSWER_BYTES,
-    MAX_BODY_BYTES,
     MAX_HEAD_BYTES,
     HttpClient,
     encode_request,
@@ -255,7 +255,7 @@
 def test_a_client_may_have_a_bound_of_its_own(excess: int) -> None:
     bound = 2 * MAX_ANSWER_BYTES
     reported: list[HttpResponse | None] = []
-    client = HttpClient(lambda _client: None, max_body_bytes=bound)
+    client = HttpClient(lambda _client: None, AnswerBuffers(bound))
     attach(client)
     client.send(b'', reported.append)
     body = bytes(bound + excess)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -9,6 +9,7 @@
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.task import Clock
 
+from egretlanding.answerbuffers import AnswerBuffers
 from egretlanding.exceptions import (
     HistoryLostError,
     PlatformError,
@@ -187,14 +188,16 @@
     body = {'items': items, 'truncated': True, 'current-rev': 7}
     encoded = make_response(200, body).body
     store = PlatformStore.from_address(Clock(), '127.0.0.1', 1)
-    assert len(encoded) <= store.pool.max_body_bytes
+    assert len(encoded) <= store.pool.buffers.max_body_bytes
 
 
 # Failure: daemons repeated a watch whose answer was too long or malformed for
 # ever, since its error said no more than that of a store that is down.
 @pytest.mark.parametrize('body', [bytes(MAX_ANSWER_BYTES + 1), b'{"events": ['])
 def test_an_answer_that_cannot_be_read_has_its_own_error(body: bytes) -> None:
-    pool = WirePool(Clock(), '127.0.0.1', 1, 4, max_body_bytes=MAX_ANSWER_BYTES)
+    pool = WirePool(
+        Clock(), '127.0.0.1', 1, 4, buffers=AnswerBuffers(MAX_ANSWER_BYTES)
+    )
     outcomes: list[Any] = []
     watching = ensureDeferred(PlatformStore(pool).watch(5, 9))
     watching.addBoth(outcomes.append)
@@ -207,7 +210,9 @@
 # Failure: the same, over a link so narrow that the answer never ended in time.
 def test_an_answer_that_takes_too_long_has_the_same_error() -> None:
     clock = Clock()
-    pool = WirePool(clock, '127.0.0.1', 1, 4, max_body_bytes=MAX_ANSWER_BYTES)
+    pool = WirePool(
+        clock, '127.0.0.1', 1, 4, buffers=AnswerBuffers(MAX_ANSWER_BYTES)
+    )
     outcomes: list[Any] = []
     watching = ensureDeferred(PlatformStore(pool).watch(5, 9))
     watching.addBoth(outcomes.append)
--- a/tests/wires.py
+++ b/tests/wires.py
@@ -70,7 +70,7 @@
     def connect(self) -> Deferred[HttpClient]:
         """Opens a connection."""
         self.open_count += 1
-        client = HttpClient(self.on_connection_closed, self.max_body_bytes)
+        client = HttpClient(self.on_connection_closed, self.buffers)
         attach(client)
         self.clients.append(client)
         return succeed(client)
