Halve the bound on all answers, and let the stand-in accept ninety calls

A 504 that the test saw once is traced: the stand-in's queue of connections to accept held five, so handshakes of ninety at once were dropped, which showed as 503 and once as 504.

--- a/egretlanding/answerbuffers.py
+++ b/egretlanding/answerbuffers.py
@@ -9,7 +9,7 @@
 
 MAX_BODY_BYTES = MAX_FRAME_BYTES // 2
 # Bodies of the greatest length that may arrive at the same time.
-MAX_FULL_BODIES = 16
+MAX_FULL_BODIES = 8
 
 
 class ArrivingAnswer(Protocol):
--- a/standins/platformfleet.py
+++ b/standins/platformfleet.py
@@ -83,6 +83,9 @@
     """
 
     daemon_threads = True
+    # Connections that wait to be accepted. If there are more, the kernel drops
+    # handshakes, and a connection that seems open carries nothing for seconds.
+    request_queue_size = 1_024
     state: Any = None
     bandwidth: 'Bandwidth | None' = None
 
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -4,7 +4,6 @@
 import socket
 import threading
 import time
-from collections import Counter
 from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
 from http.server import BaseHTTPRequestHandler
@@ -225,13 +224,11 @@
                 endless.send_request('/stock/x', Request_Id='s', **headers)
                 for _ in range(20)
             ]
-            statuses = Counter(waiting.result() for waiting in calls)
+            statuses = {waiting.result() for waiting in calls}
         assert [answer[:2] for answer in others] == [
             (200, good.address.encode())
         ] * 20
-        # What is refused as not run has not run.
-        assert statuses == Counter(
-            {502: target.answers, 503: slots - target.answers}
-        )
+        assert statuses == {502}
+        assert target.answers == slots
         grown = memory_peak(endless) - before
         assert grown < MAX_ANSWERS_BYTES, f'grew by {grown:,} bytes'
