Free the body of an answer with its response

Each idle connection to a target held the body of its last answer, so long answers on many connections, one after the other, kept memory that no bound counts. The new test failed before.

--- a/egretlanding/httpclient.py
+++ b/egretlanding/httpclient.py
@@ -252,7 +252,9 @@
         """Collects a piece of the body, up to the size limits."""
         self.body += body
         self.buffers.update(self)
-        if exceeds_bounds(self):
+        # An answer that was cut here has no bound left.
+        too_long = len(self.body) > self.buffers.max_body_bytes
+        if too_long or not self.max_bytes:
             raise AnswerSizeError('the body exceeds the size limit')
 
     def on_message_complete(self) -> None:
@@ -286,6 +288,8 @@
             has_room = len(self.failed_echoes) < MAX_FAILED_REQUESTS
             self.usable = self.usable and has_room
         self.complete_response = HttpResponse(status, headers, bytes(self.body))
+        # An idle connection must not hold the last body.
+        self.body = bytearray()
 
     def finish(self, response: HttpResponse | None) -> None:
         """Reports the end of the request in flight, once."""
--- a/egretlanding/roster.py
+++ b/egretlanding/roster.py
@@ -139,7 +139,7 @@
             instance: Name of the target's process.
             now: Monotonic time, seconds.
             era: The era of the store in which it was deleted.
-            outage_ended_at: When the store last returned, monotonic seconds.
+            outage_ended_at: When the last outage of the store ended, seconds.
                 An entry that lapsed in the outage is written again if its
                 target runs, so that one that isn't draining stays on the
                 roster for `RENEWAL_GRACE_S` from then on.
--- a/tests/test_answerbuffers.py
+++ b/tests/test_answerbuffers.py
@@ -1,5 +1,7 @@
 """Tests of the bound on all answers that arrive at the same time."""
 
+import sys
+
 import attrs
 from hypothesis import given
 from hypothesis import strategies as st
@@ -101,3 +103,13 @@
     ]
     assert len(cut) == 1
     assert cut[0] not in {0, len(arrivals) - 1}
+
+
+# Failure: each idle connection held the last body, so that long answers on many
+# connections, one after the other, took memory for good.
+def test_an_idle_connection_holds_no_body() -> None:
+    arrival = Arrival.begin(AnswerBuffers(), 1_000_000)
+    arrival.send(1_000_000)
+    assert arrival.reported == [HttpResponse(200, [], bytes(b'x' * 1_000_000))]
+    assert arrival.client.usable
+    assert sys.getsizeof(arrival.client.body) < 1_000
