Give outages and the application of records modules of their own

What tells an outage is a policy module now (outages.py), and what applies records to a daemon is sidecarrecords.py. The behaviour is the same; tests name the new places, nothing else in them changed.

--- a/egretlanding/recordfeed.py
+++ b/egretlanding/recordfeed.py
@@ -1,6 +1,5 @@
 """Reads records from the store and keeps them current by watching it."""
 
-import math
 import random
 from collections.abc import Callable, Iterable
 from typing import Any, Protocol
@@ -15,6 +14,7 @@
     PlatformError,
     UnreadableAnswerError,
 )
+from egretlanding.outages import Outages
 from egretlanding.records import Record, RecordTable, Topic
 
 # Age of the records after which a daemon reads the store itself, unless its
@@ -37,9 +37,6 @@
 # Longest time between checks of whether this daemon should read the store.
 IDLE_POLL_S = 0.25
 MS_PER_S = 1_000
-# Shortest time without a confirmation that counts as an outage of the store. An
-# entry lapses after several missed heartbeats, so none does in a shorter one.
-MIN_OUTAGE_S = 1.75
 
 
 @attrs.frozen
@@ -132,11 +129,7 @@
             reader with a narrower link asked for it, seconds.
         on_confirm: Callbacks for a confirmation that advanced.
         confirmed_at: When the table last matched the store, seconds.
-        failed_at: When a request to the store last failed, of this daemon or
-            of one that told so, seconds. The store may have served others.
-        outage_ended_at: When the store last failed before it answered again
-            after an outage, or was found to have been restored from an older
-            copy, seconds.
+        outages: What is known of failures of the store.
         failures: Requests that failed since the last successful one.
         losses: Watches in a row whose history the store no longer had.
         reachable: Whether the last request to the store succeeded.
@@ -164,8 +157,7 @@
     appointed_until: float = float('-inf')
     on_confirm: list[Callable[[], None]] = attrs.field(factory=list)
     confirmed_at: float = float('-inf')
-    failed_at: float = float('-inf')
-    outage_ended_at: float = float('-inf')
+    outages: Outages = attrs.field(factory=Outages)
     failures: int = 0
     losses: int = 0
     reachable: bool = True
@@ -322,7 +314,7 @@
         """Replaces the table, and returns the records that changed."""
         table = self.table
         if table.complete_revision and era > table.era:
-            self.outage_ended_at = self.reactor.seconds()
+            self.outages.record_restoration(self.reactor.seconds())
             log_event(
                 Event.STORE_RESTORED,
                 'the store was restored from an older copy',
@@ -337,19 +329,13 @@
     def confirm(self, age_s: float) -> None:
         """Records that the table matched the store some time ago.
 
-        The store was away only if nobody is known to have been served for a
-        while. If it turns some daemons away, the others confirm the records.
-        A daemon that starts can't tell, and takes a failure for an outage.
-
         Args:
             age_s: Time since then, seconds.
         """
         now = self.reactor.seconds()
         before = self.confirmed_at
         self.confirmed_at = max(before, now - age_s)
-        unconfirmed_s = self.confirmed_at - before
-        if unconfirmed_s > MIN_OUTAGE_S and self.failed_at > before:
-            self.outage_ended_at = self.failed_at
+        self.outages.record_confirmation(before, self.confirmed_at)
         if self.confirmed_at >= before + CONFIRM_STEP_S:
             for callback in self.on_confirm:
                 callback()
@@ -394,7 +380,7 @@
         self.failed += 1
         self.failures += 1
         self.may_be_late = True
-        self.failed_at = self.reactor.seconds()
+        self.outages.record_failure(self.reactor.seconds())
         if self.reachable:
             log_event(
                 Event.STORE_UNREACHABLE,
@@ -431,21 +417,3 @@
     """Returns the pause after a lost history, longer for each in a row."""
     ceiling = BATCH_PAUSE_S * 2 ** min(feed.losses - 1, 4)
     return min(MAX_BACKOFF_S, ceiling) * feed.rng.uniform(0.5, 1)
-
-
-def failure_age_ms(feed: RecordFeed, now: float) -> int:
-    """Returns the time since the store last failed, ms; -1 if it never did."""
-    age_s = now - feed.failed_at
-    return -1 if math.isinf(age_s) else int(age_s * MS_PER_S)
-
-
-def hear_failure(feed: RecordFeed, age_ms: int) -> None:
-    """Records a failure of the store that another daemon has seen.
-
-    Args:
-        feed: The feed that hears of it.
-        age_ms: Time since then, ms; -1 for none.
-    """
-    if age_ms >= 0:
-        failed_at = feed.reactor.seconds() - age_ms / MS_PER_S
-        feed.failed_at = max(feed.failed_at, failed_at)
--- a/egretlanding/recordrelay.py
+++ b/egretlanding/recordrelay.py
@@ -23,8 +23,6 @@
 from egretlanding.recordfeed import (
     STALE_S,
     RecordFeed,
-    failure_age_ms,
-    hear_failure,
 )
 from egretlanding.recordreplies import RecordReplies, base_of, unpack
 from egretlanding.records import Record
@@ -155,7 +153,7 @@
             appoints,
             self.feed.reads_for_others(now) and self.feed.reachable,
             in_ms(now) if asks else 0,
-            failure_age_ms=failure_age_ms(self.feed, now),
+            failure_age_ms=self.feed.outages.failure_age_ms(now),
         )
 
     def update_hosts(self, hosts: Iterable[Host], region: str) -> None:
@@ -296,7 +294,7 @@
             self.better.record_question(peer, frame, self.tree, now)
             connection.send(question.answered_by(self.state_frame(), now))
         self.better.record_state(peer, frame, now)
-        hear_failure(self.feed, frame.failure_age_ms)
+        self.feed.outages.hear_failure(frame.failure_age_ms, now)
         table = self.feed.table
         if self.is_later(frame):
             if self.may_request_from(connection):
@@ -392,8 +390,9 @@
                 error=repr(error),
             )
             return
-        hear_failure(self.feed, frame.failure_age_ms)
-        age_s = oldest_s(frame, self.reactor.seconds())
+        now = self.reactor.seconds()
+        self.feed.outages.hear_failure(frame.failure_age_ms, now)
+        age_s = oldest_s(frame, now)
         log_event(
             Event.RECORDS_TAKEN,
             'records were taken over from another daemon',
@@ -422,7 +421,7 @@
     """Sends the records that another daemon lacks."""
     state = relay.state_frame()
     reply = relay.replies.reply_to(frame, relay.feed.table, state)
-    age_ms = failure_age_ms(relay.feed, relay.reactor.seconds())
+    age_ms = relay.feed.outages.failure_age_ms(relay.reactor.seconds())
     connection.send(msgspec.structs.replace(reply, failure_age_ms=age_ms))
 
 
--- a/egretlanding/sidecar.py
+++ b/egretlanding/sidecar.py
@@ -1,6 +1,5 @@
 """Composes a daemon that gets its configuration from a store of records."""
 
-import math
 import sys
 import time
 from functools import partial
@@ -36,12 +35,16 @@
 from egretlanding.retries import RetryBudget, WindowBudget
 from egretlanding.roster import Roster
 from egretlanding.sidecarconfig import SidecarConfig, port_of
+from egretlanding.sidecarrecords import (
+    apply_record,
+    configuration_age_ms,
+    release_age_s,
+    remove_target,
+)
 from egretlanding.views import View
 
 MS_PER_S = 1_000
 TICK_S = 0.25
-# Largest age in the log, seconds; it is infinite before the first confirmation.
-MAX_LOGGED_AGE_S = 1_000
 # Part of a caller's timeout kept for a refusal to reach the caller, ms. It
 # includes the time that the egress daemon has to reply that a call did not run.
 REFUSAL_MARGIN_MS = 65
@@ -389,85 +392,6 @@
         self.log.flush()
 
 
-def apply_record(sidecar: Sidecar, record: Record) -> None:
-    """Applies one record, or logs why it is refused."""
-    decoder = sidecar.adapter.decoder
-    try:
-        if decoder.is_publication(record):
-            submit_publication(sidecar, record)
-        elif decoder.target_of_entry(record):
-            sidecar.apply_target_entry(record)
-    except PlatformError as error:
-        log_refused(record, error)
-
-
-def submit_publication(sidecar: Sidecar, record: Record) -> None:
-    """Puts a configuration in force soon, the first one at once."""
-    era = sidecar.news.configuration.table.era
-    if sidecar.publication is None:
-        sidecar.apply_publication(record, era)
-    else:
-        sidecar.application.submit(
-            partial(apply_later_publication, sidecar, record, era)
-        )
-
-
-def apply_later_publication(sidecar: Sidecar, record: Record, era: int) -> None:
-    """Applies a configuration that follows another one, or logs its fault."""
-    try:
-        sidecar.apply_publication(record, era)
-    except PlatformError as error:
-        log_refused(record, error)
-    sidecar.refresh()
-
-
-def log_refused(record: Record, error: PlatformError) -> None:
-    """Logs why a record is refused."""
-    log_event(
-        Event.ENTRY_REFUSED,
-        str(error),
-        Severity.WARNING,
-        revision=record.revision,
-    )
-
-
-def remove_target(sidecar: Sidecar, instance: str, revision: int) -> None:
-    """Updates the roster when the entry of a target was deleted."""
-    now = sidecar.reactor.seconds()
-    entries = sidecar.news.entries
-    sidecar.roster.remove(
-        instance, now, entries.table.era, entries.outage_ended_at
-    )
-    log_event(
-        Event.TARGET_GONE,
-        'the entry of a target was deleted',
-        instance=instance,
-        revision=revision,
-        held=instance in sidecar.roster.targets,
-        outage_ended_ago_ms=logged_ms(now - entries.outage_ended_at),
-    )
-
-
-def release_age_s(sidecar: Sidecar) -> float:
-    """Returns the time since the configuration was known to be the newest.
-
-    It is infinite while a later one is held that is not in force yet, seconds.
-    """
-    if sidecar.application.pending:
-        return math.inf
-    return sidecar.news.configuration.age(sidecar.reactor.seconds())
-
-
-def configuration_age_ms(sidecar: Sidecar) -> int:
-    """Returns the age of the configuration that is held, ms."""
-    return logged_ms(sidecar.news.configuration.age(sidecar.reactor.seconds()))
-
-
-def logged_ms(seconds: float) -> int:
-    """Returns a time that may be infinite in whole milliseconds."""
-    return int(min(seconds, MAX_LOGGED_AGE_S) * MS_PER_S)
-
-
 def retire_local_target(sidecar: Sidecar) -> None:
     """Gives the target no new calls once its entry is gone.
 
--- a/tests/test_recordfeed.py
+++ b/tests/test_recordfeed.py
@@ -15,15 +15,14 @@
     PlatformError,
     UnreadableAnswerError,
 )
+from egretlanding.outages import MIN_OUTAGE_S
 from egretlanding.recordfeed import (
     MAX_WATCH_S,
-    MIN_OUTAGE_S,
     MIN_WATCH_FRACTION,
     STALE_S,
     Changes,
     Page,
     RecordFeed,
-    hear_failure,
 )
 from egretlanding.records import Record
 
@@ -91,7 +90,7 @@
     store.watches[-1].callback(Changes((), 1))
     clock.advance(STEP_S)
     assert feed.age(clock.seconds()) <= 2 * STEP_S
-    assert feed.outage_ended_at == -math.inf
+    assert feed.outages.ended_at == -math.inf
 
 
 # Failure: CONFIG and DENIED on the grown sites. Daemons took old records for
@@ -132,7 +131,7 @@
 def test_a_failed_watch_is_retried_and_marks_the_store_unreachable() -> None:
     feed, store, clock = start_feed()
     store.watches[-1].errback(PlatformError('unreachable', 'wait'))
-    assert feed.failed_at == clock.seconds()
+    assert feed.outages.failed_at == clock.seconds()
     assert not feed.reachable
     advance_clock(clock, 1)
     assert len(store.watches) > 1
@@ -146,11 +145,11 @@
             store.watches[-1].errback(PlatformError('unreachable', 'wait'))
             failed_at = clock.seconds()
         clock.advance(STEP_S)
-    assert feed.outage_ended_at == -math.inf
+    assert feed.outages.ended_at == -math.inf
     advance_clock(clock, 1)
     store.watches[-1].callback(changes_at(2))
     clock.advance(STEP_S)
-    assert feed.outage_ended_at == failed_at
+    assert feed.outages.ended_at == failed_at
 
 
 # Failure: a daemon that the store turned away took this for an outage, though
@@ -187,8 +186,8 @@
             feed.record_failure(PlatformError('turned away', 'wait'))
         else:
             failed_at = now
-            hear_failure(feed, 0)
-        assert feed.outage_ended_at == expected
+            feed.outages.hear_failure(0, now)
+        assert feed.outages.ended_at == expected
 
 
 # Failure: a daemon whose history was lost again after each list asked the store
--- a/tests/test_recordrelay.py
+++ b/tests/test_recordrelay.py
@@ -19,7 +19,8 @@
     RecordsUpdate,
 )
 from egretlanding.hosts import Host
-from egretlanding.recordfeed import MIN_OUTAGE_S, STALE_S, RecordFeed
+from egretlanding.outages import MIN_OUTAGE_S
+from egretlanding.recordfeed import STALE_S, RecordFeed
 from egretlanding.recordrelay import (
     ANNOUNCE_INTERVAL_S,
     FIRST_WAIT_S,
@@ -474,15 +475,15 @@
         relay.handle_records(connection, reply_of(reader, request))
 
     exchange()
-    assert relay.feed.outage_ended_at == -math.inf
+    assert relay.feed.outages.ended_at == -math.inf
     clock.advance(MIN_OUTAGE_S)
     reader_clock.advance(MIN_OUTAGE_S)
-    reader.feed.failed_at = reader_clock.seconds()
+    reader.feed.outages.failed_at = reader_clock.seconds()
     reader_clock.advance(0.5)
     clock.advance(0.5)
     reader.feed.apply_records([Record('a', 6, deleted=True)], 6, 0, whole=False)
     exchange()
-    assert relay.feed.outage_ended_at == pytest.approx(clock.seconds() - 0.5)
+    assert relay.feed.outages.ended_at == pytest.approx(clock.seconds() - 0.5)
 
 
 # Failure: daemons that the store turned away told those below them of an
@@ -501,5 +502,5 @@
         reader.feed.record_failure(PlatformError('turned away', 'wait'))
         clock.advance(0.5)
         reader_clock.advance(0.5)
-    assert reader.feed.outage_ended_at == -math.inf
-    assert relay.feed.outage_ended_at == -math.inf
+    assert reader.feed.outages.ended_at == -math.inf
+    assert relay.feed.outages.ended_at == -math.inf
